--- /dev/null
+++ b/include/flaxtiller/catalog/change.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <flaxtiller/core/findings.hpp>
+#include <flaxtiller/core/identifier.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+
+namespace flaxtiller
+{
+
+/// @brief How a change describes the new configuration.
+enum class change_kind
+{
+    /// The body is a whole document.
+    replace,
+    /// The body is a patch.
+    patch,
+    /// The body is `{"revision": n}`: the configuration of that revision becomes a new revision.
+    roll_back,
+};
+
+/// @brief A change that an operator asks for. Sent again with the same id it has no second effect.
+struct change
+{
+    change_id id;
+    /// The revision that the operator saw; the change is refused if another came in between.
+    std::int64_t base_revision = 0;
+    change_kind kind = change_kind::replace;
+    nlohmann::json body;
+
+    bool operator==(const change&) const = default;
+};
+
+/// @brief What became of a change.
+enum class change_status
+{
+    accepted,
+    conflict,
+    invalid,
+};
+
+/// @brief The answer to a change; the first one, however often the change is sent.
+struct change_result
+{
+    change_status status = change_status::invalid;
+    /// The change's own revision if accepted, the present one if not.
+    std::int64_t revision = 0;
+    /// In a conflict: the change that made the present revision.
+    change_id winner;
+    findings found;
+
+    bool operator==(const change_result&) const = default;
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(change_kind, {{change_kind::replace, "replace"},
+                                           {change_kind::patch, "patch"},
+                                           {change_kind::roll_back, "roll_back"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(change_status, {{change_status::invalid, "invalid"},
+                                             {change_status::accepted, "accepted"},
+                                             {change_status::conflict, "conflict"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change, id, base_revision, kind, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_result, status, revision, winner, found)
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <flaxtiller/catalog/backend_server.hpp>
+#include <flaxtiller/catalog/instance.hpp>
+#include <flaxtiller/catalog/placement_rule.hpp>
+#include <flaxtiller/catalog/service.hpp>
+#include <flaxtiller/core/findings.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace flaxtiller
+{
+
+/// @brief All that operators declared, by name; one immutable value a revision.
+struct configuration
+{
+    std::map<service_name, service> services;
+    std::map<backend_server_name, backend_server> backend_servers;
+    std::map<std::string, placement_rule> placement_rules;
+    std::map<instance_name, instance> instances;
+
+    bool operator==(const configuration&) const = default;
+
+    /// @return a hash of the canonical document, equal on every machine for equal configurations
+    std::uint64_t digest() const;
+};
+
+void to_json(nlohmann::json& j, const configuration& value);
+
+/// @brief Reads a whole document.
+/// @param document `{"services": [...], "backend_servers": [...], "placement_rules": [...], "instances":
+/// [...]}`
+/// @param found takes every finding, with a JSON pointer as its place
+/// @return what could be read; use it only if @a found has no errors
+configuration parse_configuration(const nlohmann::json& document, findings& found);
+
+/// @brief Applies a patch: `upsert` holds items like those of a document, `remove` holds lists of names.
+/// @return @a base with the patch applied
+configuration apply_patch(const configuration& base, const nlohmann::json& patch, findings& found);
+
+/// @brief Checks what spans several items: selectors that match nothing, shards without a backend server.
+findings validate(const configuration& value);
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/catalog/diff.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <flaxtiller/catalog/configuration.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace flaxtiller
+{
+
+/// @return the patch that makes @a to of @a from; an empty object if they are equal
+nlohmann::json diff(const configuration& from, const configuration& to);
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/catalog/service.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/labels.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace flaxtiller
+{
+
+/// @brief A search service: an index split into numbered shards.
+struct service
+{
+    service_name name;
+    flaxtiller::labels labels;
+    /// Shards are numbered from 0 to this number less one.
+    int shards = 1;
+    /// Attempts beyond the first that may be started, as a share of the subqueries answered.
+    double extra_load_share = 0.04;
+
+    bool operator==(const service&) const = default;
+};
+
+void to_json(nlohmann::json& j, const service& value);
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/coordinator/event_codec.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <flaxtiller/coordinator/event.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace flaxtiller
+{
+
+/// @return the event as JSON, for a trace
+nlohmann::json event_to_json(const coordinator_event& happened);
+
+/// @brief Reads an event of a trace.
+/// @throw nlohmann::json::exception if it is malformed
+coordinator_event event_from_json(const nlohmann::json& j);
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/core/json_reader.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <flaxtiller/core/findings.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace flaxtiller
+{
+
+/// @brief Reads the keys of one JSON object and reports unknown, missing and ill-typed ones with their place.
+///
+/// Call @ref finish last; it reports the keys that nobody read.
+class json_reader
+{
+  public:
+    /// @param object the object to read
+    /// @param place its JSON pointer, "" for the root
+    json_reader(const nlohmann::json& object, std::string place, findings& found)
+        : m_object(object), m_place(std::move(place)), m_found(found)
+    {
+        if (!m_object.is_object())
+        {
+            m_found.error(errc::wrong_type, m_place, "must be an object");
+        }
+    }
+
+    /// @brief Reads a text; a missing key leaves @a into as it is.
+    void text(const char* key, std::string& into)
+    {
+        read(
+            key, into,
+            [](const nlohmann::json& j)
+            {
+                return j.is_string();
+            },
+            "must be a string");
+    }
+
+    /// @brief Reads true or false.
+    void flag(const char* key, bool& into)
+    {
+        read(
+            key, into,
+            [](const nlohmann::json& j)
+            {
+                return j.is_boolean();
+            },
+            "must be true or false");
+    }
+
+    /// @brief Reads a number between @a low and @a high.
+    template <typename Number>
+    void number(const char* key, Number& into, Number low, Number high)
+    {
+        const nlohmann::json* value = take(key);
+        if (value == nullptr)
+        {
+            return;
+        }
+        const bool right_type = std::is_integral_v<Number> ? value->is_number_integer() : value->is_number();
+        if (!right_type)
+        {
+            m_found.error(errc::wrong_type, at(key), "must be a number");
+            return;
+        }
+        const auto wide = value->template get<double>();
+        if (wide < static_cast<double>(low) || wide > static_cast<double>(high))
+        {
+            m_found.error(errc::out_of_range, at(key),
+                          "must lie between " + std::to_string(low) + " and " + std::to_string(high));
+            return;
+        }
+        into = value->template get<Number>();
+    }
+
+    /// @brief Takes a key whose value the caller reads itself.
+    /// @return the value, or nothing if the key is missing
+    const nlohmann::json* take(const char* key)
+    {
+        m_read.insert(key);
+        if (!m_object.is_object())
+        {
+            return nullptr;
+        }
+        const auto found = m_object.find(key);
+        return found == m_object.end() ? nullptr : &*found;
+    }
+
+    /// @brief Reports @a key as missing unless it is there.
+    void require(const char* key)
+    {
+        if (m_object.is_object() && !m_object.contains(key))
+        {
+            m_found.error(errc::missing_key, at(key), "must be given");
+        }
+    }
+
+    /// @brief Reports every key that wasn't read.
+    void finish()
+    {
+        if (!m_object.is_object())
+        {
+            return;
+        }
+        for (const auto& [key, value] : m_object.items())
+        {
+            if (m_read.count(key) == 0)
+            {
+                m_found.error(errc::unknown_key, at(key), "isn't a key of this object");
+            }
+        }
+    }
+
+    /// @return the JSON pointer of @a key
+    std::string at(const std::string& key) const
+    {
+        return m_place + "/" + key;
+    }
+
+    /// @return where findings go
+    findings& found() noexcept
+    {
+        return m_found;
+    }
+
+  private:
+    template <typename Value, typename Check>
+    void read(const char* key, Value& into, Check has_type, const char* message)
+    {
+        const nlohmann::json* value = take(key);
+        if (value == nullptr)
+        {
+            return;
+        }
+        if (!has_type(*value))
+        {
+            m_found.error(errc::wrong_type, at(key), message);
+            return;
+        }
+        into = value->template get<Value>();
+    }
+
+    const nlohmann::json& m_object;
+    std::string m_place;
+    findings& m_found;
+    std::set<std::string> m_read;
+};
+
+} // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <flaxtiller/core/duration.hpp>
+
+namespace flaxtiller::dispatch
+{
+
+/// @brief What can be turned in a @ref scheduler. The defaults are those measured in
+/// docs/design/0002-dispatch.md.
+struct scheduler_options
+{
+    /// An attempt is late once it took longer than this share of earlier ones.
+    double late_quantile = 0.97;
+    /// Attempts beyond the first that may be started, as a share of the subqueries finished.
+    double extra_load_share = 0.04;
+    /// Unspent extra attempts that may pile up.
+    double budget_burst = 20.0;
+    /// Attempts of one subquery.
+    int most_attempts = 4;
+    /// Late is never earlier than this.
+    duration least_late_after = duration::from_ms(1);
+    /// Late while nothing has been observed.
+    duration first_late_after = duration::from_ms(50);
+    /// A cancel that isn't confirmed within this long has failed.
+    duration cancel_bound = duration::from_ms(10);
+    /// Cancels that must fail in a row before late attempts are no longer replaced on that backend server.
+    int cancel_failures = 3;
+    /// How long replacing then pauses.
+    duration cancel_pause = duration::from_ms(10000);
+    /// Failures in a row that eject a backend server.
+    int eject_after = 3;
+    duration eject_first = duration::from_ms(500);
+    duration eject_most = duration::from_ms(30000);
+    /// A backend server without an observation for this long is tried as if it were as fast as the others.
+    duration observation_age = duration::from_ms(5000);
+    /// A backend server counts as slower only beyond this ratio.
+    double slower_ratio = 1.5;
+
+    bool operator==(const scheduler_options&) const = default;
+};
+
+} // namespace flaxtiller::dispatch
--- /dev/null
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <flaxtiller/catalog/backend_server.hpp>
+#include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/dispatch/latency_estimator.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace flaxtiller::dispatch
+{
+
+/// @brief What a scheduler knows of one backend server, from the answers that it got itself.
+struct server_state
+{
+    backend_server definition;
+    /// The shards that it holds.
+    std::vector<int> shards;
+    /// Attempts that hold one of its slots, those being cancelled included.
+    int in_use = 0;
+    latency_estimator latency;
+    /// A moving average of latencies, for the choice between backend servers.
+    duration recent_latency{};
+    int recent_samples = 0;
+    time_point observed_at{};
+    /// It said that it is full until then.
+    time_point busy_until{};
+    /// The platform's list says that it is leaving.
+    bool listed_leaving = false;
+    /// It said itself, in its last answer, that it is leaving.
+    bool said_leaving = false;
+    /// No longer in the placement; kept until its last attempt ended.
+    bool retired = false;
+    /// The versions it said it holds; nothing before its first answer.
+    std::optional<std::vector<index_version>> versions;
+
+    int failures_in_row = 0;
+    int ejections_in_row = 0;
+    time_point ejected_until{};
+
+    int cancel_failures_in_row = 0;
+    time_point replace_paused_until{};
+
+    /// @return whether new work must not go there, by any of the three sources
+    bool is_leaving() const noexcept
+    {
+        return definition.leaving || listed_leaving || said_leaving || retired;
+    }
+};
+
+} // namespace flaxtiller::dispatch
--- /dev/null
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/time_point.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace flaxtiller::dispatch
+{
+
+/// @brief Identity of a subquery within one scheduler.
+using subquery_id = std::uint64_t;
+
+/// @brief Identity of an attempt: one sending of a subquery to one backend server.
+using attempt_id = std::uint64_t;
+
+/// @brief One shard's part of a query, to be run on one of the shard's backend servers.
+struct subquery
+{
+    subquery_id id = 0;
+    int shard = 0;
+    /// The index version that the answer must be made from; empty for whatever is newest.
+    index_version version;
+    time_point deadline = time_point::never();
+    /// Whether it may be run more than once.
+    bool repeatable = true;
+    /// What is sent; not looked at.
+    std::shared_ptr<const std::string> body;
+
+    bool operator==(const subquery&) const = default;
+};
+
+} // namespace flaxtiller::dispatch
--- /dev/null
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <algorithm>
+
+namespace flaxtiller::dispatch
+{
+
+/// @brief A budget that fills with finished work and pays for attempts beyond the first.
+class token_budget
+{
+  public:
+    /// @param share tokens that one finished subquery earns
+    /// @param burst the most tokens kept
+    token_budget(double share, double burst) noexcept : m_share(share), m_burst(burst), m_tokens(burst / 2)
+    {
+    }
+
+    /// @brief One subquery was finished.
+    void earn() noexcept
+    {
+        m_tokens = std::min(m_burst, m_tokens + m_share);
+    }
+
+    /// @brief Spends one token.
+    /// @return false, and nothing is spent, if there is none
+    bool spend() noexcept
+    {
+        if (m_tokens < 1.0)
+        {
+            return false;
+        }
+        m_tokens -= 1.0;
+        return true;
+    }
+
+    /// @brief Gives a token back that wasn't used.
+    void refund() noexcept
+    {
+        m_tokens = std::min(m_burst, m_tokens + 1.0);
+    }
+
+    /// @return the tokens at hand
+    double tokens() const noexcept
+    {
+        return m_tokens;
+    }
+
+  private:
+    double m_share;
+    double m_burst;
+    double m_tokens;
+};
+
+} // namespace flaxtiller::dispatch
--- /dev/null
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <flaxtiller/catalog/configuration.hpp>
+#include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/distribution/revision_update.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace flaxtiller::distribution
+{
+
+/// @brief Brings revisions to the instances below it: a leader's, or a relay's. Deterministic.
+///
+/// Sends a patch where it still has the instance's revision and the whole document where not, and sends again
+/// what isn't acknowledged.
+class publisher
+{
+  public:
+    /// Revisions kept to make patches of.
+    static constexpr std::size_t revisions_kept = 64;
+    /// An unacknowledged update is sent again after this long.
+    static constexpr duration resend_after = duration::from_ms(500);
+
+    /// @brief What is known of one instance.
+    struct standing
+    {
+        std::int64_t in_force = 0;
+        bool needs_whole = false;
+        time_point heard_at{};
+        std::int64_t sent = 0;
+        time_point sent_at{};
+    };
+
+    struct outgoing
+    {
+        instance_name to;
+        revision_update update;
+    };
+
+    /// @brief A greater revision is the present one.
+    void on_revision(std::int64_t revision, std::shared_ptr<const configuration> value);
+
+    /// @brief An instance told what it has in force.
+    void on_report(const instance_name& from, const revision_report& report, time_point now);
+
+    /// @brief An instance is gone for good.
+    void forget(const instance_name& instance);
+
+    /// @return updates to send now
+    std::vector<outgoing> take_updates(time_point now);
+
+    /// @return each instance's revision and when it was last heard of
+    const std::map<instance_name, standing>& instances() const noexcept;
+
+    std::int64_t revision() const noexcept;
+
+  private:
+    struct kept
+    {
+        std::int64_t revision = 0;
+        std::shared_ptr<const configuration> value;
+    };
+
+    const kept* find(std::int64_t revision) const;
+    const revision_update& update_from(std::int64_t base);
+
+    std::deque<kept> m_kept;
+    std::uint64_t m_digest = 0;
+    /// Updates to the present revision by their base, made once for all instances.
+    std::map<std::int64_t, revision_update> m_updates;
+    std::map<instance_name, standing> m_instances;
+};
+
+} // namespace flaxtiller::distribution
--- /dev/null
+++ b/include/flaxtiller/quorum/timing.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <flaxtiller/core/duration.hpp>
+
+namespace flaxtiller::quorum
+{
+
+/// @brief The time limits of election and lease. All replicas must use the same.
+struct timing
+{
+    duration heartbeat = duration::from_ms(100);
+    /// A follower that heard from a leader grants no vote for this long.
+    duration election_min = duration::from_ms(500);
+    duration election_max = duration::from_ms(1000);
+    /// Bound on how far the rates of two monotonic clocks differ; the lease is shorter by twice this share.
+    double clock_drift = 0.01;
+    /// A snapshot that wasn't acknowledged is sent again after this long.
+    duration snapshot_retry = duration::from_ms(3000);
+
+    bool operator==(const timing&) const = default;
+};
+
+} // namespace flaxtiller::quorum
--- /dev/null
+++ b/src/catalog/catalog_state.cpp
@@ -0,0 +1,174 @@
+#include <flaxtiller/catalog/catalog_state.hpp>
+
+namespace flaxtiller
+{
+
+change_result catalog_state::apply(const change& requested)
+{
+    const auto known = m_results.find(requested.id);
+    if (known != m_results.end())
+    {
+        return known->second;
+    }
+    configuration next;
+    const change_result result = decide(requested, next);
+    if (result.status == change_status::accepted)
+    {
+        m_current = std::move(next);
+        m_revision = result.revision;
+        m_made_by = requested.id;
+        m_history.push_back({m_revision, m_made_by, m_current});
+        if (m_history.size() > revisions_kept)
+        {
+            m_history.pop_front();
+        }
+    }
+    remember(requested.id, result);
+    return result;
+}
+
+std::string catalog_state::apply_bytes(const std::string& command)
+{
+    std::string bytes;
+    try
+    {
+        const change_result result = apply(nlohmann::json::from_cbor(command).get<change>());
+        nlohmann::json::to_cbor(nlohmann::json(result), bytes);
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        // Every replica fails in the same way, so the states stay equal.
+        nlohmann::json::to_cbor(nlohmann::json(change_result{}), bytes);
+    }
+    return bytes;
+}
+
+change_result catalog_state::preview(const change& requested) const
+{
+    const auto known = m_results.find(requested.id);
+    if (known != m_results.end())
+    {
+        return known->second;
+    }
+    configuration next;
+    return decide(requested, next);
+}
+
+change_result catalog_state::decide(const change& requested, configuration& next) const
+{
+    change_result result;
+    result.revision = m_revision;
+    if (requested.base_revision != m_revision)
+    {
+        result.status = change_status::conflict;
+        result.winner = m_made_by;
+        return result;
+    }
+    next = next_configuration(requested, result.found);
+    if (result.found.has_errors())
+    {
+        result.status = change_status::invalid;
+        return result;
+    }
+    result.found.append(validate(next));
+    result.status = result.found.has_errors() ? change_status::invalid : change_status::accepted;
+    if (result.status == change_status::accepted)
+    {
+        result.revision = m_revision + 1;
+    }
+    return result;
+}
+
+configuration catalog_state::next_configuration(const change& requested, findings& found) const
+{
+    switch (requested.kind)
+    {
+    case change_kind::replace:
+        return parse_configuration(requested.body, found);
+    case change_kind::patch:
+        return apply_patch(m_current, requested.body, found);
+    case change_kind::roll_back:
+        break;
+    }
+    const auto wanted = requested.body.is_object() ? requested.body.value("revision", std::int64_t{-1}) : -1;
+    for (const revision_record& record : m_history)
+    {
+        if (record.revision == wanted)
+        {
+            return record.value;
+        }
+    }
+    found.error(errc::revision_unknown, "/revision", std::to_string(wanted) + " isn't kept");
+    return {};
+}
+
+void catalog_state::remember(const change_id& id, const change_result& result)
+{
+    m_results.emplace(id, result);
+    m_result_order.push_back(id);
+    if (m_result_order.size() > results_kept)
+    {
+        m_results.erase(m_result_order.front());
+        m_result_order.pop_front();
+    }
+}
+
+const configuration& catalog_state::current() const noexcept
+{
+    return m_current;
+}
+
+std::int64_t catalog_state::revision() const noexcept
+{
+    return m_revision;
+}
+
+std::map<std::int64_t, change_id> catalog_state::history() const
+{
+    std::map<std::int64_t, change_id> kept;
+    for (const revision_record& record : m_history)
+    {
+        kept.emplace(record.revision, record.made_by);
+    }
+    return kept;
+}
+
+std::string catalog_state::serialize() const
+{
+    nlohmann::json j = {{"revision", m_revision}, {"made_by", m_made_by}, {"current", m_current}};
+    j["history"] = nlohmann::json::array();
+    for (const revision_record& record : m_history)
+    {
+        j["history"].push_back(
+            {{"revision", record.revision}, {"made_by", record.made_by}, {"value", record.value}});
+    }
+    j["results"] = nlohmann::json::array();
+    for (const change_id& id : m_result_order)
+    {
+        j["results"].push_back({{"id", id}, {"result", m_results.at(id)}});
+    }
+    const auto bytes = nlohmann::json::to_cbor(j);
+    return {bytes.begin(), bytes.end()};
+}
+
+catalog_state catalog_state::deserialize(const std::string& bytes)
+{
+    const auto j = nlohmann::json::from_cbor(bytes);
+    findings ignored;
+    catalog_state state;
+    state.m_revision = j.at("revision");
+    state.m_made_by = j.at("made_by").get<change_id>();
+    state.m_current = parse_configuration(j.at("current"), ignored);
+    for (const auto& record : j.at("history"))
+    {
+        state.m_history.push_back({record.at("revision"), record.at("made_by").get<change_id>(),
+                                   parse_configuration(record.at("value"), ignored)});
+    }
+    for (const auto& entry : j.at("results"))
+    {
+        state.remember(entry.at("id").get<change_id>(), entry.at("result").get<change_result>());
+    }
+    return state;
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/catalog/configuration.cpp
@@ -0,0 +1,371 @@
+#include <flaxtiller/catalog/configuration.hpp>
+
+#include "shard_label.hpp"
+
+#include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/core/hash.hpp>
+#include <flaxtiller/core/json_reader.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+
+namespace flaxtiller
+{
+
+namespace
+{
+
+constexpr int most_shards = 4096;
+constexpr int most_slots = 1024;
+constexpr int most_connections = 65535;
+
+/// The keys of a document and of a patch.
+constexpr const char* services_key = "services";
+constexpr const char* backend_servers_key = "backend_servers";
+constexpr const char* placement_rules_key = "placement_rules";
+constexpr const char* instances_key = "instances";
+
+template <typename Map>
+nlohmann::json values_of(const Map& map)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [name, item] : map)
+    {
+        list.push_back(item);
+    }
+    return list;
+}
+
+bool is_label_value(const nlohmann::json& value)
+{
+    return value.is_string();
+}
+
+void read_labels(json_reader& reader, const char* key, labels& into)
+{
+    const nlohmann::json* object = reader.take(key);
+    if (object == nullptr)
+    {
+        return;
+    }
+    if (!object->is_object())
+    {
+        reader.found().error(errc::wrong_type, reader.at(key), "must be an object of strings");
+        return;
+    }
+    for (const auto& [label, value] : object->items())
+    {
+        if (!is_label_value(value))
+        {
+            reader.found().error(errc::wrong_type, reader.at(key) + "/" + label, "must be a string");
+            continue;
+        }
+        into[label] = value.get<std::string>();
+    }
+}
+
+bool is_accepted_list(const nlohmann::json& value)
+{
+    if (value.is_null() || value.is_string())
+    {
+        return true;
+    }
+    return value.is_array() && !value.empty() && std::all_of(value.begin(), value.end(), is_label_value);
+}
+
+void read_selector(json_reader& reader, const char* key, selector& into)
+{
+    const nlohmann::json* object = reader.take(key);
+    if (object == nullptr)
+    {
+        return;
+    }
+    if (!object->is_object())
+    {
+        reader.found().error(errc::wrong_type, reader.at(key), "must be an object");
+        return;
+    }
+    for (const auto& [label, value] : object->items())
+    {
+        if (!is_accepted_list(value))
+        {
+            reader.found().error(errc::wrong_type, reader.at(key) + "/" + label,
+                                 "must be a string, a non-empty list of strings, or null");
+            return;
+        }
+    }
+    into = object->get<selector>();
+}
+
+template <typename Name>
+void read_name(json_reader& reader, Name& into)
+{
+    std::string name;
+    reader.require("name");
+    reader.text("name", name);
+    if (name.empty())
+    {
+        reader.found().error(errc::out_of_range, reader.at("name"), "must not be empty");
+    }
+    into = Name(std::move(name));
+}
+
+bool is_address(const std::string& address)
+{
+    constexpr std::size_t most_digits = 5;
+    constexpr unsigned long highest_port = 65535;
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos || colon + 1 == address.size() ||
+        address.size() - colon - 1 > most_digits ||
+        address.find_first_not_of("0123456789", colon + 1) != std::string::npos ||
+        std::stoul(address.substr(colon + 1)) > highest_port)
+    {
+        return false;
+    }
+    in6_addr parsed{};
+    const std::string ip = address.substr(0, colon);
+    return inet_pton(AF_INET, ip.c_str(), &parsed) == 1 || inet_pton(AF_INET6, ip.c_str(), &parsed) == 1;
+}
+
+void read_address(json_reader& reader, std::string& into)
+{
+    reader.require("address");
+    reader.text("address", into);
+    if (!is_address(into))
+    {
+        reader.found().error(errc::address_malformed, reader.at("address"), "must be IP:port");
+    }
+}
+
+void read_item(json_reader& reader, service& into)
+{
+    read_name(reader, into.name);
+    read_labels(reader, "labels", into.labels);
+    reader.number("shards", into.shards, 1, most_shards);
+    reader.number("extra_load_share", into.extra_load_share, 0.0, 1.0);
+}
+
+void read_item(json_reader& reader, backend_server& into)
+{
+    read_name(reader, into.name);
+    read_labels(reader, "labels", into.labels);
+    read_address(reader, into.address);
+    reader.text("availability_zone", into.availability_zone);
+    reader.number("slots", into.slots, 1, most_slots);
+    reader.number("connection_limit", into.connection_limit, 1, most_connections);
+    reader.flag("leaving", into.leaving);
+}
+
+void read_item(json_reader& reader, placement_rule& into)
+{
+    reader.require("name");
+    reader.text("name", into.name);
+    read_selector(reader, "services", into.services);
+    read_selector(reader, "backend_servers", into.backend_servers);
+    reader.text("shard_label", into.shard_label);
+}
+
+void read_item(json_reader& reader, instance& into)
+{
+    read_name(reader, into.name);
+    read_address(reader, into.address);
+    reader.text("region", into.region);
+    reader.text("availability_zone", into.availability_zone);
+    reader.flag("leaving", into.leaving);
+}
+
+template <typename Map>
+void read_list(json_reader& reader, const char* key, Map& into)
+{
+    const nlohmann::json* list = reader.take(key);
+    if (list == nullptr)
+    {
+        return;
+    }
+    if (!list->is_array())
+    {
+        reader.found().error(errc::wrong_type, reader.at(key), "must be a list");
+        return;
+    }
+    std::set<typename Map::key_type> seen;
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        const std::string place = reader.at(key) + "/" + std::to_string(i);
+        typename Map::mapped_type item;
+        json_reader item_reader((*list)[i], place, reader.found());
+        read_item(item_reader, item);
+        item_reader.finish();
+        if (!seen.insert(item.name).second)
+        {
+            reader.found().error(errc::duplicate_name, place + "/name", "stands twice in this list");
+        }
+        into.insert_or_assign(item.name, std::move(item));
+    }
+}
+
+void read_document(json_reader& reader, configuration& into)
+{
+    read_list(reader, services_key, into.services);
+    read_list(reader, backend_servers_key, into.backend_servers);
+    read_list(reader, placement_rules_key, into.placement_rules);
+    read_list(reader, instances_key, into.instances);
+    reader.finish();
+}
+
+template <typename Map>
+void remove_names(json_reader& reader, const char* key, Map& from)
+{
+    const nlohmann::json* list = reader.take(key);
+    if (list == nullptr)
+    {
+        return;
+    }
+    if (!list->is_array() || !std::all_of(list->begin(), list->end(), is_label_value))
+    {
+        reader.found().error(errc::wrong_type, reader.at(key), "must be a list of names");
+        return;
+    }
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        const auto name = typename Map::key_type((*list)[i].template get<std::string>());
+        if (from.erase(name) == 0)
+        {
+            reader.found().error(errc::unknown_name, reader.at(key) + "/" + std::to_string(i),
+                                 "nothing of this name is declared");
+        }
+    }
+}
+
+void check_rule(const configuration& value, const placement_rule& rule, findings& found)
+{
+    const std::string place = std::string("/") + placement_rules_key + "/" + rule.name;
+    const auto selects_service = [&](const auto& item)
+    {
+        return rule.services.matches(item.second.labels);
+    };
+    const auto selects_server = [&](const auto& item)
+    {
+        return rule.backend_servers.matches(item.second.labels);
+    };
+    if (std::none_of(value.services.begin(), value.services.end(), selects_service))
+    {
+        found.warning(errc::selector_matches_nothing, place + "/services", "no service matches");
+    }
+    if (std::none_of(value.backend_servers.begin(), value.backend_servers.end(), selects_server))
+    {
+        found.warning(errc::selector_matches_nothing, place + "/backend_servers",
+                      "no backend server matches");
+    }
+    for (const auto& [name, server] : value.backend_servers)
+    {
+        if (rule.backend_servers.matches(server.labels) && detail::shard_of(rule, server) < 0)
+        {
+            found.warning(errc::unknown_shard, place + "/shard_label",
+                          "backend server " + name.str() + " has no shard number in label " +
+                              rule.shard_label);
+        }
+    }
+}
+
+} // namespace
+
+std::uint64_t configuration::digest() const
+{
+    return hash64(nlohmann::json(*this).dump());
+}
+
+void to_json(nlohmann::json& j, const service& value)
+{
+    j = {{"name", value.name},
+         {"labels", value.labels},
+         {"shards", value.shards},
+         {"extra_load_share", value.extra_load_share}};
+}
+
+void to_json(nlohmann::json& j, const backend_server& value)
+{
+    j = {{"name", value.name},       {"labels", value.labels},
+         {"address", value.address}, {"availability_zone", value.availability_zone},
+         {"slots", value.slots},     {"connection_limit", value.connection_limit},
+         {"leaving", value.leaving}};
+}
+
+void to_json(nlohmann::json& j, const instance& value)
+{
+    j = {{"name", value.name},
+         {"address", value.address},
+         {"region", value.region},
+         {"availability_zone", value.availability_zone},
+         {"leaving", value.leaving}};
+}
+
+void to_json(nlohmann::json& j, const placement_rule& value)
+{
+    j = {{"name", value.name},
+         {"services", value.services},
+         {"backend_servers", value.backend_servers},
+         {"shard_label", value.shard_label}};
+}
+
+void to_json(nlohmann::json& j, const configuration& value)
+{
+    j = {{services_key, values_of(value.services)},
+         {backend_servers_key, values_of(value.backend_servers)},
+         {placement_rules_key, values_of(value.placement_rules)},
+         {instances_key, values_of(value.instances)}};
+}
+
+configuration parse_configuration(const nlohmann::json& document, findings& found)
+{
+    configuration parsed;
+    json_reader reader(document, "", found);
+    read_document(reader, parsed);
+    return parsed;
+}
+
+configuration apply_patch(const configuration& base, const nlohmann::json& patch, findings& found)
+{
+    configuration patched = base;
+    json_reader reader(patch, "", found);
+    if (const nlohmann::json* names = reader.take("remove"))
+    {
+        json_reader remove(*names, "/remove", found);
+        remove_names(remove, services_key, patched.services);
+        remove_names(remove, backend_servers_key, patched.backend_servers);
+        remove_names(remove, placement_rules_key, patched.placement_rules);
+        remove_names(remove, instances_key, patched.instances);
+        remove.finish();
+    }
+    if (const nlohmann::json* items = reader.take("upsert"))
+    {
+        json_reader upsert(*items, "/upsert", found);
+        read_document(upsert, patched);
+    }
+    reader.finish();
+    return patched;
+}
+
+findings validate(const configuration& value)
+{
+    findings found;
+    for (const auto& [name, rule] : value.placement_rules)
+    {
+        check_rule(value, rule, found);
+    }
+    const placement placed = place(0, value);
+    for (const auto& [name, entry] : placed.services)
+    {
+        for (std::size_t shard = 0; shard < entry.shards.size(); ++shard)
+        {
+            if (entry.shards[shard].empty())
+            {
+                found.warning(errc::shard_without_backend_server, "/services/" + name.str(),
+                              "shard " + std::to_string(shard) + " has no backend server");
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/catalog/diff.cpp
@@ -0,0 +1,41 @@
+#include <flaxtiller/catalog/diff.hpp>
+
+namespace flaxtiller
+{
+
+namespace
+{
+
+template <typename Map>
+void diff_map(const char* key, const Map& from, const Map& to, nlohmann::json& patch)
+{
+    for (const auto& [name, item] : to)
+    {
+        const auto before = from.find(name);
+        if (before == from.end() || !(before->second == item))
+        {
+            patch["upsert"][key].push_back(item);
+        }
+    }
+    for (const auto& [name, item] : from)
+    {
+        if (to.count(name) == 0)
+        {
+            patch["remove"][key].push_back(name);
+        }
+    }
+}
+
+} // namespace
+
+nlohmann::json diff(const configuration& from, const configuration& to)
+{
+    nlohmann::json patch = nlohmann::json::object();
+    diff_map("services", from.services, to.services, patch);
+    diff_map("backend_servers", from.backend_servers, to.backend_servers, patch);
+    diff_map("placement_rules", from.placement_rules, to.placement_rules, patch);
+    diff_map("instances", from.instances, to.instances, patch);
+    return patch;
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/command/ask.cpp
@@ -0,0 +1,112 @@
+// The subcommands that talk to one process: dump and query.
+
+#include "commands.hpp"
+#include "exit_status.hpp"
+
+#include "shell/http_call.hpp"
+
+#include <flaxtiller/query/query_answer.hpp>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdio>
+#include <sstream>
+
+DEFINE_string(at, "127.0.0.1:8001",
+              "the address to ask: an entry's for callers, or a process's for operators");
+DEFINE_string(shards, "all", "shard numbers, comma-separated, or all");
+DEFINE_double(deadline_ms, 1000, "how long the answer may take");
+DEFINE_string(key, "", "makes the request one that may not be repeated, with this key");
+DEFINE_int64(key_time_ms, 0, "when the key was made, in Unix milliseconds; now if 0");
+DECLARE_int32(timeout_ms);
+
+namespace flaxtiller::command
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+
+std::optional<shell::http_reply> call(const shell::http_request& request)
+{
+    const auto at = shell::parse_address(FLAGS_at);
+    if (!at)
+    {
+        fmt::print(stderr, "--at: {} isn't IP:port\n", FLAGS_at);
+        return std::nullopt;
+    }
+    auto reply = shell::http_call(*at, request, FLAGS_timeout_ms);
+    if (!reply)
+    {
+        fmt::print(stderr, "{} doesn't answer\n", FLAGS_at);
+    }
+    return reply;
+}
+
+nlohmann::json request_of(const std::vector<std::string>& arguments)
+{
+    nlohmann::json request = {{"service", arguments[0]}, {"deadline_ms", FLAGS_deadline_ms}};
+    if (arguments.size() > 1)
+    {
+        request["body"] = arguments[1];
+    }
+    if (FLAGS_shards != "all")
+    {
+        request["shards"] = nlohmann::json::parse("[" + FLAGS_shards + "]", nullptr, false);
+    }
+    if (!FLAGS_key.empty())
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+        request["repeatable"] = false;
+        request["key"] = FLAGS_key;
+        request["key_time_ms"] = FLAGS_key_time_ms != 0 ? FLAGS_key_time_ms : now_ms;
+    }
+    return request;
+}
+
+} // namespace
+
+int run_dump(const std::vector<std::string>& arguments)
+{
+    if (!arguments.empty())
+    {
+        fmt::print(stderr, "takes no arguments; --at names the operator address of a process\n");
+        return usage;
+    }
+    const auto reply = call({"GET", "/dump", "", {}});
+    if (!reply)
+    {
+        return unreachable;
+    }
+    fmt::print("{}\n", nlohmann::json::parse(reply->body, nullptr, false).dump(2));
+    return reply->status == http_ok ? success : refused;
+}
+
+int run_query(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty() || arguments.size() > 2)
+    {
+        fmt::print(stderr, "needs a service, and perhaps a body\n");
+        return usage;
+    }
+    const auto reply = call({"POST", "/query", request_of(arguments).dump(), {}});
+    if (!reply)
+    {
+        return unreachable;
+    }
+    const auto body = nlohmann::json::parse(reply->body, nullptr, false);
+    fmt::print("{}\n", body.dump(2));
+    if (!body.is_object() || reply->status != http_ok)
+    {
+        const bool unknown = body.is_object() && body.value("outcome", std::string()) == "unknown";
+        return unknown ? unknown_outcome : refused;
+    }
+    return body.value("complete", false) ? success : partial;
+}
+
+} // namespace flaxtiller::command
--- /dev/null
+++ b/src/command/control_client.cpp
@@ -0,0 +1,81 @@
+#include "control_client.hpp"
+
+#include "shell/http_call.hpp"
+
+#include <flaxtiller/core/clock.hpp>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+DEFINE_string(control, "127.0.0.1:8251", "operator addresses of the control replicas, comma-separated");
+DEFINE_int32(timeout_ms, 10000, "how long to go on asking");
+
+namespace flaxtiller::command
+{
+
+namespace
+{
+
+constexpr int http_not_leader = 421;
+constexpr int http_unavailable = 503;
+constexpr int call_timeout_ms = 3000;
+constexpr auto pause = std::chrono::milliseconds(100);
+
+std::vector<shell::address> addresses()
+{
+    std::vector<shell::address> parsed;
+    std::istringstream stream(FLAGS_control);
+    for (std::string part; std::getline(stream, part, ',');)
+    {
+        const auto at = shell::parse_address(part);
+        if (at)
+        {
+            parsed.push_back(*at);
+        }
+        else
+        {
+            fmt::print(stderr, "--control: {} isn't IP:port\n", part);
+        }
+    }
+    return parsed;
+}
+
+} // namespace
+
+std::optional<shell::http_reply> call_leader(const shell::http_request& request)
+{
+    const monotonic_clock clock;
+    const time_point until = clock.now() + duration::from_ms(FLAGS_timeout_ms);
+    const auto replicas = addresses();
+    std::optional<shell::http_reply> last;
+    while (!replicas.empty())
+    {
+        for (const shell::address& at : replicas)
+        {
+            auto reply = shell::http_call(at, request, std::min(call_timeout_ms, FLAGS_timeout_ms));
+            if (reply && reply->status != http_not_leader && reply->status != http_unavailable)
+            {
+                return reply;
+            }
+            if (reply)
+            {
+                last = std::move(reply);
+            }
+        }
+        if (clock.now() >= until)
+        {
+            break;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return last;
+}
+
+} // namespace flaxtiller::command
--- /dev/null
+++ b/src/command/main.cpp
@@ -0,0 +1,146 @@
+#include "commands.hpp"
+#include "exit_status.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+namespace
+{
+
+using namespace flaxtiller::command;
+
+struct subcommand
+{
+    std::string_view name;
+    run_command run;
+    std::string_view arguments;
+    std::string_view summary;
+    /// The flags that it takes, comma-separated.
+    std::string_view flags;
+};
+
+constexpr std::array subcommands{
+    subcommand{"entry", run_entry, "", "serve callers", "settings"},
+    subcommand{"control", run_control, "", "run one replica of the configuration and the register",
+               "settings,init"},
+    subcommand{"check", run_check, "entry|control|configuration FILE", "check a file and print all findings",
+               ""},
+    subcommand{"apply", run_apply, "FILE", "change the configuration",
+               "control,id,base,kind,dry_run,timeout_ms"},
+    subcommand{"status", run_status, "", "show replicas, revisions in force and their age",
+               "control,timeout_ms"},
+    subcommand{"members", run_members, "add|replace|remove NAME", "change the control replicas",
+               "control,timeout_ms"},
+    subcommand{"dump", run_dump, "", "print the state of one process", "at,timeout_ms"},
+    subcommand{"query", run_query, "SERVICE [BODY]", "ask a query as a caller would",
+               "at,shards,deadline_ms,key,key_time_ms,timeout_ms"},
+    subcommand{"replay", run_replay, "FILE", "run a recorded trace and compare its answers", ""},
+};
+
+void print_usage(std::FILE* to)
+{
+    fmt::print(to, "usage: flaxtiller SUBCOMMAND [--flag=value ...] [argument ...]\n\n");
+    for (const subcommand& item : subcommands)
+    {
+        fmt::print(to, "  {:<8} {:<34} {}\n", item.name, item.arguments, item.summary);
+    }
+    fmt::print(to, "\nflaxtiller SUBCOMMAND --help shows the flags of one.\n");
+}
+
+bool takes(const subcommand& item, std::string_view flag)
+{
+    std::string_view rest = item.flags;
+    while (!rest.empty())
+    {
+        const auto comma = rest.find(',');
+        if (rest.substr(0, comma) == flag)
+        {
+            return true;
+        }
+        rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+    return false;
+}
+
+void print_help(const subcommand& item)
+{
+    fmt::print("usage: flaxtiller {} [flags] {}\n\n{}\n\n", item.name, item.arguments, item.summary);
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const auto& flag : flags)
+    {
+        if (takes(item, flag.name))
+        {
+            fmt::print("  --{:<14} {} (default {})\n", flag.name, flag.description,
+                       flag.default_value.empty() ? "none" : flag.default_value);
+        }
+    }
+}
+
+/// gflags knows the flags of all subcommands; those of others are refused here, as unknown ones are by
+/// gflags.
+bool flags_fit(const subcommand& item)
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const auto& flag : flags)
+    {
+        const bool ours = flag.filename.find("command/") != std::string::npos;
+        if (ours && !flag.is_default && !takes(item, flag.name))
+        {
+            fmt::print(stderr, "flaxtiller {}: --{} isn't a flag of this subcommand\n", item.name, flag.name);
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 2)
+    {
+        print_usage(stderr);
+        return usage;
+    }
+    const std::string_view name = argv[1];
+    if (name == "--help" || name == "help")
+    {
+        print_usage(stdout);
+        return success;
+    }
+    const auto found = std::find_if(subcommands.begin(), subcommands.end(),
+                                    [&](const subcommand& item)
+                                    {
+                                        return item.name == name;
+                                    });
+    if (found == subcommands.end())
+    {
+        fmt::print(stderr, "flaxtiller: unknown subcommand {}\n\n", name);
+        print_usage(stderr);
+        return usage;
+    }
+    for (int i = 2; i < argc; ++i)
+    {
+        const std::string_view argument = argv[i];
+        if (argument == "--help" || argument == "-help")
+        {
+            print_help(*found);
+            return success;
+        }
+    }
+    int rest_count = argc - 1;
+    char** rest = argv + 1;
+    gflags::ParseCommandLineFlags(&rest_count, &rest, true);
+    if (!flags_fit(*found))
+    {
+        return usage;
+    }
+    return found->run({rest + 1, rest + rest_count});
+}
--- /dev/null
+++ b/src/command/operate.cpp
@@ -0,0 +1,155 @@
+// The subcommands of operators that talk to the control replicas: apply, status, members.
+
+#include "commands.hpp"
+#include "control_client.hpp"
+#include "exit_status.hpp"
+
+#include "shell/settings.hpp"
+
+#include <flaxtiller/catalog/change.hpp>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <random>
+
+DEFINE_string(id, "", "the change's id; send a change whose answer was lost again with the same one");
+DEFINE_int64(base, -1, "the revision that the change is based on; the present one if negative");
+DEFINE_string(kind, "replace", "replace (a whole document), patch or roll_back");
+DEFINE_bool(dry_run, false, "show what would change and which shards would move, without an effect");
+
+namespace flaxtiller::command
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+constexpr int http_conflict = 409;
+constexpr int http_bad_request = 400;
+
+std::string draw_id()
+{
+    std::random_device device;
+    return fmt::format("change-{:08x}{:08x}", device(), device());
+}
+
+nlohmann::json body_of(const shell::http_reply& reply)
+{
+    return nlohmann::json::parse(reply.body, nullptr, false);
+}
+
+int report(const std::optional<shell::http_reply>& reply)
+{
+    if (!reply)
+    {
+        fmt::print(stderr, "no control replica answered\n");
+        return unreachable;
+    }
+    fmt::print("{}\n", body_of(*reply).dump(2));
+    switch (reply->status)
+    {
+    case http_ok:
+        return success;
+    case http_conflict:
+        return conflict;
+    case http_bad_request:
+        return refused;
+    default:
+        return unreachable;
+    }
+}
+
+std::optional<std::int64_t> present_revision()
+{
+    const auto reply = call_leader({"GET", "/configuration", "", {}});
+    if (!reply || reply->status != http_ok)
+    {
+        return std::nullopt;
+    }
+    return body_of(*reply).at("revision").get<std::int64_t>();
+}
+
+std::optional<change_kind> kind_of(const std::string& name)
+{
+    for (const change_kind kind : {change_kind::replace, change_kind::patch, change_kind::roll_back})
+    {
+        if (nlohmann::json(kind).get<std::string>() == name)
+        {
+            return kind;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+int run_apply(const std::vector<std::string>& arguments)
+{
+    const auto kind = kind_of(FLAGS_kind);
+    if (arguments.size() != 1 || !kind)
+    {
+        fmt::print(stderr,
+                   "needs one file (or, to roll back, a revision); --kind is replace, patch or roll_back\n");
+        return usage;
+    }
+    change wanted;
+    wanted.kind = *kind;
+    findings found;
+    if (*kind == change_kind::roll_back)
+    {
+        wanted.body = nlohmann::json::parse(R"({"revision":)" + arguments[0] + "}", nullptr, false);
+    }
+    else
+    {
+        wanted.body = shell::parse_json(shell::read_file(arguments[0], found), arguments[0], found);
+    }
+    if (found.has_errors() || wanted.body.is_discarded())
+    {
+        fmt::print(stderr, "{}", found.to_text());
+        return refused;
+    }
+    const auto base = FLAGS_base >= 0 ? std::optional<std::int64_t>(FLAGS_base) : present_revision();
+    if (!base)
+    {
+        fmt::print(stderr, "no control replica told the present revision\n");
+        return unreachable;
+    }
+    wanted.base_revision = *base;
+    wanted.id = change_id(FLAGS_id.empty() ? draw_id() : FLAGS_id);
+    const char* target = FLAGS_dry_run ? "/changes/preview" : "/changes";
+    fmt::print(stderr, "change {} based on revision {}\n", wanted.id.str(), wanted.base_revision);
+    const int status = report(call_leader({"POST", target, nlohmann::json(wanted).dump(), {}}));
+    const bool maybe_sent = status == unreachable && !FLAGS_dry_run;
+    if (maybe_sent)
+    {
+        fmt::print(stderr,
+                   "it isn't known whether change {} took effect; send it again with --id={} --base={}\n",
+                   wanted.id.str(), wanted.id.str(), wanted.base_revision);
+    }
+    return maybe_sent ? static_cast<int>(unknown_outcome) : status;
+}
+
+int run_status(const std::vector<std::string>& arguments)
+{
+    if (!arguments.empty())
+    {
+        fmt::print(stderr, "takes no arguments\n");
+        return usage;
+    }
+    return report(call_leader({"GET", "/status", "", {}}));
+}
+
+int run_members(const std::vector<std::string>& arguments)
+{
+    if (arguments.size() != 2)
+    {
+        fmt::print(stderr, "needs add, replace or remove, and the name of a replica\n");
+        return usage;
+    }
+    const nlohmann::json body = {{"action", arguments[0]}, {"name", arguments[1]}};
+    return report(call_leader({"POST", "/members", body.dump(), {}}));
+}
+
+} // namespace flaxtiller::command
--- /dev/null
+++ b/src/command/replay.cpp
@@ -0,0 +1,33 @@
+#include "commands.hpp"
+#include "exit_status.hpp"
+
+#include <flaxtiller/coordinator/replay.hpp>
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace flaxtiller::command
+{
+
+int run_replay(const std::vector<std::string>& arguments)
+{
+    if (arguments.size() != 1)
+    {
+        fmt::print(stderr, "needs one trace file\n");
+        return usage;
+    }
+    std::ifstream trace(arguments[0]);
+    if (!trace)
+    {
+        fmt::print(stderr, "{} can't be opened\n", arguments[0]);
+        return refused;
+    }
+    const replay_report report = replay(trace);
+    fmt::print("{}", report.found.to_text());
+    fmt::print("{} events, {} answers stated, {} as stated\n", report.events, report.stated, report.matching);
+    return report.found.has_errors() ? refused : success;
+}
+
+} // namespace flaxtiller::command
--- /dev/null
+++ b/src/command/serve.cpp
@@ -0,0 +1,93 @@
+// The subcommands that run a process: entry and control.
+
+#include "commands.hpp"
+#include "exit_status.hpp"
+
+#include "shell/control_process.hpp"
+#include "shell/entry_process.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+
+DEFINE_string(settings, "", "the process's settings, JSON with comments");
+DEFINE_bool(init, false, "make the empty data folder the first member of new logs, then exit");
+
+namespace flaxtiller::command
+{
+
+namespace
+{
+
+/// Prints all findings; returns whether there is no error.
+bool report(const findings& found)
+{
+    fmt::print(stderr, "{}", found.to_text());
+    return !found.has_errors();
+}
+
+bool no_arguments(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty() && !FLAGS_settings.empty())
+    {
+        return true;
+    }
+    fmt::print(stderr, "needs --settings=FILE and no other arguments\n");
+    return false;
+}
+
+} // namespace
+
+int run_entry(const std::vector<std::string>& arguments)
+{
+    if (!no_arguments(arguments))
+    {
+        return usage;
+    }
+    findings found;
+    const std::string text = shell::read_file(FLAGS_settings, found);
+    const shell::entry_settings settings = shell::parse_entry_settings(text, FLAGS_settings, found);
+    if (!report(found))
+    {
+        return refused;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    shell::configure_log("entry/" + settings.instance.name, settings.least_level);
+    shell::entry_process process(settings);
+    if (!report(process.open()))
+    {
+        return refused;
+    }
+    return process.run();
+}
+
+int run_control(const std::vector<std::string>& arguments)
+{
+    if (!no_arguments(arguments))
+    {
+        return usage;
+    }
+    findings found;
+    const std::string text = shell::read_file(FLAGS_settings, found);
+    const shell::control_settings settings = shell::parse_control_settings(text, FLAGS_settings, found);
+    if (!report(found))
+    {
+        return refused;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    shell::configure_log("control/" + settings.replica.name, settings.least_level);
+    shell::control_process process(settings);
+    if (!report(process.open()))
+    {
+        return refused;
+    }
+    if (FLAGS_init)
+    {
+        return report(process.found_logs()) ? success : refused;
+    }
+    return process.run();
+}
+
+} // namespace flaxtiller::command
--- /dev/null
+++ b/src/coordinator/event_codec.cpp
@@ -0,0 +1,218 @@
+#include <flaxtiller/coordinator/event_codec.hpp>
+
+#include <flaxtiller/core/error.hpp>
+
+namespace flaxtiller
+{
+
+namespace dispatch
+{
+
+NLOHMANN_JSON_SERIALIZE_ENUM(attempt_status, {{attempt_status::cut, "cut"},
+                                              {attempt_status::answered, "answered"},
+                                              {attempt_status::unreachable, "unreachable"},
+                                              {attempt_status::shed, "shed"},
+                                              {attempt_status::leaving, "leaving"},
+                                              {attempt_status::wrong_version, "wrong_version"},
+                                              {attempt_status::cancelled, "cancelled"}})
+
+static void to_json(nlohmann::json& j, const attempt_result& value)
+{
+    j = {{"status", value.status},
+         {"version", value.version},
+         {"held_versions", value.held_versions},
+         {"retry_after", value.retry_after},
+         {"leaving", value.leaving}};
+    if (value.body)
+    {
+        j["body"] = *value.body;
+    }
+}
+
+static void from_json(const nlohmann::json& j, attempt_result& value)
+{
+    value.status = j.at("status").get<attempt_status>();
+    value.version = j.at("version").get<index_version>();
+    value.held_versions = j.at("held_versions").get<std::vector<index_version>>();
+    value.retry_after = j.at("retry_after").get<duration>();
+    value.leaving = j.at("leaving");
+    if (j.contains("body"))
+    {
+        value.body = std::make_shared<const std::string>(j.at("body").get<std::string>());
+    }
+}
+
+} // namespace dispatch
+
+namespace
+{
+
+/// Names of the events in a trace, in the order of coordinator_event.
+constexpr const char* names[] = {
+    "placement",     "peer",           "query",          "attempt",           "peer_asked",
+    "peer_answered", "peer_abandoned", "register_began", "register_finished", "listed",
+    "time"};
+
+nlohmann::json placed_to_json(const placement& placed)
+{
+    nlohmann::json j = {{"revision", placed.revision}};
+    for (const auto& [name, entry] : placed.services)
+    {
+        j["services"].push_back({{"definition", entry.definition}, {"shards", entry.shards}});
+    }
+    for (const auto& [name, item] : placed.instances)
+    {
+        j["instances"].push_back(item);
+    }
+    return j;
+}
+
+std::shared_ptr<const placement> placed_from_json(const nlohmann::json& j)
+{
+    auto placed = std::make_shared<placement>();
+    placed->revision = j.at("revision");
+    findings found;
+    for (const auto& entry : j.value("services", nlohmann::json::array()))
+    {
+        nlohmann::json document = {{"services", {entry.at("definition")}}};
+        configuration parsed = parse_configuration(document, found);
+        placed_service item{parsed.services.begin()->second, {}};
+        for (const auto& replicas : entry.at("shards"))
+        {
+            document = {{"backend_servers", replicas}};
+            parsed = parse_configuration(document, found);
+            auto& holders = item.shards.emplace_back();
+            for (auto& [name, server] : parsed.backend_servers)
+            {
+                holders.push_back(std::move(server));
+            }
+        }
+        const service_name name = item.definition.name;
+        placed->services.emplace(name, std::move(item));
+    }
+    const nlohmann::json document = {{"instances", j.value("instances", nlohmann::json::array())}};
+    placed->instances = parse_configuration(document, found).instances;
+    return placed;
+}
+
+struct writer
+{
+    nlohmann::json operator()(const placement_changed& event) const
+    {
+        return placed_to_json(*event.placed);
+    }
+    nlohmann::json operator()(const peer_reachable& event) const
+    {
+        return {{"peer", event.peer}, {"reachable", event.reachable}};
+    }
+    nlohmann::json operator()(const query_arrived& event) const
+    {
+        return {{"query", event.query}, {"request", event.request}};
+    }
+    nlohmann::json operator()(const attempt_ended& event) const
+    {
+        return {{"attempt", event.attempt}, {"result", event.result}};
+    }
+    nlohmann::json operator()(const peer_asked& event) const
+    {
+        return {{"peer", event.peer}, {"asked", subqueries_to_json(event.subqueries)}};
+    }
+    nlohmann::json operator()(const peer_answered& event) const
+    {
+        return {{"peer", event.peer}, {"results", event.results}};
+    }
+    nlohmann::json operator()(const peer_abandoned& event) const
+    {
+        return {{"peer", event.peer}, {"numbers", event.numbers}};
+    }
+    nlohmann::json operator()(const register_began& event) const
+    {
+        return {{"query", event.query}, {"reply", event.reply}};
+    }
+    nlohmann::json operator()(const register_finished& event) const
+    {
+        return {{"query", event.query}};
+    }
+    nlohmann::json operator()(const listed& event) const
+    {
+        return {{"server", event.server}, {"leaving", event.leaving}};
+    }
+    nlohmann::json operator()(const time_passed&) const
+    {
+        return nlohmann::json::object();
+    }
+};
+
+query_request request_from_json(const nlohmann::json& j)
+{
+    findings found;
+    return parse_query_request(j, found);
+}
+
+} // namespace
+
+nlohmann::json event_to_json(const coordinator_event& happened)
+{
+    nlohmann::json j = std::visit(writer{}, happened);
+    j["kind"] = names[happened.index()];
+    return j;
+}
+
+coordinator_event event_from_json(const nlohmann::json& j)
+{
+    const auto kind = j.at("kind").get<std::string>();
+    const auto is = [&](std::size_t index)
+    {
+        return kind == names[index];
+    };
+    if (is(0))
+    {
+        return placement_changed{placed_from_json(j)};
+    }
+    if (is(1))
+    {
+        return peer_reachable{j.at("peer").get<instance_name>(), j.at("reachable")};
+    }
+    if (is(2))
+    {
+        return query_arrived{j.at("query"), request_from_json(j.at("request"))};
+    }
+    if (is(3))
+    {
+        return attempt_ended{j.at("attempt"), j.at("result").get<dispatch::attempt_result>()};
+    }
+    if (is(4))
+    {
+        return peer_asked{j.at("peer").get<instance_name>(), subqueries_from_json(j.at("asked"))};
+    }
+    if (is(5))
+    {
+        return peer_answered{j.at("peer").get<instance_name>(),
+                             j.at("results").get<std::vector<peer_result>>()};
+    }
+    if (is(6))
+    {
+        return peer_abandoned{j.at("peer").get<instance_name>(),
+                              j.at("numbers").get<std::vector<std::uint64_t>>()};
+    }
+    if (is(7))
+    {
+        return register_began{j.at("query"), j.at("reply").get<register_reply>()};
+    }
+    if (is(8))
+    {
+        return register_finished{j.at("query")};
+    }
+    if (is(9))
+    {
+        return listed{j.at("server").get<backend_server_name>(), j.at("leaving")};
+    }
+    if (is(10))
+    {
+        return time_passed{};
+    }
+    throw nlohmann::json::other_error::create(static_cast<int>(errc::document_malformed),
+                                              "unknown event kind " + kind, &j);
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/distribution/publisher.cpp
@@ -0,0 +1,96 @@
+#include <flaxtiller/distribution/publisher.hpp>
+
+#include <flaxtiller/catalog/diff.hpp>
+
+#include <algorithm>
+
+namespace flaxtiller::distribution
+{
+
+void publisher::on_revision(std::int64_t revision, std::shared_ptr<const configuration> value)
+{
+    if (revision <= this->revision())
+    {
+        return;
+    }
+    m_digest = value->digest();
+    m_kept.push_back({revision, std::move(value)});
+    if (m_kept.size() > revisions_kept)
+    {
+        m_kept.pop_front();
+    }
+    m_updates.clear();
+}
+
+void publisher::on_report(const instance_name& from, const revision_report& report, time_point now)
+{
+    standing& known = m_instances[from];
+    known.in_force = report.revision;
+    known.needs_whole = report.needs_whole;
+    known.heard_at = now;
+    const kept* same = find(report.revision);
+    const bool differs = same != nullptr && report.revision == revision() && report.digest != m_digest;
+    known.needs_whole = known.needs_whole || differs;
+}
+
+void publisher::forget(const instance_name& instance)
+{
+    m_instances.erase(instance);
+}
+
+std::vector<publisher::outgoing> publisher::take_updates(time_point now)
+{
+    std::vector<outgoing> updates;
+    for (auto& [name, known] : m_instances)
+    {
+        const bool behind = known.in_force < revision();
+        const bool under_way = known.sent == revision() && now - known.sent_at < resend_after;
+        if (!behind || under_way)
+        {
+            continue;
+        }
+        const std::int64_t base = known.needs_whole || find(known.in_force) == nullptr ? 0 : known.in_force;
+        updates.push_back({name, update_from(base)});
+        known.sent = revision();
+        known.sent_at = now;
+    }
+    return updates;
+}
+
+const publisher::kept* publisher::find(std::int64_t revision) const
+{
+    const auto found = std::find_if(m_kept.begin(), m_kept.end(),
+                                    [&](const kept& item)
+                                    {
+                                        return item.revision == revision;
+                                    });
+    return found == m_kept.end() ? nullptr : &*found;
+}
+
+const revision_update& publisher::update_from(std::int64_t base)
+{
+    const auto made = m_updates.find(base);
+    if (made != m_updates.end())
+    {
+        return made->second;
+    }
+    const kept& present = m_kept.back();
+    revision_update update;
+    update.revision = present.revision;
+    update.base = base;
+    update.digest = m_digest;
+    update.body = base == 0 ? nlohmann::json(*present.value) : diff(*find(base)->value, *present.value);
+    return m_updates.emplace(base, std::move(update)).first->second;
+}
+
+const std::map<instance_name, publisher::standing>& publisher::instances() const noexcept
+{
+    return m_instances;
+}
+
+std::int64_t publisher::revision() const noexcept
+{
+    return m_kept.empty() ? 0 : m_kept.back().revision;
+}
+
+} // namespace flaxtiller::distribution
--- /dev/null
+++ b/src/quorum/replica.cpp
@@ -0,0 +1,754 @@
+#include <flaxtiller/quorum/replica.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flaxtiller::quorum
+{
+
+namespace
+{
+
+constexpr std::size_t most_entries_per_append = 512;
+constexpr std::size_t most_bytes_per_append = std::size_t{1} << 20U;
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// construction and inspection
+// ---------------------------------------------------------------------------------------------------------
+
+replica::replica(replica_name name, incarnation_id incarnation, timing limits, const persisted_state& stored,
+                 std::uint64_t seed, time_point now)
+    : m_name(std::move(name)), m_incarnation(incarnation), m_timing(limits), m_random(seed),
+      m_hard(stored.hard), m_log(stored.base, stored.entries), m_commit(stored.base.last_index),
+      m_synced(m_log.last_index()), m_emitted(stored.base.last_index),
+      // It may have heard from a leader just before it stopped, so it counts as having heard one now.
+      m_leader_heard_at(now)
+{
+    reset_election_deadline(now);
+}
+
+enum role replica::role() const noexcept
+{
+    return m_role;
+}
+
+term_number replica::term() const noexcept
+{
+    return m_hard.term;
+}
+
+log_index replica::commit_index() const noexcept
+{
+    return m_commit;
+}
+
+const replica_name& replica::name() const noexcept
+{
+    return m_name;
+}
+
+incarnation_id replica::incarnation() const noexcept
+{
+    return m_incarnation;
+}
+
+const replica_name& replica::leader() const noexcept
+{
+    return m_leader;
+}
+
+const replicated_log& replica::log() const noexcept
+{
+    return m_log;
+}
+
+const member_set& replica::members() const noexcept
+{
+    return m_log.members();
+}
+
+const std::map<replica_name, progress>& replica::others() const noexcept
+{
+    return m_progress;
+}
+
+const std::map<replica_name, incarnation_id>& replica::strangers() const noexcept
+{
+    return m_strangers;
+}
+
+time_point replica::next_tick() const noexcept
+{
+    return m_role == role::leader ? m_heartbeat_due : m_election_deadline;
+}
+
+output replica::take_output()
+{
+    return std::exchange(m_output, output{});
+}
+
+bool replica::is_ready_leader() const noexcept
+{
+    return m_role == role::leader && m_log.term_at(m_commit) == m_hard.term;
+}
+
+bool replica::has_lease(time_point now) const
+{
+    if (!is_ready_leader())
+    {
+        return false;
+    }
+    const duration length = m_timing.election_min * (1.0 - 2.0 * m_timing.clock_drift);
+    return m_log.members().majority_of(
+        [&](const member& item)
+        {
+            if (item.name == m_name)
+            {
+                return true;
+            }
+            const auto found = m_progress.find(item.name);
+            return found != m_progress.end() && found->second.acknowledged_sent_at + length > now;
+        });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// time
+// ---------------------------------------------------------------------------------------------------------
+
+void replica::tick(time_point now)
+{
+    if (m_role == role::leader)
+    {
+        check_quorum(now);
+    }
+    if (m_role == role::leader)
+    {
+        promote_learners(now);
+        if (now >= m_heartbeat_due)
+        {
+            replicate_to_all(now);
+            m_heartbeat_due = now + m_timing.heartbeat;
+        }
+        return;
+    }
+    if (now >= m_election_deadline)
+    {
+        start_election(true, now);
+    }
+}
+
+void replica::reset_election_deadline(time_point now)
+{
+    const duration spread = m_timing.election_max - m_timing.election_min;
+    std::uniform_int_distribution<std::int64_t> draw(0, spread.us());
+    m_election_deadline = now + m_timing.election_min + duration::from_us(draw(m_random));
+}
+
+bool replica::heard_leader_recently(time_point now) const
+{
+    return now - m_leader_heard_at < m_timing.election_min;
+}
+
+void replica::check_quorum(time_point now)
+{
+    const bool alive = m_log.members().majority_of(
+        [&](const member& item)
+        {
+            const auto found = m_progress.find(item.name);
+            return item.name == m_name ||
+                   (found != m_progress.end() && now - found->second.heard_at < m_timing.election_max);
+        });
+    if (!alive)
+    {
+        become_follower(m_hard.term, {}, now);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// election
+// ---------------------------------------------------------------------------------------------------------
+
+void replica::become_follower(term_number term, const replica_name& leader, time_point now)
+{
+    if (term > m_hard.term)
+    {
+        m_hard.term = term;
+        m_hard.voted_for = {};
+        persist_hard();
+    }
+    m_role = role::follower;
+    m_leader = leader;
+    m_votes.clear();
+    m_progress.clear();
+    reset_election_deadline(now);
+}
+
+void replica::start_election(bool trial, time_point now)
+{
+    reset_election_deadline(now);
+    const bool may_lead = m_log.members().is_voter(m_name, m_incarnation);
+    const bool lost_entries = m_log.last_index() < m_hard.known_commit;
+    if (!may_lead || lost_entries)
+    {
+        return;
+    }
+    m_role = trial ? role::pre_candidate : role::candidate;
+    m_leader = {};
+    m_votes.clear();
+    if (!trial)
+    {
+        ++m_hard.term;
+        m_hard.voted_for = m_name;
+        persist_hard();
+    }
+    const vote_request request{trial, m_log.last_index(), m_log.last_term()};
+    for (const auto& [name, item] : m_log.members().members)
+    {
+        if (name != m_name && item.voter)
+        {
+            send(name, item.incarnation, request, !trial);
+        }
+    }
+    count_vote(m_name, now);
+}
+
+void replica::count_vote(const replica_name& voter, time_point now)
+{
+    m_votes.insert(voter);
+    const bool won = m_log.members().majority_of(
+        [&](const member& item)
+        {
+            return m_votes.count(item.name) > 0;
+        });
+    if (!won)
+    {
+        return;
+    }
+    if (m_role == role::pre_candidate)
+    {
+        start_election(false, now);
+    }
+    else if (m_role == role::candidate)
+    {
+        become_leader(now);
+    }
+}
+
+void replica::become_leader(time_point now)
+{
+    m_role = role::leader;
+    m_leader = m_name;
+    m_led_since = now;
+    m_progress.clear();
+    refresh_progress(now);
+    log_entry opening;
+    opening.kind = entry_kind::no_operation;
+    append_own(std::move(opening));
+    replicate_to_all(now);
+    m_heartbeat_due = now + m_timing.heartbeat;
+}
+
+bool replica::is_up_to_date(const vote_request& body) const
+{
+    const auto theirs = std::pair(body.last_term, body.last_index);
+    const auto ours = std::pair(m_log.last_term(), m_log.last_index());
+    return theirs >= ours && body.last_index >= m_hard.known_commit;
+}
+
+void replica::on_vote_request(const message& received, const vote_request& body, time_point now)
+{
+    const auto answer = [&](bool granted)
+    {
+        send(received.from, received.from_incarnation, vote_reply{body.trial, granted},
+             granted && !body.trial);
+    };
+
+    if (m_role == role::leader || heard_leader_recently(now))
+    {
+        answer(false);
+        return;
+    }
+    if (body.trial)
+    {
+        answer(received.term > m_hard.term && is_up_to_date(body));
+        return;
+    }
+    if (received.term > m_hard.term)
+    {
+        become_follower(received.term, {}, now);
+    }
+    const bool free_to_vote = m_hard.voted_for.empty() || m_hard.voted_for == received.from;
+    const bool granted = received.term == m_hard.term && free_to_vote && is_up_to_date(body);
+    if (granted && m_hard.voted_for.empty())
+    {
+        m_hard.voted_for = received.from;
+        persist_hard();
+        reset_election_deadline(now);
+    }
+    answer(granted);
+}
+
+void replica::on_vote_reply(const message& received, const vote_reply& body, time_point now)
+{
+    const bool expected = body.trial ? m_role == role::pre_candidate : m_role == role::candidate;
+    const bool same_round = body.trial || received.term == m_hard.term;
+    if (!expected || !same_round || !body.granted)
+    {
+        return;
+    }
+    if (m_log.members().is_voter(received.from, received.from_incarnation))
+    {
+        count_vote(received.from, now);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// messages
+// ---------------------------------------------------------------------------------------------------------
+
+bool replica::is_superseded(const message& received) const
+{
+    const auto found = m_log.members().members.find(received.from);
+    return found != m_log.members().members.end() && found->second.incarnation != received.from_incarnation;
+}
+
+void replica::receive(const message& received, time_point now)
+{
+    const bool for_another = received.to_incarnation != 0 && received.to_incarnation != m_incarnation;
+    if (received.to != m_name || for_another)
+    {
+        return;
+    }
+    if (is_superseded(received) && std::holds_alternative<vote_request>(received.body))
+    {
+        m_strangers[received.from] = received.from_incarnation;
+        return;
+    }
+    if (const auto* vote = std::get_if<vote_request>(&received.body))
+    {
+        on_vote_request(received, *vote, now);
+        return;
+    }
+    const auto* trial = std::get_if<vote_reply>(&received.body);
+    const bool granted_trial = trial != nullptr && trial->trial && trial->granted;
+    if (received.term > m_hard.term && !granted_trial)
+    {
+        become_follower(received.term, {}, now);
+    }
+    if (const auto* vote = std::get_if<vote_reply>(&received.body))
+    {
+        on_vote_reply(received, *vote, now);
+    }
+    else if (const auto* append = std::get_if<append_request>(&received.body))
+    {
+        on_append_request(received, *append, now);
+    }
+    else if (const auto* reply = std::get_if<append_reply>(&received.body))
+    {
+        on_append_reply(received, *reply, now);
+    }
+    else if (const auto* install = std::get_if<install_request>(&received.body))
+    {
+        on_install_request(received, *install, now);
+    }
+}
+
+void replica::send(const replica_name& to, incarnation_id to_incarnation, message_body body, bool after_sync)
+{
+    const auto* vote = std::get_if<vote_request>(&body);
+    const bool trial = vote != nullptr && vote->trial;
+    // A trial asks about the term that would follow.
+    const term_number term = trial ? m_hard.term + 1 : m_hard.term;
+    message out{m_name, m_incarnation, to, to_incarnation, term, std::move(body)};
+    // Nothing may be said under a term or vote that isn't on disk yet.
+    const bool must_wait = after_sync || m_output.hard.has_value();
+    auto& queue = must_wait ? m_output.send_after_sync : m_output.send_now;
+    queue.push_back(std::move(out));
+}
+
+void replica::persist_hard()
+{
+    m_output.hard = m_hard;
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// following
+// ---------------------------------------------------------------------------------------------------------
+
+void replica::note_commit(log_index leader_commit)
+{
+    if (leader_commit > m_hard.known_commit)
+    {
+        m_hard.known_commit = leader_commit;
+        // Written along with whatever is written next; no sync of its own.
+        if (m_output.must_sync())
+        {
+            persist_hard();
+        }
+    }
+}
+
+void replica::on_append_request(const message& received, const append_request& body, time_point now)
+{
+    if (received.term < m_hard.term)
+    {
+        send(received.from, received.from_incarnation,
+             append_reply{false, m_log.last_index(), body.sent_at_us}, false);
+        return;
+    }
+    become_follower(received.term, received.from, now);
+    m_leader_heard_at = now;
+    note_commit(body.commit);
+
+    const auto known_term = m_log.term_at(body.previous_index);
+    const bool before_base = body.previous_index < m_log.base().last_index;
+    if (!before_base && known_term != body.previous_term)
+    {
+        const log_index hint = std::min(m_log.last_index(), body.previous_index - 1);
+        send(received.from, received.from_incarnation, append_reply{false, hint, body.sent_at_us}, true);
+        return;
+    }
+    take_entries(body);
+    const log_index last_new = body.previous_index + static_cast<log_index>(body.entries.size());
+    const log_index match = std::max(last_new, m_log.base().last_index);
+    emit_committed(std::min(body.commit, match));
+    send(received.from, received.from_incarnation, append_reply{true, match, body.sent_at_us}, true);
+}
+
+void replica::take_entries(const append_request& body)
+{
+    for (const log_entry& entry : body.entries)
+    {
+        if (entry.index <= m_log.base().last_index)
+        {
+            continue;
+        }
+        const auto known_term = m_log.term_at(entry.index);
+        if (known_term == entry.term)
+        {
+            continue;
+        }
+        if (known_term.has_value())
+        {
+            m_log.truncate_from(entry.index);
+            std::erase_if(m_output.append,
+                          [&](const log_entry& e)
+                          {
+                              return e.index >= entry.index;
+                          });
+            m_output.truncate_from = std::min(m_output.truncate_from.value_or(entry.index), entry.index);
+            m_synced = std::min(m_synced, entry.index - 1);
+        }
+        m_log.append(entry);
+        m_output.append.push_back(entry);
+    }
+}
+
+void replica::on_install_request(const message& received, const install_request& body, time_point now)
+{
+    if (received.term < m_hard.term)
+    {
+        return;
+    }
+    become_follower(received.term, received.from, now);
+    m_leader_heard_at = now;
+    if (body.base.last_index > m_commit)
+    {
+        m_log.reset(body.base);
+        m_output.install = body.base;
+        m_output.truncate_from.reset();
+        m_output.append.clear();
+        m_output.committed.clear();
+        m_commit = body.base.last_index;
+        m_emitted = body.base.last_index;
+        m_synced = body.base.last_index;
+        note_commit(m_commit);
+    }
+    const log_index match = std::min(m_commit, body.base.last_index);
+    send(received.from, received.from_incarnation, append_reply{true, match, body.sent_at_us}, true);
+}
+
+void replica::emit_committed(log_index up_to)
+{
+    m_commit = std::max(m_commit, up_to);
+    while (m_emitted < m_commit)
+    {
+        ++m_emitted;
+        m_output.committed.push_back(m_log.at(m_emitted));
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// leading
+// ---------------------------------------------------------------------------------------------------------
+
+std::optional<log_index> replica::propose(std::string command, time_point now)
+{
+    if (m_role != role::leader)
+    {
+        return std::nullopt;
+    }
+    log_entry entry;
+    entry.kind = entry_kind::command;
+    entry.command = std::move(command);
+    append_own(std::move(entry));
+    replicate_to_all(now);
+    return m_log.last_index();
+}
+
+void replica::append_own(log_entry entry)
+{
+    entry.index = m_log.last_index() + 1;
+    entry.term = m_hard.term;
+    m_log.append(entry);
+    m_output.append.push_back(std::move(entry));
+}
+
+void replica::on_synced()
+{
+    m_synced = m_log.last_index();
+    if (m_role == role::leader)
+    {
+        advance_commit();
+    }
+}
+
+void replica::advance_commit()
+{
+    for (log_index index = m_log.last_index(); index > m_commit; --index)
+    {
+        if (m_log.term_at(index) != m_hard.term)
+        {
+            return;
+        }
+        const bool stored = m_log.members().majority_of(
+            [&](const member& item)
+            {
+                if (item.name == m_name)
+                {
+                    return m_synced >= index;
+                }
+                const auto found = m_progress.find(item.name);
+                return found != m_progress.end() && found->second.match >= index;
+            });
+        if (stored)
+        {
+            note_commit(index);
+            emit_committed(index);
+            const bool removed = m_log.members().members.count(m_name) == 0;
+            if (removed && m_log.members_index() <= m_commit)
+            {
+                m_role = role::follower;
+                m_leader = {};
+            }
+            return;
+        }
+    }
+}
+
+void replica::refresh_progress(time_point now)
+{
+    const auto& members = m_log.members().members;
+    std::erase_if(m_progress,
+                  [&](const auto& item)
+                  {
+                      return members.count(item.first) == 0;
+                  });
+    for (const auto& [name, item] : members)
+    {
+        if (name != m_name && m_progress.count(name) == 0)
+        {
+            progress fresh;
+            fresh.next = m_log.last_index() + 1;
+            fresh.heard_at = now;
+            fresh.acknowledged_sent_at = now - m_timing.election_max;
+            m_progress.emplace(name, fresh);
+        }
+    }
+}
+
+void replica::replicate_to_all(time_point now)
+{
+    for (const auto& [name, item] : m_log.members().members)
+    {
+        if (name != m_name)
+        {
+            replicate_to(item, now);
+        }
+    }
+}
+
+void replica::replicate_to(const member& to, time_point now)
+{
+    const auto found = m_progress.find(to.name);
+    if (found == m_progress.end())
+    {
+        return;
+    }
+    progress& state = found->second;
+    if (state.next <= m_log.base().last_index)
+    {
+        send_snapshot(to, state, now);
+        return;
+    }
+    append_request request;
+    request.previous_index = state.next - 1;
+    request.previous_term = m_log.term_at(request.previous_index).value_or(0);
+    request.commit = m_commit;
+    request.sent_at_us = now.since_start().us();
+    request.entries = m_log.slice(state.next, most_entries_per_append, most_bytes_per_append);
+    // Optimistic: the next message continues after these; a lost one is found by the next heartbeat.
+    state.next += static_cast<log_index>(request.entries.size());
+    send(to.name, to.incarnation, std::move(request), false);
+}
+
+void replica::send_snapshot(const member& to, progress& state, time_point now)
+{
+    if (state.snapshot_pending && now - state.snapshot_sent_at < m_timing.snapshot_retry)
+    {
+        return;
+    }
+    state.snapshot_pending = true;
+    state.snapshot_sent_at = now;
+    send(to.name, to.incarnation, install_request{m_log.base(), now.since_start().us()}, false);
+}
+
+void replica::on_append_reply(const message& received, const append_reply& body, time_point now)
+{
+    if (m_role != role::leader || received.term != m_hard.term)
+    {
+        return;
+    }
+    const auto& members = m_log.members().members;
+    const auto item = members.find(received.from);
+    if (item == members.end() || item->second.incarnation != received.from_incarnation)
+    {
+        m_strangers[received.from] = received.from_incarnation;
+        return;
+    }
+    progress& state = m_progress[received.from];
+    state.heard_at = now;
+    const time_point sent_at(duration::from_us(body.sent_at_us));
+    state.acknowledged_sent_at = std::max(state.acknowledged_sent_at, sent_at);
+    if (!body.success)
+    {
+        state.next = std::max(state.match + 1, std::min(state.next - 1, body.match + 1));
+        replicate_to(item->second, now);
+        return;
+    }
+    state.snapshot_pending = false;
+    state.match = std::max(state.match, body.match);
+    state.next = std::max(state.next, state.match + 1);
+    const log_index before = m_commit;
+    advance_commit();
+    if (m_role == role::leader && (m_commit > before || state.next <= m_log.last_index()))
+    {
+        replicate_to_all(now);
+    }
+}
+
+void replica::compact(log_index applied, std::string state)
+{
+    if (applied <= m_log.base().last_index || applied > m_commit)
+    {
+        return;
+    }
+    snapshot base;
+    base.last_index = applied;
+    base.last_term = m_log.term_at(applied).value_or(0);
+    base.members = m_log.base().members;
+    for (log_index index = m_log.first_index(); index <= applied; ++index)
+    {
+        if (m_log.at(index).kind == entry_kind::members)
+        {
+            base.members = m_log.at(index).members;
+        }
+    }
+    base.state = std::move(state);
+    m_log.compact(std::move(base));
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// members
+// ---------------------------------------------------------------------------------------------------------
+
+std::error_code replica::propose_members(member_set next, time_point now)
+{
+    if (m_role != role::leader)
+    {
+        return errc::not_leader;
+    }
+    // One change at a time, and only once an entry of this term is committed.
+    if (!is_ready_leader() || m_log.members_index() > m_commit)
+    {
+        return errc::not_committed;
+    }
+    log_entry entry;
+    entry.kind = entry_kind::members;
+    entry.members = std::move(next);
+    append_own(std::move(entry));
+    refresh_progress(now);
+    replicate_to_all(now);
+    return {};
+}
+
+std::error_code replica::add_member(const replica_name& name, incarnation_id incarnation, time_point now)
+{
+    member_set next = m_log.members();
+    const auto found = next.members.find(name);
+    if (found != next.members.end() && found->second.incarnation == incarnation)
+    {
+        return {};
+    }
+    next.members[name] = member{name, incarnation, false};
+    const std::error_code refused = propose_members(std::move(next), now);
+    if (!refused)
+    {
+        m_strangers.erase(name);
+        progress& state = m_progress[name];
+        state = progress{};
+        state.next = m_log.last_index() + 1;
+        state.heard_at = now;
+        state.acknowledged_sent_at = now - m_timing.election_max;
+    }
+    return refused;
+}
+
+std::error_code replica::remove_member(const replica_name& name, time_point now)
+{
+    member_set next = m_log.members();
+    if (next.members.erase(name) == 0)
+    {
+        return {};
+    }
+    if (next.voters() == 0)
+    {
+        return errc::out_of_range;
+    }
+    return propose_members(std::move(next), now);
+}
+
+void replica::promote_learners(time_point now)
+{
+    for (const auto& [name, item] : m_log.members().members)
+    {
+        const auto found = m_progress.find(name);
+        if (item.voter || found == m_progress.end())
+        {
+            continue;
+        }
+        const progress& state = found->second;
+        const bool alive = now - state.heard_at < m_timing.election_min;
+        if (alive && state.match > 0 && state.match >= m_commit)
+        {
+            member_set next = m_log.members();
+            next.members[name].voter = true;
+            (void)propose_members(std::move(next), now);
+            return;
+        }
+    }
+}
+
+} // namespace flaxtiller::quorum
--- /dev/null
+++ b/src/shell/backend_pools.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "backend_pool.hpp"
+
+#include <flaxtiller/core/identifier.hpp>
+
+#include <tbb/concurrent_hash_map.h>
+
+#include <memory>
+#include <string>
+
+namespace flaxtiller::shell
+{
+
+/// @brief The pools of this instance by backend server. Thread-safe; lookups don't hold one another up.
+class backend_pools
+{
+  public:
+    backend_pools(boost::asio::io_context& io, metrics& counted) : m_io(io), m_metrics(counted)
+    {
+    }
+
+    /// @brief Makes the pool of a backend server, or adapts it; another address makes a new one.
+    void configure(const backend_server_name& server, const address& at, int most_connections, int warm)
+    {
+        map::accessor found;
+        m_pools.insert(found, server.str());
+        if (!found->second.pool || !(found->second.at == at))
+        {
+            found->second = {at, std::make_shared<backend_pool>(m_io, at, m_metrics)};
+        }
+        found->second.pool->configure(most_connections, warm);
+    }
+
+    /// @return the pool, or nothing
+    std::shared_ptr<backend_pool> find(const backend_server_name& server) const
+    {
+        map::const_accessor found;
+        return m_pools.find(found, server.str()) ? found->second.pool : nullptr;
+    }
+
+    /// @brief Forgets a backend server; attempts under way end on their own.
+    void remove(const backend_server_name& server)
+    {
+        m_pools.erase(server.str());
+    }
+
+  private:
+    struct entry
+    {
+        address at;
+        std::shared_ptr<backend_pool> pool;
+    };
+
+    using map = tbb::concurrent_hash_map<std::string, entry>;
+
+    boost::asio::io_context& m_io;
+    metrics& m_metrics;
+    map m_pools;
+};
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/control_process.cpp
@@ -0,0 +1,717 @@
+#include "control_process.hpp"
+
+#include "http_server.hpp"
+#include "log.hpp"
+#include "peer_links.hpp"
+#include "run_guarded.hpp"
+
+#include <flaxtiller/catalog/catalog_state.hpp>
+#include <flaxtiller/catalog/diff.hpp>
+#include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/distribution/publisher.hpp>
+#include <flaxtiller/quorum/posix_file_system.hpp>
+#include <flaxtiller/quorum/replicated_machine.hpp>
+#include <flaxtiller/register/register_state.hpp>
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <random>
+
+namespace flaxtiller::shell
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+constexpr duration tick_every = duration::from_ms(10);
+
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+constexpr int http_conflict = 409;
+constexpr int http_not_leader = 421;
+constexpr int http_unavailable = 503;
+
+constexpr const char* catalog_log = "catalog";
+constexpr const char* register_log = "register";
+
+using catalog_machine = quorum::replicated_machine<catalog_state, quorum::posix_file_system>;
+using register_machine = quorum::replicated_machine<register_state, quorum::posix_file_system>;
+
+std::uint64_t draw64()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::int64_t unix_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+http_reply json_reply(int status, const nlohmann::json& body)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return reply;
+}
+
+http_reply error_reply(int status, errc code, const std::string& detail = {})
+{
+    return json_reply(status, {{"error",
+                                {{"code", static_cast<int>(code)},
+                                 {"message", make_error_code(code).message()},
+                                 {"detail", detail}}}});
+}
+
+const char* name_of(enum quorum::role role)
+{
+    switch (role)
+    {
+    case quorum::role::follower:
+        return "follower";
+    case quorum::role::pre_candidate:
+        return "pre_candidate";
+    case quorum::role::candidate:
+        return "candidate";
+    case quorum::role::leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
+http_server::limits limits_of(const control_settings& settings)
+{
+    http_server::limits limits;
+    limits.most_body_bytes = static_cast<std::size_t>(settings.most_request_bytes);
+    limits.request_timeout_ms = settings.request_timeout_ms;
+    return limits;
+}
+
+} // namespace
+
+struct control_process::implementation
+{
+    explicit implementation(control_settings wanted)
+        : settings(std::move(wanted)), strand(net::make_strand(io)), timer(strand),
+          signals(strand, SIGTERM, SIGINT),
+          links(hello{link_protocol_version, "control", settings.replica.name, draw64()}, counted,
+                {[this](const hello& from, const link_message& message)
+                 {
+                     net::post(strand,
+                               [this, from, message]
+                               {
+                                   on_message(from, message);
+                               });
+                 },
+                 [](const std::string&, bool) {}}),
+          catalog(files, settings.data_folder + "/" + catalog_log,
+                  quorum::replica_name(settings.replica.name), settings.timing),
+          registers(files, settings.data_folder + "/" + register_log,
+                    quorum::replica_name(settings.replica.name), settings.timing),
+          operators(io, limits_of(settings),
+                    [this](const http_request& request, http_server::respond respond)
+                    {
+                        net::post(strand,
+                                  [this, request, respond]
+                                  {
+                                      on_operator(request, respond);
+                                  });
+                    })
+    {
+    }
+
+    control_settings settings;
+    net::io_context io;
+    net::strand<net::io_context::executor_type> strand;
+    net::steady_timer timer;
+    net::signal_set signals;
+    monotonic_clock clock;
+    metrics counted;
+    peer_links links;
+    quorum::posix_file_system files;
+    catalog_machine catalog;
+    register_machine registers;
+    distribution::publisher publisher;
+    http_server operators;
+    bool pump_posted = false;
+    bool led = false;
+    std::error_code reported_storage_error;
+
+    // ------------------------------------------------------------------ decisions
+
+    /// Commands that arrive before the pump runs share one sync.
+    void pump_soon()
+    {
+        if (!pump_posted)
+        {
+            pump_posted = true;
+            net::post(strand,
+                      [this]
+                      {
+                          pump();
+                      });
+        }
+    }
+
+    void pump()
+    {
+        pump_posted = false;
+        const time_point now = clock.now();
+        catalog.pump(
+            [this](const quorum::message& message)
+            {
+                send(catalog_log, message);
+            },
+            now);
+        registers.pump(
+            [this](const quorum::message& message)
+            {
+                send(register_log, message);
+            },
+            now);
+        publish();
+        note_changes();
+    }
+
+    void send(const char* log_name, const quorum::message& message)
+    {
+        links.send(message.to.str(), quorum_envelope{log_name, message});
+    }
+
+    void publish()
+    {
+        const time_point now = clock.now();
+        const catalog_state& state = catalog.state();
+        if (state.revision() > publisher.revision())
+        {
+            publisher.on_revision(state.revision(), std::make_shared<const configuration>(state.current()));
+        }
+        if (!catalog.may_answer(now))
+        {
+            return;
+        }
+        for (const auto& update : publisher.take_updates(now))
+        {
+            links.send(update.to.str(), update.update);
+        }
+    }
+
+    void note_changes()
+    {
+        quorum::replica* node = catalog.node();
+        const bool leads = node != nullptr && node->is_ready_leader();
+        if (leads != led)
+        {
+            led = leads;
+            log(log_level::info, leads ? "leading" : "not_leading", {{"term", node ? node->term() : 0}});
+        }
+        const std::error_code now_failing =
+            catalog.storage_error() ? catalog.storage_error() : registers.storage_error();
+        if (now_failing != reported_storage_error)
+        {
+            reported_storage_error = now_failing;
+            log(now_failing ? log_level::error : log_level::info,
+                now_failing ? "storage_failing" : "storage_recovered",
+                {{"error", now_failing.message()}, {"folder", settings.data_folder}});
+        }
+    }
+
+    void tick()
+    {
+        const time_point now = clock.now();
+        links.tick();
+        catalog.tick(now);
+        registers.tick(now);
+        pump();
+        timer.expires_after(std::chrono::microseconds(tick_every.us()));
+        timer.async_wait(
+            [this](const boost::system::error_code& stopped)
+            {
+                if (!stopped)
+                {
+                    tick();
+                }
+            });
+    }
+
+    // ------------------------------------------------------------------ links
+
+    void on_message(const hello& from, const link_message& message)
+    {
+        const time_point now = clock.now();
+        if (const auto* envelope = std::get_if<quorum_envelope>(&message))
+        {
+            if (envelope->log == catalog_log)
+            {
+                catalog.receive(envelope->message, now);
+            }
+            else if (envelope->log == register_log)
+            {
+                registers.receive(envelope->message, now);
+            }
+            pump_soon();
+        }
+        else if (const auto* report = std::get_if<distribution::revision_report>(&message))
+        {
+            on_report(from, *report, now);
+        }
+        else if (const auto* call = std::get_if<register_call>(&message))
+        {
+            on_register_call(from, *call, now);
+        }
+    }
+
+    void on_report(const hello& from, const distribution::revision_report& report, time_point now)
+    {
+        publisher.on_report(instance_name(from.name), report, now);
+        if (catalog.may_answer(now))
+        {
+            // Said under the lease: no other replica can have accepted a later revision.
+            links.send(from.name, distribution::revision_confirmation{catalog.state().revision()});
+            publish();
+        }
+    }
+
+    void on_register_call(const hello& from, const register_call& call, time_point now)
+    {
+        register_command command = call.command;
+        command.now_ms = unix_ms();
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json(command), bytes);
+        registers.propose(
+            std::move(bytes),
+            [this, to = from.name, number = call.number](std::error_code failed, const std::string& result)
+            {
+                register_return returned;
+                returned.number = number;
+                returned.leads = !failed;
+                if (!failed)
+                {
+                    returned.reply = nlohmann::json::from_cbor(result).get<register_reply>();
+                }
+                links.send(to, returned);
+            },
+            now);
+        pump_soon();
+    }
+
+    // ------------------------------------------------------------------ operators
+
+    void on_operator(const http_request& request, const http_server::respond& respond)
+    {
+        if (request.target == "/health")
+        {
+            respond(json_reply(http_ok, {{"state", catalog.node() ? "running" : "storage_failing"}}));
+        }
+        else if (request.target == "/changes" && request.method == "POST")
+        {
+            on_change(request, respond);
+        }
+        else if (request.target == "/changes/preview" && request.method == "POST")
+        {
+            on_preview(request, respond);
+        }
+        else if (request.target == "/configuration")
+        {
+            on_configuration(respond);
+        }
+        else if (request.target == "/status")
+        {
+            on_status(respond);
+        }
+        else if (request.target == "/members" && request.method == "POST")
+        {
+            on_members(request, respond);
+        }
+        else if (request.target == "/dump")
+        {
+            respond(json_reply(http_ok, dump()));
+        }
+        else if (request.target == "/metrics")
+        {
+            respond(json_reply(http_ok, counted.dump()));
+        }
+        else
+        {
+            respond(error_reply(http_not_found, errc::message_malformed, "no such resource"));
+        }
+    }
+
+    http_reply not_leader() const
+    {
+        http_reply reply = error_reply(http_not_leader, errc::not_leader);
+        const quorum::replica* node = const_cast<catalog_machine&>(catalog).node();
+        if (node != nullptr && !node->leader().empty())
+        {
+            reply.headers["X-Leader"] = node->leader().str();
+        }
+        return reply;
+    }
+
+    static std::optional<change> read_change(const http_request& request, http_reply& refusal)
+    {
+        const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+        try
+        {
+            change wanted = j.get<change>();
+            if (wanted.id.empty())
+            {
+                refusal = error_reply(http_bad_request, errc::missing_key, "/id must not be empty");
+                return std::nullopt;
+            }
+            return wanted;
+        }
+        catch (const nlohmann::json::exception& malformed)
+        {
+            refusal = error_reply(http_bad_request, errc::document_malformed, malformed.what());
+            return std::nullopt;
+        }
+    }
+
+    static int status_of(const change_result& result)
+    {
+        switch (result.status)
+        {
+        case change_status::accepted:
+            return http_ok;
+        case change_status::conflict:
+            return http_conflict;
+        case change_status::invalid:
+            break;
+        }
+        return http_bad_request;
+    }
+
+    void on_change(const http_request& request, const http_server::respond& respond)
+    {
+        http_reply refusal;
+        const auto wanted = read_change(request, refusal);
+        if (!wanted)
+        {
+            respond(refusal);
+            return;
+        }
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json(*wanted), bytes);
+        catalog.propose(
+            std::move(bytes),
+            [this, respond, id = wanted->id](std::error_code failed, const std::string& result)
+            {
+                if (failed == make_error_code(errc::not_leader))
+                {
+                    respond(not_leader());
+                    return;
+                }
+                if (failed)
+                {
+                    respond(error_reply(http_unavailable, errc::not_committed));
+                    return;
+                }
+                const auto decided = nlohmann::json::from_cbor(result).get<change_result>();
+                log(log_level::info, "change",
+                    {{"id", id.str()},
+                     {"status", nlohmann::json(decided.status).get<std::string>()},
+                     {"revision", decided.revision}});
+                respond(json_reply(status_of(decided), decided));
+            },
+            clock.now());
+        pump_soon();
+    }
+
+    void on_preview(const http_request& request, const http_server::respond& respond)
+    {
+        http_reply refusal;
+        const auto wanted = read_change(request, refusal);
+        if (!wanted)
+        {
+            respond(refusal);
+            return;
+        }
+        if (!catalog.may_answer(clock.now()))
+        {
+            respond(not_leader());
+            return;
+        }
+        catalog_state trial = catalog.state();
+        const change_result decided = trial.apply(*wanted);
+        nlohmann::json body = decided;
+        body["difference"] = diff(catalog.state().current(), trial.current());
+        body["moved_shards"] = moved_shards(catalog.state().current(), trial.current());
+        respond(json_reply(status_of(decided), body));
+    }
+
+    static nlohmann::json moved_shards(const configuration& before, const configuration& after)
+    {
+        nlohmann::json moved = nlohmann::json::array();
+        const placement old_placed = place(0, before);
+        const placement new_placed = place(0, after);
+        for (const auto& [name, service] : new_placed.services)
+        {
+            const auto known = old_placed.services.find(name);
+            for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
+            {
+                const bool same = known != old_placed.services.end() && shard < known->second.shards.size() &&
+                                  known->second.shards[shard] == service.shards[shard];
+                if (!same)
+                {
+                    moved.push_back({{"service", name}, {"shard", shard}});
+                }
+            }
+        }
+        return moved;
+    }
+
+    void on_configuration(const http_server::respond& respond)
+    {
+        if (!catalog.may_answer(clock.now()))
+        {
+            respond(not_leader());
+            return;
+        }
+        const catalog_state& state = catalog.state();
+        nlohmann::json history = nlohmann::json::array();
+        for (const auto& [revision, id] : state.history())
+        {
+            history.push_back({{"revision", revision}, {"change", id}});
+        }
+        respond(json_reply(http_ok, {{"revision", state.revision()},
+                                     {"configuration", state.current()},
+                                     {"history", std::move(history)}}));
+    }
+
+    void on_status(const http_server::respond& respond)
+    {
+        const time_point now = clock.now();
+        if (!catalog.may_answer(now))
+        {
+            respond(not_leader());
+            return;
+        }
+        nlohmann::json instances = nlohmann::json::array();
+        for (const auto& [name, known] : publisher.instances())
+        {
+            instances.push_back({{"instance", name},
+                                 {"revision_in_force", known.in_force},
+                                 {"heard_ms_ago", (now - known.heard_at).ms()}});
+        }
+        respond(json_reply(http_ok, {{"leader", settings.replica.name},
+                                     {"revision", catalog.state().revision()},
+                                     {"instances", std::move(instances)},
+                                     {"catalog", dump_of(catalog)},
+                                     {"register", dump_of(registers)}}));
+    }
+
+    void on_members(const http_request& request, const http_server::respond& respond)
+    {
+        const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+        const std::string action = j.is_object() ? j.value("action", std::string()) : std::string();
+        const std::string name = j.is_object() ? j.value("name", std::string()) : std::string();
+        if (name.empty() || (action != "add" && action != "replace" && action != "remove"))
+        {
+            respond(error_reply(http_bad_request, errc::document_malformed,
+                                "wants {\"action\": add, replace or remove, \"name\": a replica}"));
+            return;
+        }
+        const quorum::replica_name replica(name);
+        const std::error_code first = change_members(catalog, action, replica);
+        const std::error_code second = change_members(registers, action, replica);
+        pump_soon();
+        const std::error_code refused = first ? first : second;
+        if (refused == make_error_code(errc::not_leader))
+        {
+            respond(not_leader());
+            return;
+        }
+        if (refused)
+        {
+            respond(error_reply(http_unavailable, static_cast<errc>(refused.value()), "try again"));
+            return;
+        }
+        log(log_level::info, "members_changed", {{"action", action}, {"replica", name}});
+        respond(json_reply(http_ok, {{"catalog", dump_of(catalog)}, {"register", dump_of(registers)}}));
+    }
+
+    template <typename Machine>
+    std::error_code change_members(Machine& machine, const std::string& action,
+                                   const quorum::replica_name& name)
+    {
+        quorum::replica* node = machine.node();
+        if (node == nullptr || node->role() != quorum::role::leader)
+        {
+            return errc::not_leader;
+        }
+        if (action == "remove")
+        {
+            return node->remove_member(name, clock.now());
+        }
+        const auto stranger = node->strangers().find(name);
+        if (stranger == node->strangers().end())
+        {
+            const bool member = node->members().members.count(name) > 0;
+            return member ? std::error_code{} : make_error_code(errc::unreachable);
+        }
+        return node->add_member(name, stranger->second, clock.now());
+    }
+
+    // ------------------------------------------------------------------ inspection
+
+    template <typename Machine>
+    nlohmann::json dump_of(Machine& machine)
+    {
+        quorum::replica* node = machine.node();
+        if (node == nullptr)
+        {
+            return {{"storage_error", machine.storage_error().message()}};
+        }
+        nlohmann::json j = {{"role", name_of(node->role())},
+                            {"term", node->term()},
+                            {"leader", node->leader()},
+                            {"incarnation", node->incarnation()},
+                            {"commit", node->commit_index()},
+                            {"applied", machine.applied()},
+                            {"first_index", node->log().first_index()},
+                            {"last_index", node->log().last_index()},
+                            {"file_bytes", machine.file_bytes()},
+                            {"syncs", machine.syncs()},
+                            {"lease", node->has_lease(clock.now())}};
+        for (const auto& [name, item] : node->members().members)
+        {
+            nlohmann::json row = {{"name", name}, {"voter", item.voter}, {"incarnation", item.incarnation}};
+            const auto known = node->others().find(name);
+            if (known != node->others().end())
+            {
+                row["match"] = known->second.match;
+                row["heard_ms_ago"] = (clock.now() - known->second.heard_at).ms();
+            }
+            j["members"].push_back(std::move(row));
+        }
+        for (const auto& [name, incarnation] : node->strangers())
+        {
+            j["strangers"].push_back({{"name", name}, {"incarnation", incarnation}});
+        }
+        return j;
+    }
+
+    nlohmann::json dump()
+    {
+        nlohmann::json j = {{"process", "control"},
+                            {"replica", settings.replica.name},
+                            {"region", settings.replica.region},
+                            {"availability_zone", settings.replica.availability_zone},
+                            {"revision", catalog.state().revision()},
+                            {"register_keys", registers.state().size()},
+                            {"reachable_peers", links.reachable()},
+                            {"catalog", dump_of(catalog)},
+                            {"register", dump_of(registers)},
+                            {"metrics", counted.dump()}};
+        return j;
+    }
+
+    template <typename Machine>
+    void open_machine(Machine& machine, const char* log_name, findings& found)
+    {
+        const std::string folder = settings.data_folder + "/" + log_name;
+        std::error_code failed;
+        std::filesystem::create_directories(folder, failed);
+        if (!failed)
+        {
+            failed = machine.open(draw64(), draw64(), clock.now());
+        }
+        if (failed)
+        {
+            found.error(failed.category() == error_category() ? static_cast<errc>(failed.value())
+                                                              : errc::storage_failed,
+                        "/data_folder", folder + ": " + failed.message());
+        }
+        if (!machine.storage_warning().empty())
+        {
+            log(log_level::warning, "storage_repaired",
+                {{"log", log_name}, {"what", machine.storage_warning()}});
+        }
+    }
+};
+
+control_process::control_process(control_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+control_process::~control_process() = default;
+
+findings control_process::open()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    self.open_machine(self.catalog, catalog_log, found);
+    self.open_machine(self.registers, register_log, found);
+    return found;
+}
+
+findings control_process::found_logs()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    const time_point now = self.clock.now();
+    const std::error_code failed =
+        self.catalog.found(now) ? make_error_code(errc::storage_foreign) : self.registers.found(now);
+    if (failed)
+    {
+        found.error(static_cast<errc>(failed.value()), "/data_folder",
+                    "isn't empty; a log is founded once, on one replica");
+    }
+    return found;
+}
+
+int control_process::run()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    if (self.operators.listen(self.settings.operators))
+    {
+        found.error(errc::address_in_use, "/listen/operators", self.settings.operators.str());
+    }
+    std::string why;
+    if (!self.links.listen(self.settings.link, why))
+    {
+        found.error(errc::address_in_use, "/listen/link", self.settings.link.str() + ": " + why);
+    }
+    if (found.has_errors())
+    {
+        fmt::print(stderr, "{}", found.to_text());
+        return 1;
+    }
+    self.links.want(self.settings.replicas);
+    self.links.start();
+    self.signals.async_wait(
+        [&self](const boost::system::error_code& stopped, int)
+        {
+            if (!stopped)
+            {
+                log(log_level::info, "stopped");
+                self.io.stop();
+            }
+        });
+    log(log_level::info, "started",
+        {{"operators", self.settings.operators.str()}, {"revision", self.catalog.state().revision()}});
+    net::post(self.strand,
+              [&self]
+              {
+                  self.tick();
+              });
+    run_guarded(self.io);
+    return 0;
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/link_endpoint.cpp
@@ -0,0 +1,261 @@
+#include "link_endpoint.hpp"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr long open_timeout_ms = 1000;
+constexpr long close_timeout_ms = 500;
+/// A link to a peer that takes nothing any more is closed once this much waits to be sent.
+constexpr std::size_t most_buffered_bytes = std::size_t{64} << 20U;
+
+template <typename Endpoint>
+void prepare(Endpoint& endpoint, boost::asio::io_service& io)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&io);
+    endpoint.set_open_handshake_timeout(open_timeout_ms);
+    endpoint.set_close_handshake_timeout(close_timeout_ms);
+    endpoint.set_pong_timeout(0);
+    endpoint.set_tcp_post_init_handler(
+        [&endpoint](connection_hdl handle)
+        {
+            websocketpp::lib::error_code gone;
+            const auto connection = endpoint.get_con_from_hdl(handle, gone);
+            if (!gone)
+            {
+                boost::system::error_code ignored;
+                connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            }
+        });
+}
+
+} // namespace
+
+struct link_endpoint::implementation
+{
+    struct link
+    {
+        connection_hdl handle;
+        bool outgoing = false;
+    };
+
+    handlers told;
+    std::size_t most_bytes;
+    boost::asio::io_service io;
+    std::unique_ptr<boost::asio::io_service::work> keep_running;
+    ws_server server;
+    ws_client client;
+    std::thread thread;
+    std::atomic<link_id> next{1};
+    // Only touched by the thread.
+    std::map<link_id, link> links;
+
+    template <typename Connection>
+    void attach(const Connection& connection, link_id id, bool outgoing)
+    {
+        connection->set_max_message_size(most_bytes);
+        connection->set_open_handler(
+            [this, id, outgoing](connection_hdl handle)
+            {
+                links[id] = link{handle, outgoing};
+                told.opened(id);
+            });
+        const auto gone = [this, id](connection_hdl)
+        {
+            links.erase(id);
+            told.closed(id);
+        };
+        connection->set_close_handler(gone);
+        connection->set_fail_handler(gone);
+        connection->set_message_handler(
+            [this, id](connection_hdl, const auto& message)
+            {
+                told.received(id, message->get_payload());
+            });
+    }
+
+    template <typename Endpoint>
+    void send_on(Endpoint& endpoint, connection_hdl handle, const std::string& bytes)
+    {
+        websocketpp::lib::error_code failed;
+        const auto connection = endpoint.get_con_from_hdl(handle, failed);
+        if (failed)
+        {
+            return;
+        }
+        if (connection->get_buffered_amount() > most_buffered_bytes)
+        {
+            connection->terminate(websocketpp::lib::error_code());
+            return;
+        }
+        connection->send(bytes, websocketpp::frame::opcode::binary);
+    }
+
+    void send(link_id id, const std::string& bytes)
+    {
+        const auto found = links.find(id);
+        if (found == links.end())
+        {
+            return;
+        }
+        if (found->second.outgoing)
+        {
+            send_on(client, found->second.handle, bytes);
+        }
+        else
+        {
+            send_on(server, found->second.handle, bytes);
+        }
+    }
+
+    void close(link_id id)
+    {
+        const auto found = links.find(id);
+        if (found == links.end())
+        {
+            return;
+        }
+        websocketpp::lib::error_code ignored;
+        constexpr auto normal = websocketpp::close::status::normal;
+        if (found->second.outgoing)
+        {
+            client.close(found->second.handle, normal, "", ignored);
+        }
+        else
+        {
+            server.close(found->second.handle, normal, "", ignored);
+        }
+    }
+
+    void connect(link_id id, const std::string& uri)
+    {
+        websocketpp::lib::error_code failed;
+        const auto connection = client.get_connection(uri, failed);
+        if (failed)
+        {
+            told.closed(id);
+            return;
+        }
+        attach(connection, id, true);
+        client.connect(connection);
+    }
+};
+
+link_endpoint::link_endpoint(handlers told, std::size_t most_bytes)
+    : m_implementation(std::make_unique<implementation>())
+{
+    implementation& self = *m_implementation;
+    self.told = std::move(told);
+    self.most_bytes = most_bytes;
+    prepare(self.server, self.io);
+    prepare(self.client, self.io);
+    self.server.set_reuse_addr(true);
+    self.server.set_validate_handler(
+        [&self](connection_hdl handle)
+        {
+            websocketpp::lib::error_code gone;
+            const auto connection = self.server.get_con_from_hdl(handle, gone);
+            if (gone)
+            {
+                return false;
+            }
+            self.attach(connection, self.next++, false);
+            return true;
+        });
+}
+
+link_endpoint::~link_endpoint()
+{
+    implementation& self = *m_implementation;
+    self.io.stop();
+    if (self.thread.joinable())
+    {
+        self.thread.join();
+    }
+}
+
+bool link_endpoint::listen(const std::string& ip, std::uint16_t port, std::string& why)
+{
+    websocketpp::lib::error_code failed;
+    implementation& self = *m_implementation;
+    self.server.listen(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(ip), port), failed);
+    if (!failed)
+    {
+        self.server.start_accept(failed);
+    }
+    why = failed ? failed.message() : std::string();
+    return !failed;
+}
+
+void link_endpoint::start()
+{
+    implementation& self = *m_implementation;
+    self.keep_running = std::make_unique<boost::asio::io_service::work>(self.io);
+    self.thread = std::thread(
+        [&self]
+        {
+            while (!self.io.stopped())
+            {
+                try
+                {
+                    self.io.run();
+                }
+                catch (const std::exception&)
+                {
+                    // A peer's malformed frame must not end the process; its link is closed by the library.
+                }
+            }
+        });
+}
+
+link_endpoint::link_id link_endpoint::connect(const std::string& ip, std::uint16_t port)
+{
+    implementation& self = *m_implementation;
+    const link_id id = self.next++;
+    const std::string uri = "ws://" + ip + ":" + std::to_string(port) + "/flaxtiller";
+    boost::asio::post(self.io,
+                      [&self, id, uri]
+                      {
+                          self.connect(id, uri);
+                      });
+    return id;
+}
+
+void link_endpoint::send(link_id link, std::string bytes)
+{
+    implementation& self = *m_implementation;
+    boost::asio::post(self.io,
+                      [&self, link, bytes = std::move(bytes)]
+                      {
+                          self.send(link, bytes);
+                      });
+}
+
+void link_endpoint::close(link_id link)
+{
+    implementation& self = *m_implementation;
+    boost::asio::post(self.io,
+                      [&self, link]
+                      {
+                          self.close(link);
+                      });
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/link_message.cpp
@@ -0,0 +1,88 @@
+#include "link_message.hpp"
+
+#include <flaxtiller/quorum/message_codec.hpp>
+
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, protocol_version, role, name, run)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quorum_envelope, log, message)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_message, service, results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(abandon_message, service, numbers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_call, number, command)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_return, number, leads, reply)
+
+static void to_json(nlohmann::json& j, const ask_message& value)
+{
+    j = {{"service", value.service}, {"asked", subqueries_to_json(value.subqueries)}};
+}
+
+static void from_json(const nlohmann::json& j, ask_message& value)
+{
+    value.service = j.at("service").get<service_name>();
+    value.subqueries = subqueries_from_json(j.at("asked"));
+}
+
+static void to_json(nlohmann::json& j, const heartbeat&)
+{
+    j = nullptr;
+}
+
+static void from_json(const nlohmann::json&, heartbeat&)
+{
+}
+
+namespace
+{
+
+/// Kinds on the wire are the positions in link_message; a new kind goes at the end.
+constexpr const char* kind_key = "k";
+constexpr const char* value_key = "v";
+
+template <std::size_t Index = 0>
+std::optional<link_message> decode_kind(std::size_t kind, const nlohmann::json& value)
+{
+    if constexpr (Index < std::variant_size_v<link_message>)
+    {
+        if (kind == Index)
+        {
+            return link_message(value.get<std::variant_alternative_t<Index, link_message>>());
+        }
+        return decode_kind<Index + 1>(kind, value);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const link_message& message)
+{
+    nlohmann::json j;
+    j[kind_key] = message.index();
+    std::visit(
+        [&](const auto& value)
+        {
+            j[value_key] = value;
+        },
+        message);
+    std::string bytes;
+    nlohmann::json::to_cbor(j, bytes);
+    return bytes;
+}
+
+std::optional<link_message> decode(const std::string& bytes)
+{
+    try
+    {
+        const auto j = nlohmann::json::from_cbor(bytes);
+        return decode_kind(j.at(kind_key).get<std::size_t>(), j.at(value_key));
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/link_message.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <flaxtiller/coordinator/peer_message.hpp>
+#include <flaxtiller/distribution/revision_update.hpp>
+#include <flaxtiller/quorum/message.hpp>
+#include <flaxtiller/register/register_command.hpp>
+#include <flaxtiller/register/register_reply.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flaxtiller::shell
+{
+
+/// @brief The version of the protocol between our processes; a peer with another one is refused.
+inline constexpr int link_protocol_version = 1;
+
+/// @brief The first message on each link, in both directions.
+struct hello
+{
+    int protocol_version = link_protocol_version;
+    std::string role;
+    std::string name;
+    /// Drawn at each start of a process.
+    std::uint64_t run = 0;
+};
+
+/// @brief A sign of life.
+struct heartbeat
+{
+};
+
+/// @brief A message of one of the replicated logs.
+struct quorum_envelope
+{
+    std::string log;
+    quorum::message message;
+};
+
+/// @brief Subqueries that the receiver shall run.
+struct ask_message
+{
+    service_name service;
+    std::vector<peer_subquery> subqueries;
+};
+
+/// @brief Results of subqueries that the receiver asked for.
+struct answer_message
+{
+    service_name service;
+    std::vector<peer_result> results;
+};
+
+/// @brief Subqueries whose results the sender no longer awaits.
+struct abandon_message
+{
+    service_name service;
+    std::vector<std::uint64_t> numbers;
+};
+
+/// @brief A command for the register, from an entry to a control replica.
+struct register_call
+{
+    std::uint64_t number = 0;
+    register_command command;
+};
+
+/// @brief The register's answer; `leads` is false where the asked replica can't answer.
+struct register_return
+{
+    std::uint64_t number = 0;
+    bool leads = false;
+    register_reply reply;
+};
+
+using link_message =
+    std::variant<hello, heartbeat, quorum_envelope, ask_message, answer_message, abandon_message,
+                 register_call, register_return, distribution::revision_update, distribution::revision_report,
+                 distribution::revision_confirmation>;
+
+/// @return the message as CBOR
+std::string encode(const link_message& message);
+
+/// @return the message, or nothing if the bytes are malformed
+std::optional<link_message> decode(const std::string& bytes);
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/metrics.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <flaxtiller/core/duration.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace flaxtiller::shell
+{
+
+/// @brief Counters and latencies of one process. Thread-safe.
+class metrics
+{
+  public:
+    /// @brief What is counted.
+    enum class counter
+    {
+        queries,
+        answers_whole,
+        answers_partial,
+        answers_refused,
+        answers_unknown,
+        subqueries_local,
+        subqueries_for_peers,
+        subqueries_to_peers,
+        attempts,
+        cancels,
+        foreign_answers,
+        connections_opened,
+        malformed_requests,
+        link_messages_sent,
+        link_bytes_sent,
+        count_,
+    };
+
+    /// @brief What is timed.
+    enum class timer
+    {
+        query,
+        attempt,
+        count_,
+    };
+
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    /// @brief Adds to a counter.
+    void add(counter which, std::uint64_t amount = 1) noexcept;
+
+    /// @brief Takes in one latency.
+    void observe(timer which, duration latency);
+
+    /// @return all counters, and quantiles of all timers
+    nlohmann::json dump() const;
+
+  private:
+    struct timers;
+
+    std::atomic<std::uint64_t> m_counters[static_cast<std::size_t>(counter::count_)]{};
+    std::unique_ptr<timers> m_timers;
+};
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/peer_links.cpp
@@ -0,0 +1,241 @@
+#include "peer_links.hpp"
+
+#include "log.hpp"
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+constexpr std::size_t most_message_bytes = std::size_t{64} << 20U;
+constexpr duration dial_again_after = duration::from_ms(200);
+
+} // namespace
+
+peer_links::peer_links(hello self, metrics& counted, handlers told)
+    : m_self(std::move(self)), m_metrics(counted), m_told(std::move(told)),
+      m_endpoint({[this](link_id id)
+                  {
+                      on_opened(id);
+                  },
+                  [this](link_id id)
+                  {
+                      on_closed(id);
+                  },
+                  [this](link_id id, const std::string& bytes)
+                  {
+                      on_received(id, bytes);
+                  }},
+                 most_message_bytes)
+{
+}
+
+bool peer_links::listen(const address& at, std::string& why)
+{
+    return m_endpoint.listen(at.ip, at.port, why);
+}
+
+void peer_links::start()
+{
+    m_endpoint.start();
+}
+
+void peer_links::want(const std::vector<named_address>& peers)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (auto& [name, known] : m_peers)
+    {
+        known.wanted = false;
+    }
+    for (const named_address& item : peers)
+    {
+        peer& known = m_peers[item.name];
+        if (!(known.at == item.at) && known.dialled != 0)
+        {
+            m_endpoint.close(known.dialled);
+            known.dialled = 0;
+        }
+        known.at = item.at;
+        known.wanted = item.name != m_self.name;
+    }
+    for (auto& [name, known] : m_peers)
+    {
+        if (!known.wanted && known.dialled != 0)
+        {
+            m_endpoint.close(known.dialled);
+            known.dialled = 0;
+        }
+    }
+}
+
+void peer_links::post_bytes(link_id id, const std::string& bytes)
+{
+    m_metrics.add(metrics::counter::link_messages_sent);
+    m_metrics.add(metrics::counter::link_bytes_sent, bytes.size());
+    m_endpoint.send(id, bytes);
+}
+
+void peer_links::send(const std::string& name, const link_message& message)
+{
+    const std::string bytes = encode(message);
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_peers.find(name);
+    if (found != m_peers.end() && !found->second.links.empty())
+    {
+        post_bytes(*found->second.links.rbegin(), bytes);
+    }
+}
+
+void peer_links::tick()
+{
+    const time_point now = m_clock.now();
+    std::vector<std::string> silent;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const bool beat = now >= m_heartbeat_at;
+        if (beat)
+        {
+            m_heartbeat_at = now + heartbeat_every;
+        }
+        const std::string bytes = beat ? encode(heartbeat{}) : std::string();
+        for (auto& [name, known] : m_peers)
+        {
+            if (known.wanted && known.dialled == 0 && now >= known.dial_at)
+            {
+                known.dial_at = now + dial_again_after;
+                known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
+                m_links[known.dialled].outgoing = true;
+            }
+            if (beat && !known.links.empty())
+            {
+                post_bytes(*known.links.rbegin(), bytes);
+            }
+            if (known.dialled != 0 && now - known.heard_at > redial_bound &&
+                now - known.dial_at > redial_bound)
+            {
+                // The connection may stand and yet carry nothing any more.
+                m_endpoint.close(known.dialled);
+                known.links.erase(known.dialled);
+                known.dialled = 0;
+            }
+            if (known.reachable && now - known.heard_at > silence_bound)
+            {
+                known.reachable = false;
+                silent.push_back(name);
+            }
+        }
+    }
+    for (const std::string& name : silent)
+    {
+        log(log_level::warning, "peer_silent", {{"peer", name}});
+        m_told.reachable(name, false);
+    }
+}
+
+void peer_links::on_opened(link_id id)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_links[id];
+    post_bytes(id, encode(m_self));
+}
+
+void peer_links::on_closed(link_id id)
+{
+    std::string lost;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_links.erase(id);
+        for (auto& [name, known] : m_peers)
+        {
+            if (known.dialled == id)
+            {
+                known.dialled = 0;
+                known.dial_at = m_clock.now() + dial_again_after;
+            }
+            if (known.links.erase(id) > 0 && known.links.empty() && known.reachable)
+            {
+                known.reachable = false;
+                lost = name;
+            }
+        }
+    }
+    if (!lost.empty())
+    {
+        log(log_level::info, "peer_lost", {{"peer", lost}});
+        m_told.reachable(lost, false);
+    }
+}
+
+void peer_links::on_received(link_id id, const std::string& bytes)
+{
+    const auto message = decode(bytes);
+    if (!message)
+    {
+        log(log_level::warning, "link_message_malformed", {{"link", id}});
+        m_endpoint.close(id);
+        return;
+    }
+    hello from;
+    bool came_back = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        link& here = m_links[id];
+        if (const auto* greeting = std::get_if<hello>(&*message))
+        {
+            if (greeting->protocol_version != link_protocol_version)
+            {
+                log(log_level::error, "protocol_version_refused",
+                    {{"peer", greeting->name}, {"version", greeting->protocol_version}});
+                m_endpoint.close(id);
+                return;
+            }
+            here.from = *greeting;
+            here.greeted = true;
+            m_peers[greeting->name].links.insert(id);
+        }
+        if (!here.greeted)
+        {
+            return;
+        }
+        from = here.from;
+        peer& known = m_peers[from.name];
+        known.heard_at = m_clock.now();
+        came_back = !known.reachable;
+        known.reachable = true;
+    }
+    if (came_back)
+    {
+        log(log_level::info, "peer_reachable", {{"peer", from.name}, {"role", from.role}});
+        m_told.reachable(from.name, true);
+    }
+    if (!std::holds_alternative<hello>(*message) && !std::holds_alternative<heartbeat>(*message))
+    {
+        m_told.received(from, *message);
+    }
+}
+
+std::set<std::string> peer_links::reachable() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::set<std::string> names;
+    for (const auto& [name, known] : m_peers)
+    {
+        if (known.reachable)
+        {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+void peer_links::stop()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& [id, item] : m_links)
+    {
+        m_endpoint.close(id);
+    }
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/peer_links.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "link_endpoint.hpp"
+#include "link_message.hpp"
+#include "metrics.hpp"
+#include "settings.hpp"
+
+#include <flaxtiller/core/clock.hpp>
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flaxtiller::shell
+{
+
+/// @brief The links of this process to its peers, by name: makes them, keeps them up, tells which peers live.
+///
+/// A peer is reachable while something of it was heard within the silence bound: a frozen or cut-off peer
+/// stops being reachable although its connection still stands. Thread-safe; handlers run on the link thread
+/// or the thread that calls @ref tick.
+class peer_links
+{
+  public:
+    /// Sent to every peer this often.
+    static constexpr duration heartbeat_every = duration::from_ms(50);
+    /// A peer that was silent for this long can't be reached.
+    static constexpr duration silence_bound = duration::from_ms(250);
+
+    /// A link that was silent for this long is made anew.
+    static constexpr duration redial_bound = duration::from_ms(2000);
+
+    struct handlers
+    {
+        std::function<void(const hello& from, const link_message&)> received;
+        std::function<void(const std::string& name, bool reachable)> reachable;
+    };
+
+    peer_links(hello self, metrics& counted, handlers told);
+
+    /// @brief Accepts links. @return false, with @a why set, if the address can't be used
+    bool listen(const address& at, std::string& why);
+
+    void start();
+
+    /// @brief Links to these peers are made and kept up; those to others that were wanted before are closed.
+    void want(const std::vector<named_address>& peers);
+
+    /// @brief Sends to a peer; nothing happens if there is no link.
+    void send(const std::string& name, const link_message& message);
+
+    /// @brief Makes missing links, sends heartbeats, notices silence. Call every few tens of milliseconds.
+    void tick();
+
+    /// @return names of the peers that can be reached
+    std::set<std::string> reachable() const;
+
+    /// @brief Stops all links.
+    void stop();
+
+  private:
+    using link_id = link_endpoint::link_id;
+
+    struct peer
+    {
+        address at;
+        bool wanted = false;
+        link_id dialled = 0;
+        time_point dial_at{};
+        /// Links on which the peer said its name; the newest is used.
+        std::set<link_id> links;
+        time_point heard_at{};
+        bool reachable = false;
+    };
+
+    struct link
+    {
+        hello from;
+        bool greeted = false;
+        bool outgoing = false;
+    };
+
+    void on_opened(link_id id);
+    void on_closed(link_id id);
+    void on_received(link_id id, const std::string& bytes);
+    void post_bytes(link_id id, const std::string& bytes);
+
+    const hello m_self;
+    metrics& m_metrics;
+    handlers m_told;
+    monotonic_clock m_clock;
+    mutable std::mutex m_mutex;
+    std::map<std::string, peer> m_peers;
+    std::map<link_id, link> m_links;
+    time_point m_heartbeat_at{};
+    // Last, so that its thread ends before anything it uses is gone.
+    link_endpoint m_endpoint;
+};
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/register_client.cpp
@@ -0,0 +1,104 @@
+#include "register_client.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace flaxtiller::shell
+{
+
+register_client::register_client(boost::asio::io_context& io, peer_links& links,
+                                 std::vector<std::string> replicas)
+    : m_links(links), m_replicas(std::move(replicas)), m_strand(boost::asio::make_strand(io)),
+      m_timer(m_strand)
+{
+}
+
+void register_client::call(const register_command& command, duration bound, completion done)
+{
+    boost::asio::post(m_strand,
+                      [this, command, bound, done = std::move(done)]() mutable
+                      {
+                          const time_point now = m_clock.now();
+                          const std::uint64_t number = m_next++;
+                          open_call fresh{command, std::move(done), now + bound, now, m_leader};
+                          auto& item = m_calls.emplace(number, std::move(fresh)).first->second;
+                          send(number, item);
+                          schedule_check();
+                      });
+}
+
+void register_client::send(std::uint64_t number, open_call& item)
+{
+    item.sent_at = m_clock.now();
+    m_links.send(m_replicas[item.replica], register_call{number, item.command});
+}
+
+void register_client::on_return(const std::string& from, const register_return& returned)
+{
+    boost::asio::post(m_strand,
+                      [this, from, returned]
+                      {
+                          const auto found = m_calls.find(returned.number);
+                          if (found == m_calls.end() || m_replicas[found->second.replica] != from)
+                          {
+                              return;
+                          }
+                          if (!returned.leads)
+                          {
+                              // Left to the next check, so that a register without a leader isn't stormed.
+                              return;
+                          }
+                          m_leader = found->second.replica;
+                          const completion done = std::move(found->second.done);
+                          m_calls.erase(found);
+                          done(returned.reply);
+                      });
+}
+
+void register_client::schedule_check()
+{
+    if (m_checking || m_calls.empty())
+    {
+        return;
+    }
+    m_checking = true;
+    m_timer.expires_after(std::chrono::microseconds(check_every.us()));
+    m_timer.async_wait(
+        [this](const boost::system::error_code& stopped)
+        {
+            m_checking = false;
+            if (!stopped)
+            {
+                check();
+                schedule_check();
+            }
+        });
+}
+
+void register_client::check()
+{
+    const time_point now = m_clock.now();
+    for (auto item = m_calls.begin(); item != m_calls.end();)
+    {
+        open_call& waiting = item->second;
+        if (now >= waiting.give_up_at)
+        {
+            const completion done = std::move(waiting.done);
+            item = m_calls.erase(item);
+            done(register_reply{});
+            continue;
+        }
+        if (now - waiting.sent_at >= next_replica_after)
+        {
+            waiting.replica = (waiting.replica + 1) % m_replicas.size();
+            send(item->first, waiting);
+        }
+        ++item;
+    }
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/settings.cpp
@@ -0,0 +1,316 @@
+#include "settings.hpp"
+
+#include <flaxtiller/core/json_reader.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+constexpr int most_threads = 256;
+constexpr int most_bytes = 1 << 30;
+constexpr int hour_ms = 3600000;
+
+std::string line_of(const std::string& text, const std::string& file, std::size_t byte)
+{
+    const auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
+    return file + ":" + std::to_string(1 + std::count(text.begin(), end, '\n'));
+}
+
+void read_ms(json_reader& reader, const char* key, duration& into, double low, double high)
+{
+    double ms = into.ms();
+    reader.number(key, ms, low, high);
+    into = duration::from_ms(ms);
+}
+
+void read_address(json_reader& reader, const char* key, address& into, bool required)
+{
+    if (required)
+    {
+        reader.require(key);
+    }
+    std::string text;
+    reader.text(key, text);
+    if (text.empty())
+    {
+        return;
+    }
+    const auto parsed = parse_address(text);
+    if (!parsed)
+    {
+        reader.found().error(errc::address_malformed, reader.at(key), "must be IP:port, not " + text);
+        return;
+    }
+    into = *parsed;
+}
+
+template <typename Read>
+void read_section(json_reader& reader, const char* key, bool required, Read read)
+{
+    if (required)
+    {
+        reader.require(key);
+    }
+    if (const nlohmann::json* section = reader.take(key))
+    {
+        json_reader inner(*section, reader.at(key), reader.found());
+        read(inner);
+        inner.finish();
+    }
+}
+
+void read_identity(json_reader& reader, identity_settings& into)
+{
+    reader.require("name");
+    reader.text("name", into.name);
+    reader.text("region", into.region);
+    reader.text("availability_zone", into.availability_zone);
+    if (into.name.empty())
+    {
+        reader.found().error(errc::out_of_range, reader.at("name"), "must not be empty");
+    }
+}
+
+void read_named_addresses(json_reader& reader, const char* key, std::vector<named_address>& into)
+{
+    reader.require(key);
+    const nlohmann::json* list = reader.take(key);
+    if (list == nullptr)
+    {
+        return;
+    }
+    if (!list->is_array() || list->empty())
+    {
+        reader.found().error(errc::wrong_type, reader.at(key), "must be a non-empty list");
+        return;
+    }
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        named_address item;
+        json_reader inner((*list)[i], reader.at(key) + "/" + std::to_string(i), reader.found());
+        inner.require("name");
+        inner.text("name", item.name);
+        read_address(inner, "address", item.at, true);
+        inner.finish();
+        const auto same = [&](const named_address& other)
+        {
+            return other.name == item.name;
+        };
+        if (std::any_of(into.begin(), into.end(), same))
+        {
+            reader.found().error(errc::duplicate_name, inner.at("name"), item.name + " stands twice");
+        }
+        into.push_back(std::move(item));
+    }
+}
+
+void read_log(json_reader& reader, log_level& into)
+{
+    std::string level = "info";
+    reader.text("level", level);
+    constexpr const char* known[] = {"debug", "info", "warning", "error"};
+    if (std::find(std::begin(known), std::end(known), level) == std::end(known))
+    {
+        reader.found().error(errc::out_of_range, reader.at("level"),
+                             "must be debug, info, warning or error, not " + level);
+        return;
+    }
+    into = parse_log_level(level);
+}
+
+void read_dispatch(json_reader& reader, dispatch::scheduler_options& into)
+{
+    reader.number("late_quantile", into.late_quantile, 0.5, 0.9999);
+    reader.number("extra_load_share", into.extra_load_share, 0.0, 1.0);
+    reader.number("budget_burst", into.budget_burst, 0.0, 100000.0);
+    reader.number("most_attempts", into.most_attempts, 1, 16);
+    read_ms(reader, "first_late_after_ms", into.first_late_after, 1.0, hour_ms);
+    read_ms(reader, "cancel_bound_ms", into.cancel_bound, 1.0, hour_ms);
+    reader.number("eject_after", into.eject_after, 1, 1000);
+    read_ms(reader, "eject_first_ms", into.eject_first, 1.0, hour_ms);
+    read_ms(reader, "eject_most_ms", into.eject_most, 1.0, hour_ms);
+    if (into.eject_first > into.eject_most)
+    {
+        reader.found().error(errc::key_clash, reader.at("eject_first_ms"), "must not exceed eject_most_ms");
+    }
+}
+
+void read_timing(json_reader& reader, quorum::timing& into)
+{
+    read_ms(reader, "heartbeat_ms", into.heartbeat, 1.0, hour_ms);
+    read_ms(reader, "election_min_ms", into.election_min, 1.0, hour_ms);
+    read_ms(reader, "election_max_ms", into.election_max, 1.0, hour_ms);
+    reader.number("clock_drift", into.clock_drift, 0.0, 0.2);
+    constexpr double heartbeats_per_election = 2.0;
+    if (into.heartbeat * heartbeats_per_election > into.election_min)
+    {
+        reader.found().error(errc::key_clash, reader.at("election_min_ms"),
+                             "must be at least twice heartbeat_ms");
+    }
+    if (into.election_min >= into.election_max)
+    {
+        reader.found().error(errc::key_clash, reader.at("election_max_ms"), "must exceed election_min_ms");
+    }
+}
+
+void check_distinct(const std::vector<std::pair<std::string, address>>& used, findings& found)
+{
+    for (std::size_t i = 0; i < used.size(); ++i)
+    {
+        for (std::size_t j = i + 1; j < used.size(); ++j)
+        {
+            if (used[i].second == used[j].second && used[i].second.port != 0)
+            {
+                found.error(errc::key_clash, used[j].first,
+                            used[j].second.str() + " is also the address of " + used[i].first);
+            }
+        }
+    }
+}
+
+} // namespace
+
+nlohmann::json parse_json(const std::string& text, const std::string& file, findings& found)
+{
+    try
+    {
+        return nlohmann::json::parse(text, nullptr, true, /*ignore_comments=*/true);
+    }
+    catch (const nlohmann::json::parse_error& malformed)
+    {
+        found.error(errc::document_malformed, line_of(text, file, malformed.byte), malformed.what());
+        return nlohmann::json();
+    }
+}
+
+std::string read_file(const std::string& path, findings& found)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+    {
+        found.error(errc::document_unreadable, path, "can't be opened");
+        return {};
+    }
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+entry_settings parse_entry_settings(const std::string& text, const std::string& file, findings& found)
+{
+    entry_settings settings;
+    const nlohmann::json document = parse_json(text, file, found);
+    if (found.has_errors())
+    {
+        return settings;
+    }
+    json_reader reader(document, "", found);
+    read_section(reader, "instance", true,
+                 [&](json_reader& r)
+                 {
+                     read_identity(r, settings.instance);
+                 });
+    read_section(reader, "listen", true,
+                 [&](json_reader& r)
+                 {
+                     read_address(r, "callers", settings.callers, true);
+                     read_address(r, "link", settings.link, true);
+                     read_address(r, "operators", settings.operators, true);
+                 });
+    read_named_addresses(reader, "control", settings.control);
+    read_section(reader, "platform", false,
+                 [&](json_reader& r)
+                 {
+                     read_address(r, "list_address", settings.platform_list, false);
+                     r.number("poll_interval_ms", settings.platform_poll_interval_ms, 10, hour_ms);
+                 });
+    reader.number("threads", settings.threads, 1, most_threads);
+    read_section(reader, "limits", false,
+                 [&](json_reader& r)
+                 {
+                     r.number("request_bytes", settings.most_request_bytes, 1024, most_bytes);
+                     r.number("request_timeout_ms", settings.request_timeout_ms, 10, hour_ms);
+                     r.number("queries_per_service", settings.most_queries_per_service, 1, most_bytes);
+                     r.number("services", settings.most_services, 1, most_bytes);
+                     r.number("drain_bound_ms", settings.drain_bound_ms, 0, hour_ms);
+                 });
+    read_section(reader, "dispatch", false,
+                 [&](json_reader& r)
+                 {
+                     read_dispatch(r, settings.dispatch);
+                 });
+    read_section(reader, "log", false,
+                 [&](json_reader& r)
+                 {
+                     read_log(r, settings.least_level);
+                 });
+    read_section(reader, "trace", false,
+                 [&](json_reader& r)
+                 {
+                     r.text("file", settings.trace_file);
+                 });
+    reader.finish();
+    check_distinct({{"/listen/callers", settings.callers},
+                    {"/listen/link", settings.link},
+                    {"/listen/operators", settings.operators}},
+                   found);
+    return settings;
+}
+
+control_settings parse_control_settings(const std::string& text, const std::string& file, findings& found)
+{
+    control_settings settings;
+    const nlohmann::json document = parse_json(text, file, found);
+    if (found.has_errors())
+    {
+        return settings;
+    }
+    json_reader reader(document, "", found);
+    read_section(reader, "replica", true,
+                 [&](json_reader& r)
+                 {
+                     read_identity(r, settings.replica);
+                 });
+    read_section(reader, "listen", true,
+                 [&](json_reader& r)
+                 {
+                     read_address(r, "link", settings.link, true);
+                     read_address(r, "operators", settings.operators, true);
+                 });
+    read_named_addresses(reader, "replicas", settings.replicas);
+    reader.require("data_folder");
+    reader.text("data_folder", settings.data_folder);
+    read_section(reader, "timing", false,
+                 [&](json_reader& r)
+                 {
+                     read_timing(r, settings.timing);
+                 });
+    read_section(reader, "limits", false,
+                 [&](json_reader& r)
+                 {
+                     r.number("request_bytes", settings.most_request_bytes, 1024, most_bytes);
+                     r.number("request_timeout_ms", settings.request_timeout_ms, 10, hour_ms);
+                 });
+    read_section(reader, "log", false,
+                 [&](json_reader& r)
+                 {
+                     read_log(r, settings.least_level);
+                 });
+    reader.finish();
+    check_distinct({{"/listen/link", settings.link}, {"/listen/operators", settings.operators}}, found);
+    const auto self = [&](const named_address& item)
+    {
+        return item.name == settings.replica.name;
+    };
+    if (!found.has_errors() && std::none_of(settings.replicas.begin(), settings.replicas.end(), self))
+    {
+        found.error(errc::key_clash, "/replicas", "must hold this replica, " + settings.replica.name);
+    }
+    return settings;
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/tests/src/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/src/unit-catalog.cpp
@@ -0,0 +1,138 @@
+#include <flaxtiller/catalog/catalog_state.hpp>
+#include <flaxtiller/catalog/placement.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace flaxtiller;
+
+namespace
+{
+
+nlohmann::json document()
+{
+    return nlohmann::json::parse(R"({
+        "services": [{"name": "dispatch", "labels": {"kind": "depot"}, "shards": 2}],
+        "backend_servers": [
+            {"name": "b0", "address": "127.0.0.1:9000", "labels": {"serves": "dispatch", "shard": "0"}},
+            {"name": "b1", "address": "127.0.0.1:9001", "labels": {"serves": "dispatch", "shard": "1"}}],
+        "placement_rules": [
+            {"name": "all", "services": {"kind": "depot"}, "backend_servers": {"serves": "dispatch"}}]})");
+}
+
+change replacement(const std::string& id, std::int64_t base, const nlohmann::json& body)
+{
+    return {change_id(id), base, change_kind::replace, body};
+}
+
+} // namespace
+
+TEST_CASE("configuration documents", "[catalog]")
+{
+    findings found;
+
+    SECTION("a sound document has no findings and is placed by its rules")
+    {
+        const configuration parsed = parse_configuration(document(), found);
+        CHECK(found.items().empty());
+        CHECK(validate(parsed).items().empty());
+        const placement placed = place(1, parsed);
+        const auto& shards = placed.services.at(service_name("dispatch")).shards;
+        REQUIRE(shards.size() == 2);
+        CHECK(shards[0].at(0).name.str() == "b0");
+        CHECK(shards[1].at(0).name.str() == "b1");
+    }
+
+    SECTION("every fault is reported, each with its place")
+    {
+        auto broken = document();
+        broken["services"][0]["shard"] = 3;
+        broken["backend_servers"][0]["address"] = "nowhere";
+        broken["backend_servers"][1]["name"] = "b0";
+        broken["backend_servers"][1]["slots"] = 0;
+        broken["surplus"] = true;
+        (void)parse_configuration(broken, found);
+        std::vector<std::string> places;
+        for (const finding& item : found.items())
+        {
+            places.push_back(item.place);
+        }
+        CHECK(places == std::vector<std::string>{"/services/0/shard", "/backend_servers/0/address",
+                                                 "/backend_servers/1/slots", "/backend_servers/1/name",
+                                                 "/surplus"});
+    }
+
+    SECTION("what spans items is a warning")
+    {
+        auto sparse = document();
+        sparse["services"][0]["shards"] = 3;
+        sparse["placement_rules"].push_back({{"name", "idle"}, {"backend_servers", {{"serves", "nothing"}}}});
+        const findings warned = validate(parse_configuration(sparse, found));
+        CHECK_FALSE(warned.has_errors());
+        REQUIRE(warned.items().size() == 2);
+        CHECK(warned.items()[0].code == errc::selector_matches_nothing);
+        CHECK(warned.items()[1].code == errc::shard_without_backend_server);
+    }
+
+    SECTION("a patch changes what it names and nothing else")
+    {
+        const configuration base = parse_configuration(document(), found);
+        const auto patch = nlohmann::json::parse(
+            R"({"remove": {"backend_servers": ["b1"]},
+                "upsert": {"services": [{"name": "dispatch", "shards": 1, "labels": {"kind": "depot"}}]}})");
+        const configuration patched = apply_patch(base, patch, found);
+        CHECK(found.items().empty());
+        CHECK(patched.backend_servers.size() == 1);
+        CHECK(patched.services.at(service_name("dispatch")).shards == 1);
+        CHECK(patched.placement_rules == base.placement_rules);
+    }
+}
+
+TEST_CASE("changes", "[catalog]")
+{
+    catalog_state state;
+    const change first = replacement("c1", 0, document());
+    REQUIRE(state.apply(first).status == change_status::accepted);
+
+    SECTION("sent again, a change gets its first result and has no second effect")
+    {
+        REQUIRE(state.apply(replacement("c2", 1, nlohmann::json::object())).revision == 2);
+        const change_result again = state.apply(first);
+        CHECK(again.status == change_status::accepted);
+        CHECK(again.revision == 1);
+        CHECK(state.revision() == 2);
+        CHECK(state.current().services.empty());
+    }
+
+    SECTION("also after a snapshot")
+    {
+        catalog_state restored = catalog_state::deserialize(state.serialize());
+        CHECK(restored == state);
+        CHECK(restored.apply(first).revision == 1);
+        CHECK(restored.revision() == 1);
+    }
+
+    SECTION("of two with the same base one wins, and the other learns which")
+    {
+        CHECK(state.apply(replacement("ann", 1, document())).status == change_status::accepted);
+        const change_result lost = state.apply(replacement("bob", 1, document()));
+        CHECK(lost.status == change_status::conflict);
+        CHECK(lost.winner.str() == "ann");
+        CHECK(lost.revision == 2);
+    }
+
+    SECTION("an invalid one changes nothing")
+    {
+        const change_result refused = state.apply(replacement("bad", 1, {{"services", 7}}));
+        CHECK(refused.status == change_status::invalid);
+        CHECK(refused.found.has_errors());
+        CHECK(state.revision() == 1);
+    }
+
+    SECTION("rolling back makes a new revision")
+    {
+        REQUIRE(state.apply(replacement("empty", 1, nlohmann::json::object())).revision == 2);
+        const change back{change_id("back"), 2, change_kind::roll_back, {{"revision", 1}}};
+        CHECK(state.apply(back).revision == 3);
+        CHECK(state.current().services.size() == 1);
+    }
+}
