Seeded schedules of faults for the replicated log

1500 schedules each for three and five replicas: messages lost, late and doubled, crashes between any two steps of writing and sending, freezes, cuts in one direction, wiped folders and repairs. After each step: one leader a term, accepted entries never lost or replaced, applied in order, the lease held once.

--- /dev/null
+++ b/tests/src/unit-quorum-schedules.cpp
@@ -0,0 +1,59 @@
+#include "quorum_harness.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using flaxtiller::test::quorum_harness;
+
+namespace
+{
+
+/// Fixed, so that the verdict is the same on every run.
+constexpr const char* rapidcheck_parameters = "seed=20261202 max_success=1500";
+constexpr int steps = 1500;
+
+bool check_schedules(const std::string& name, int replicas)
+{
+    ::setenv("RC_PARAMS", rapidcheck_parameters, 1);
+    std::size_t committed = 0;
+    std::size_t elections = 0;
+    std::size_t repairs = 0;
+    const bool held = rc::check(name,
+                                [&]
+                                {
+                                    const auto seed =
+                                        *rc::gen::noShrink(rc::gen::resize(100, rc::gen::arbitrary<std::uint64_t>()));
+                                    quorum_harness harness(seed, replicas);
+                                    const std::string violated = harness.run(steps);
+                                    const std::string stuck = violated.empty() ? harness.settle() : violated;
+                                    if (!stuck.empty())
+                                    {
+                                        RC_FAIL("seed " + std::to_string(seed) + ": " + stuck);
+                                    }
+                                    committed += harness.committed();
+                                    elections += harness.elections();
+                                    repairs += harness.repairs();
+                                });
+    // The schedules must reach what they are meant to test.
+    INFO("committed " << committed << ", elections " << elections << ", repairs " << repairs);
+    CHECK(committed > 10000);
+    CHECK(elections > 3000);
+    CHECK(repairs > 300);
+    return held;
+}
+
+} // namespace
+
+TEST_CASE("seeded schedules of faults keep the promises of the replicated log", "[quorum][schedules]")
+{
+    SECTION("three replicas")
+    {
+        REQUIRE(check_schedules("three replicas", 3));
+    }
+    SECTION("five replicas")
+    {
+        REQUIRE(check_schedules("five replicas", 5));
+    }
+}
