Dispatch: no slot for work that can't end in time; waits estimated from how long slots are held

Cause: under overload subqueries were started just before their deadline, so that the slot was wasted and the next one came too late in its turn. The wait was estimated from the median, which leaves out the round trip and the stragglers, and counted ejected backend servers, so that too much was admitted. At a fan-out of 740 each backend server's own tail, made from few stragglers, put off replacing.

Change: a queued subquery that has less than the median left is given up at once; waits are estimated from the mean time for which a slot is held, without ejected backend servers; a backend server's own word counts only for how slow it is as a whole.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -156,9 +156,11 @@
     bool has_slot(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
     duration late_after(const server_state& server) const;
-    bool prefer(server_index candidate, server_index over, const work& item, time_point now) const;
+    bool prefer(server_index candidate, server_index over, time_point now) const;
+    bool was_tried(server_index index, const work& item) const;
     bool has_room_ahead(const server_state& server, time_point now) const;
-    std::optional<server_index> free_server(const work& item, time_point now) const;
+    std::optional<server_index> free_server(const work& item, time_point now,
+                                            std::optional<server_index> avoid = std::nullopt) const;
     std::optional<server_index> server_ahead(const work& item, time_point now) const;
     bool better_to_wait(server_index candidate, const work& item, time_point now) const;
 
@@ -166,6 +168,7 @@
     void enqueue(work& item, time_point key, time_point now);
     void unqueue(work& item);
     void run_queue_of(int shard, time_point now);
+    void drop_hopeless(int shard, time_point now);
     void run_queues_at(server_index index, time_point now);
     bool start_first_for(server_index index, time_point now);
     void start(work& item, server_index index, time_point now, bool ahead = false);
@@ -204,6 +207,7 @@
     std::unordered_map<attempt_id, attempt> m_attempts;
     std::set<timer> m_timers;
     latency_estimator m_latency;
+    double m_mean_hold_ms = 0.0;
     std::vector<action> m_actions;
     attempt_id m_next_attempt = 1;
     std::uint64_t m_started = 0;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -19,6 +19,8 @@
 /// Outliers count in the moving average at most as this multiple of the median.
 constexpr double outlier_ratio = 4.0;
 constexpr double slowest_average_weight = 0.1;
+/// Weight of one attempt in the mean time for which a slot is held.
+constexpr double mean_hold_weight = 0.01;
 /// How far into a queue a freed slot looks for work that this backend server can do.
 constexpr int queue_look_ahead = 8;
 constexpr duration least_park = duration::from_ms(2);
@@ -191,24 +193,21 @@
 
 duration scheduler::late_after(const server_state& server) const
 {
-    duration limit = late_after_now();
-    if (server.latency.samples() >= enough_server_samples)
-    {
-        limit = std::min(server.latency.late_after(), limit * most_late_ratio);
-    }
-    return std::max(limit, m_options.least_late_after);
+    const duration limit = late_after_now();
+    const bool known = server.latency.samples() >= enough_server_samples;
+    const double ratio = known ? server.latency.median().ms() / m_latency.median().ms() : 1.0;
+    // One backend server sees too few stragglers to tell their share; it only tells how slow it is as a
+    // whole.
+    return ratio > m_options.slower_ratio ? limit * std::min(ratio, most_late_ratio) : limit;
 }
 
-bool scheduler::prefer(server_index candidate, server_index over, const work& item, time_point now) const
+bool scheduler::was_tried(server_index index, const work& item) const
+{
+    return std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
+}
+
+bool scheduler::prefer(server_index candidate, server_index over, time_point now) const
 {
-    const auto tried = [&](server_index index)
-    {
-        return std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
-    };
-    if (tried(candidate) != tried(over))
-    {
-        return tried(over);
-    }
     const server_state& a = m_servers[candidate];
     const server_state& b = m_servers[over];
     const duration latency_a = expected_latency(a, now);
@@ -244,7 +243,7 @@
     {
         const server_state& server = m_servers[index];
         const bool fits = eligible(server, item) && has_room_ahead(server, now);
-        if (fits && (!best || prefer(index, *best, item, now)))
+        if (fits && (!best || prefer(index, *best, now)))
         {
             best = index;
         }
@@ -252,8 +251,13 @@
     return best;
 }
 
-std::optional<scheduler::server_index> scheduler::free_server(const work& item, time_point now) const
+std::optional<scheduler::server_index> scheduler::free_server(const work& item, time_point now,
+                                                              std::optional<server_index> avoid) const
 {
+    const auto unwanted = [&](server_index index)
+    {
+        return index == avoid || was_tried(index, item);
+    };
     std::optional<server_index> best;
     for (const server_index index : m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas)
     {
@@ -262,10 +266,9 @@
         {
             continue;
         }
-        if (!best || prefer(index, *best, item, now))
-        {
-            best = index;
-        }
+        const bool differ = best && unwanted(index) != unwanted(*best);
+        const bool better = !best || (differ ? unwanted(*best) : prefer(index, *best, now));
+        best = better ? index : best;
     }
     return best;
 }
@@ -350,6 +353,7 @@
     const std::vector<server_index> replicas = m_shards[static_cast<std::size_t>(shard)].replicas;
     // The head goes to the best free backend server, not to the first.
     auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+    drop_hopeless(shard, now);
     while (!queue.empty())
     {
         work& head = m_work.at(queue.begin()->second);
@@ -372,8 +376,30 @@
     }
 }
 
+void scheduler::drop_hopeless(int shard, time_point now)
+{
+    const auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+    const duration needed = m_latency.median();
+    while (!queue.empty())
+    {
+        work& head = m_work.at(queue.begin()->second);
+        if (head.wanted.deadline - now >= needed)
+        {
+            return;
+        }
+        // A slot that it took now would be wasted, and the next one would come too late in its turn.
+        head.retry_after = estimated_wait(shard);
+        give_up(head, missing_reason::overloaded, now);
+    }
+}
+
 void scheduler::run_queues_at(server_index index, time_point now)
 {
+    const std::vector<int> shards = m_servers[index].shards;
+    for (const int shard : shards)
+    {
+        drop_hopeless(shard, now);
+    }
     while ((has_slot(m_servers[index], now) || has_room_ahead(m_servers[index], now)) &&
            start_first_for(index, now))
     {
@@ -396,7 +422,7 @@
                 break;
             }
             work& item = m_work.at(id);
-            const bool tried = std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
+            const bool tried = was_tried(index, item);
             const bool fits = !ahead || item.wanted.repeatable;
             if (fits && eligible(server, item) && !tried && !better_to_wait(index, item, now))
             {
@@ -543,7 +569,7 @@
     {
         return;
     }
-    const auto elsewhere = free_server(item, now);
+    const auto elsewhere = free_server(item, now, late.server);
     const bool may_replace = now >= server.replace_paused_until;
     if ((!elsewhere && !may_replace) || !m_budget.spend())
     {
@@ -613,6 +639,11 @@
     m_attempts.erase(found);
     server_state& server = m_servers[ended.server];
     --server.in_use;
+    const bool held_slot = !ended.ahead && !was_not_run(result.status);
+    if (held_slot)
+    {
+        m_mean_hold_ms += ((now - ended.started_at).ms() - m_mean_hold_ms) * mean_hold_weight;
+    }
     if (server.ahead == id)
     {
         server.ahead = 0;
@@ -793,13 +824,13 @@
         return false;
     }
     const auto& replicas = m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas;
-    const bool untried_left = std::any_of(
-        replicas.begin(), replicas.end(),
-        [&](server_index index)
-        {
-            const bool tried = std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
-            return !tried && eligible(m_servers[index], item) && m_servers[index].ejected_until <= now;
-        });
+    const bool untried_left = std::any_of(replicas.begin(), replicas.end(),
+                                          [&](server_index index)
+                                          {
+                                              return !was_tried(index, item) &&
+                                                     eligible(m_servers[index], item) &&
+                                                     m_servers[index].ejected_until <= now;
+                                          });
     if (untried_left)
     {
         enqueue(item, item.wanted.deadline, now);
@@ -919,17 +950,19 @@
         return {};
     }
     const shard_state& state = m_shards[static_cast<std::size_t>(shard)];
-    int slots = 0;
+    double ends_per_ms = 0.0;
     for (const server_index index : state.replicas)
     {
         const server_state& server = m_servers[index];
-        slots += server.is_leaving() ? 0 : slots_of(server);
+        const bool counts = !server.is_leaving() && server.ejections_in_row == 0;
+        const double hold_ms = std::max(server.recent_latency.ms(), m_mean_hold_ms);
+        ends_per_ms += counts && hold_ms > 0.0 ? slots_of(server) / hold_ms : 0.0;
     }
-    if (slots == 0 || state.queue.empty())
+    if (ends_per_ms <= 0.0 || state.queue.empty())
     {
         return {};
     }
-    return m_latency.median() * (static_cast<double>(state.queue.size()) / slots);
+    return duration::from_ms(static_cast<double>(state.queue.size()) / ends_per_ms);
 }
 
 std::vector<index_version> scheduler::held_versions(int shard) const
