--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/catalog/placement.hpp>
 #include <flaxtiller/dispatch/action.hpp>
 #include <flaxtiller/dispatch/attempt_result.hpp>
+#include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -2,7 +2,6 @@
 
 #include <flaxtiller/catalog/backend_server.hpp>
 #include <flaxtiller/core/time_point.hpp>
-#include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/subquery.hpp>
 
 #include <optional>
@@ -19,7 +18,6 @@
     std::vector<int> shards;
     /// Attempts that hold one of its slots, those being cancelled included.
     int in_use = 0;
-    latency_estimator latency;
     /// A moving average of latencies, for the choice between backend servers.
     duration recent_latency{};
     int recent_samples = 0;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Samples of its own that a backend server needs before its own tail counts.
-constexpr std::size_t enough_server_samples = 100;
+/// Samples of its own that a backend server needs before it can count as slow.
+constexpr int enough_server_samples = 20;
 constexpr std::size_t enough_service_samples = 32;
 /// A slow backend server's attempts are late at the latest after this multiple of the service's own limit.
 constexpr double most_late_ratio = 3.0;
@@ -89,7 +89,6 @@
         m_server_index.erase(reusable->definition.name);
         *reusable = server_state{};
     }
-    m_servers[index].latency.track(m_options.late_quantile, m_options.late_gain);
     m_server_index.emplace(name, index);
     return index;
 }
@@ -194,8 +193,8 @@
 duration scheduler::late_after(const server_state& server) const
 {
     const duration limit = late_after_now();
-    const bool known = server.latency.samples() >= enough_server_samples;
-    const double ratio = known ? server.latency.median().ms() / m_latency.median().ms() : 1.0;
+    const bool known = server.recent_samples >= enough_server_samples;
+    const double ratio = known ? server.recent_latency.ms() / m_latency.median().ms() : 1.0;
     // One backend server sees too few stragglers to tell their share; it only tells how slow it is as a
     // whole.
     return ratio > m_options.slower_ratio ? limit * std::min(ratio, most_late_ratio) : limit;
@@ -734,16 +733,7 @@
     {
         server.recent_samples = 0;
     }
-    if (answered)
-    {
-        server.latency.add_answered(latency);
-        m_latency.add_answered(latency);
-    }
-    else
-    {
-        server.latency.add_stopped(latency);
-        m_latency.add_stopped(latency);
-    }
+    answered ? m_latency.add_answered(latency) : m_latency.add_stopped(latency);
     server.observed_at = now;
     ++server.recent_samples;
     const double weight = std::max(slowest_average_weight, 1.0 / server.recent_samples);
--- a/src/shell/service_lane.cpp
+++ b/src/shell/service_lane.cpp
@@ -265,8 +265,7 @@
         nlohmann::json item = {{"name", server->definition.name},
                                {"address", server->definition.address},
                                {"in_use", server->in_use},
-                               {"median_ms", server->latency.median().ms()},
-                               {"late_after_ms", server->latency.late_after().ms()},
+                               {"recent_ms", server->recent_latency.ms()},
                                {"leaving", server->is_leaving()},
                                {"ejected_for_ms", std::max(0.0, (server->ejected_until - now).ms())},
                                {"replace_paused", server->replace_paused_until > now}};
--- a/tests/src/quorum_harness.hpp
+++ b/tests/src/quorum_harness.hpp
@@ -166,21 +166,52 @@
     {
         if (m_phase_left-- == 0)
         {
-            m_calm = !m_calm;
-            m_phase_left = draw(20, 120);
+            begin_phase();
         }
         m_calm ? calm_step() : rough_step();
     }
 
+    void begin_phase()
+    {
+        m_calm = !m_calm;
+        m_phase_left = draw(20, 120);
+        m_keep_cuts = m_calm && draw(0, 2) == 0;
+        if (!m_keep_cuts)
+        {
+            return;
+        }
+        // A long quiet time with someone cut off; then a disk and the leader are lost together.
+        heal();
+        cut_or_heal();
+        cut_or_heal();
+        m_phase_left = draw(60, 200);
+    }
+
+    void lose_disk_and_leader()
+    {
+        lose_disk();
+        for (node& item : m_nodes)
+        {
+            if (item.node && item.node->role() == quorum::role::leader)
+            {
+                item.node.reset();
+            }
+        }
+    }
+
     void calm_step()
     {
+        if (m_keep_cuts && m_phase_left == 1 && draw(0, 1) == 0)
+        {
+            lose_disk_and_leader();
+        }
         pass_time(draw(5, 40));
         deliver_all();
         if (draw(0, 3) == 0)
         {
             propose();
         }
-        if (draw(0, 9) == 0)
+        if (draw(0, 9) == 0 && !m_keep_cuts)
         {
             heal();
             repair_step();
@@ -595,6 +626,7 @@
     quorum::incarnation_id m_last_incarnation = 0;
     bool m_settling = false;
     bool m_calm = false;
+    bool m_keep_cuts = false;
     int m_phase_left = 0;
     std::size_t m_proposed = 0;
     std::size_t m_repairs = 0;
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -2,6 +2,7 @@
 // connections.
 
 #include "backend.hpp"
+#include "load.hpp"
 #include "platform_list.hpp"
 #include "relay.hpp"
 
@@ -13,10 +14,14 @@
 #include <csignal>
 #include <cstdio>
 
-DEFINE_string(role, "backend", "backend, list or relay");
+DEFINE_string(role, "backend", "backend, list, relay or load");
 DEFINE_string(name, "b", "the backend server's name");
 DEFINE_string(listen, "127.0.0.1:9000", "address to listen at");
-DEFINE_string(target, "", "relay: the address to relay to");
+DEFINE_string(target, "", "relay and load: the address to relay to or to ask");
+DEFINE_string(path, "/query", "load: what to ask");
+DEFINE_string(body, "", "load: the request's body");
+DEFINE_int32(connections, 1, "load: connections, each asked over by a thread of its own");
+DEFINE_int32(seconds, 3, "load: how long");
 DEFINE_string(behaviour, "{}", "backend: JSON, see behaviour.hpp");
 DEFINE_int32(connection_limit, 25, "backend: connections accepted at once");
 DEFINE_int32(connection_cost_ms, 6, "backend: what a new connection costs");
@@ -64,6 +69,12 @@
         stand_in::platform_list list(io, FLAGS_lag_ms);
         return serve(io, list, *at);
     }
+    if (FLAGS_role == "load")
+    {
+        const auto target = shell::parse_address(FLAGS_target);
+        return target ? stand_in::run_load(*target, FLAGS_path, FLAGS_body, FLAGS_connections, FLAGS_seconds)
+                      : 2;
+    }
     if (FLAGS_role == "relay")
     {
         const auto target = shell::parse_address(FLAGS_target);
