--- a/src/command/ask.cpp
+++ b/src/command/ask.cpp
@@ -4,6 +4,8 @@
 #include "exit_status.hpp"
 
 #include "shell/http_call.hpp"
+#include "shell/http_status.hpp"
+#include "shell/system.hpp"
 
 #include <flaxtiller/query/query_answer.hpp>
 
@@ -11,7 +13,6 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <cstdio>
 #include <sstream>
 
@@ -29,8 +30,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
-
 std::optional<shell::http_reply> call(const shell::http_request& request)
 {
     const auto at = shell::parse_address(FLAGS_at);
@@ -60,11 +59,9 @@
     }
     if (!FLAGS_key.empty())
     {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
         request["repeatable"] = false;
         request["key"] = FLAGS_key;
-        request["key_time_ms"] = FLAGS_key_time_ms != 0 ? FLAGS_key_time_ms : now_ms;
+        request["key_time_ms"] = FLAGS_key_time_ms != 0 ? FLAGS_key_time_ms : shell::unix_ms();
     }
     return request;
 }
@@ -84,7 +81,7 @@
         return unreachable;
     }
     fmt::print("{}\n", nlohmann::json::parse(reply->body, nullptr, false).dump(2));
-    return reply->status == http_ok ? success : refused;
+    return reply->status == shell::http_ok ? success : refused;
 }
 
 int run_query(const std::vector<std::string>& arguments)
@@ -101,7 +98,7 @@
     }
     const auto body = nlohmann::json::parse(reply->body, nullptr, false);
     fmt::print("{}\n", body.dump(2));
-    if (!body.is_object() || reply->status != http_ok)
+    if (!body.is_object() || reply->status != shell::http_ok)
     {
         const bool unknown = body.is_object() && body.value("outcome", std::string()) == "unknown";
         return unknown ? unknown_outcome : refused;
--- a/src/command/control_client.cpp
+++ b/src/command/control_client.cpp
@@ -1,6 +1,7 @@
 #include "control_client.hpp"
 
 #include "shell/http_call.hpp"
+#include "shell/http_status.hpp"
 
 #include <flaxtiller/core/clock.hpp>
 
@@ -23,8 +24,6 @@
 namespace
 {
 
-constexpr int http_not_leader = 421;
-constexpr int http_unavailable = 503;
 constexpr int call_timeout_ms = 3000;
 constexpr auto pause = std::chrono::milliseconds(100);
 
@@ -60,7 +59,7 @@
         for (const shell::address& at : replicas)
         {
             auto reply = shell::http_call(at, request, std::min(call_timeout_ms, FLAGS_timeout_ms));
-            if (reply && reply->status != http_not_leader && reply->status != http_unavailable)
+            if (reply && reply->status != shell::http_not_leader && reply->status != shell::http_unavailable)
             {
                 return reply;
             }
--- a/src/command/operate.cpp
+++ b/src/command/operate.cpp
@@ -4,6 +4,7 @@
 #include "control_client.hpp"
 #include "exit_status.hpp"
 
+#include "shell/http_status.hpp"
 #include "shell/settings.hpp"
 
 #include <flaxtiller/catalog/change.hpp>
@@ -25,10 +26,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
-constexpr int http_conflict = 409;
-constexpr int http_bad_request = 400;
-
 std::string draw_id()
 {
     std::random_device device;
@@ -50,11 +47,11 @@
     fmt::print("{}\n", body_of(*reply).dump(2));
     switch (reply->status)
     {
-    case http_ok:
+    case shell::http_ok:
         return success;
-    case http_conflict:
+    case shell::http_conflict:
         return conflict;
-    case http_bad_request:
+    case shell::http_bad_request:
         return refused;
     default:
         return unreachable;
@@ -64,7 +61,7 @@
 std::optional<std::int64_t> present_revision()
 {
     const auto reply = call_leader({"GET", "/configuration", "", {}});
-    if (!reply || reply->status != http_ok)
+    if (!reply || reply->status != shell::http_ok)
     {
         return std::nullopt;
     }
--- /dev/null
+++ b/src/dispatch/scheduler_queue.cpp
@@ -0,0 +1,364 @@
+#include <flaxtiller/dispatch/scheduler.hpp>
+
+#include <flaxtiller/dispatch/owner_choice.hpp>
+
+#include "scheduler_detail.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace flaxtiller::dispatch
+{
+
+using namespace detail;
+
+// ---------------------------------------------------------------------------------------------------------
+// choice of a backend server
+// ---------------------------------------------------------------------------------------------------------
+
+bool scheduler::is_known_shard(int shard) const noexcept
+{
+    return shard >= 0 && static_cast<std::size_t>(shard) < m_shards.size();
+}
+
+bool scheduler::eligible(const server_state& server, const work& item) const
+{
+    if (server.is_leaving())
+    {
+        return false;
+    }
+    if (item.wanted.version.empty() || !server.versions)
+    {
+        return true;
+    }
+    const auto& held = *server.versions;
+    return std::find(held.begin(), held.end(), item.wanted.version) != held.end();
+}
+
+bool scheduler::usable(const server_state& server, time_point now) const
+{
+    return server.ejected_until <= now && server.busy_until <= now;
+}
+
+int scheduler::slots_of(const server_state& server) const
+{
+    const int allowed = std::min(server.definition.slots, share_of(server.definition, m_candidates).working);
+    // One that comes back after failures gets one attempt at a time until it answers.
+    return server.ejections_in_row > 0 ? std::min(allowed, 1) : allowed;
+}
+
+bool scheduler::has_slot(const server_state& server, time_point now) const
+{
+    return usable(server, now) && server.in_use < slots_of(server);
+}
+
+duration scheduler::expected_latency(const server_state& server, time_point now) const
+{
+    const bool known = server.recent_samples > 0 && now - server.observed_at < m_options.observation_age;
+    return known ? server.recent_latency : m_latency.median();
+}
+
+duration scheduler::median_latency() const noexcept
+{
+    return m_latency.median();
+}
+
+duration scheduler::late_after_now() const
+{
+    const bool enough = m_latency.samples() >= enough_service_samples;
+    return enough ? std::max(m_latency.late_after(), m_options.least_late_after) : m_options.first_late_after;
+}
+
+duration scheduler::late_after(const server_state& server) const
+{
+    const duration limit = late_after_now();
+    const bool known = server.recent_samples >= enough_server_samples;
+    const double ratio = known ? server.recent_latency.ms() / m_latency.median().ms() : 1.0;
+    // One backend server sees too few stragglers to tell their share; it only tells how slow it is as a
+    // whole.
+    return ratio > m_options.slower_ratio ? limit * std::min(ratio, most_late_ratio) : limit;
+}
+
+bool scheduler::was_tried(server_index index, const work& item) const
+{
+    return std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
+}
+
+bool scheduler::prefer(server_index candidate, server_index over, time_point now) const
+{
+    const server_state& a = m_servers[candidate];
+    const server_state& b = m_servers[over];
+    const duration latency_a = expected_latency(a, now);
+    const duration latency_b = expected_latency(b, now);
+    if (latency_a * m_options.slower_ratio < latency_b)
+    {
+        return true;
+    }
+    if (latency_b * m_options.slower_ratio < latency_a)
+    {
+        return false;
+    }
+    return a.in_use < b.in_use;
+}
+
+bool scheduler::has_room_ahead(const server_state& server, time_point now) const
+{
+    const connection_share share = share_of(server.definition, m_candidates);
+    const bool spare_connection = share.working > server.definition.slots;
+    const bool queues = now - server.shed_at >= m_options.no_ahead_after_shed;
+    return m_options.ahead > 0 && spare_connection && queues && usable(server, now) && server.ahead == 0 &&
+           server.ejections_in_row == 0 && server.in_use == slots_of(server);
+}
+
+std::optional<scheduler::server_index> scheduler::server_ahead(const work& item, time_point now) const
+{
+    std::optional<server_index> best;
+    if (!item.wanted.repeatable)
+    {
+        return best;
+    }
+    for (const server_index index : m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas)
+    {
+        const server_state& server = m_servers[index];
+        const bool fits = eligible(server, item) && has_room_ahead(server, now);
+        if (fits && (!best || prefer(index, *best, now)))
+        {
+            best = index;
+        }
+    }
+    return best;
+}
+
+std::optional<scheduler::server_index> scheduler::free_server(const work& item, time_point now,
+                                                              std::optional<server_index> avoid) const
+{
+    const auto unwanted = [&](server_index index)
+    {
+        return index == avoid || was_tried(index, item);
+    };
+    std::optional<server_index> best;
+    for (const server_index index : m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas)
+    {
+        const server_state& server = m_servers[index];
+        if (!eligible(server, item) || !has_slot(server, now))
+        {
+            continue;
+        }
+        const bool differ = best && unwanted(index) != unwanted(*best);
+        const bool better = !best || (differ ? unwanted(*best) : prefer(index, *best, now));
+        best = better ? index : best;
+    }
+    return best;
+}
+
+bool scheduler::better_to_wait(server_index candidate, const work& item, time_point now) const
+{
+    const duration here = expected_latency(m_servers[candidate], now);
+    const shard_state& shard = m_shards[static_cast<std::size_t>(item.wanted.shard)];
+    const auto before = static_cast<double>(shard.queue.size());
+    return std::any_of(shard.replicas.begin(), shard.replicas.end(),
+                       [&](server_index index)
+                       {
+                           const server_state& other = m_servers[index];
+                           if (index == candidate || !eligible(other, item) || !usable(other, now))
+                           {
+                               return false;
+                           }
+                           const duration there = expected_latency(other, now);
+                           const double turns = before / std::max(1, slots_of(other));
+                           return there * m_options.slower_ratio + there * turns < here;
+                       });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// the queue
+// ---------------------------------------------------------------------------------------------------------
+
+void scheduler::submit(const subquery& wanted, time_point now)
+{
+    work& item = m_work[wanted.id];
+    item.wanted = wanted;
+    if (!is_known_shard(wanted.shard))
+    {
+        give_up(item, missing_reason::no_backend_server, now);
+        return;
+    }
+    duration retry_after{};
+    const missing_reason blocked = why_not_runnable(item, now, retry_after);
+    if (blocked != missing_reason::none)
+    {
+        item.retry_after = retry_after;
+        give_up(item, blocked, now);
+        return;
+    }
+    const duration wait = estimated_wait(wanted.shard);
+    if (wait > wanted.deadline - now)
+    {
+        item.retry_after = wait;
+        give_up(item, missing_reason::overloaded, now);
+        return;
+    }
+    arm(wanted.deadline, timer_kind::deadline, wanted.id);
+    enqueue(item, wanted.deadline, now);
+}
+
+void scheduler::enqueue(work& item, time_point key, time_point now)
+{
+    const int shard = item.wanted.shard;
+    item.queued = true;
+    item.queue_key = key;
+    m_shards[static_cast<std::size_t>(shard)].queue.emplace(key, item.wanted.id);
+    ++m_queued;
+    run_queue_of(shard, now);
+}
+
+void scheduler::unqueue(work& item)
+{
+    if (!item.queued)
+    {
+        return;
+    }
+    item.queued = false;
+    --m_queued;
+    if (is_known_shard(item.wanted.shard))
+    {
+        m_shards[static_cast<std::size_t>(item.wanted.shard)].queue.erase({item.queue_key, item.wanted.id});
+    }
+}
+
+void scheduler::run_queue_of(int shard, time_point now)
+{
+    const std::vector<server_index> replicas = m_shards[static_cast<std::size_t>(shard)].replicas;
+    // The head goes to the best free backend server, not to the first.
+    auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+    drop_hopeless(shard, now);
+    while (!queue.empty())
+    {
+        work& head = m_work.at(queue.begin()->second);
+        const auto index = free_server(head, now);
+        if (index && !better_to_wait(*index, head, now))
+        {
+            start(head, *index, now);
+            continue;
+        }
+        const auto ahead = server_ahead(head, now);
+        if (!ahead || better_to_wait(*ahead, head, now))
+        {
+            break;
+        }
+        start(head, *ahead, now, true);
+    }
+    for (const server_index index : replicas)
+    {
+        run_queues_at(index, now);
+    }
+}
+
+void scheduler::drop_hopeless(int shard, time_point now)
+{
+    const auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+    const duration needed = m_latency.median();
+    while (!queue.empty())
+    {
+        work& head = m_work.at(queue.begin()->second);
+        if (head.wanted.deadline - now >= needed)
+        {
+            return;
+        }
+        // A slot that it took now would be wasted, and the next one would come too late in its turn.
+        head.retry_after = estimated_wait(shard);
+        give_up(head, missing_reason::overloaded, now);
+    }
+}
+
+void scheduler::run_queues_at(server_index index, time_point now)
+{
+    const std::vector<int> shards = m_servers[index].shards;
+    for (const int shard : shards)
+    {
+        drop_hopeless(shard, now);
+    }
+    while ((has_slot(m_servers[index], now) || has_room_ahead(m_servers[index], now)) &&
+           start_first_for(index, now))
+    {
+    }
+}
+
+bool scheduler::start_first_for(server_index index, time_point now)
+{
+    const server_state& server = m_servers[index];
+    const bool ahead = !has_slot(server, now);
+    work* first = nullptr;
+    for (const int shard : server.shards)
+    {
+        const auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+        int looked_at = 0;
+        for (const auto& [key, id] : queue)
+        {
+            if (++looked_at > queue_look_ahead)
+            {
+                break;
+            }
+            work& item = m_work.at(id);
+            const bool tried = was_tried(index, item);
+            const bool fits = !ahead || item.wanted.repeatable;
+            if (fits && eligible(server, item) && !tried && !better_to_wait(index, item, now))
+            {
+                if (first == nullptr || key < first->queue_key)
+                {
+                    first = &item;
+                }
+                break;
+            }
+        }
+    }
+    if (first == nullptr)
+    {
+        return false;
+    }
+    start(*first, index, now, ahead);
+    return true;
+}
+
+void scheduler::slot_got_free(server_state& server, time_point now)
+{
+    const auto waiting = m_attempts.find(server.ahead);
+    server.ahead = 0;
+    if (waiting == m_attempts.end())
+    {
+        return;
+    }
+    waiting->second.ahead = false;
+    waiting->second.started_at = now;
+    arm(now + late_after(server), timer_kind::late, waiting->first);
+}
+
+void scheduler::start(work& item, server_index index, time_point now, bool ahead)
+{
+    unqueue(item);
+    server_state& server = m_servers[index];
+    const attempt_id id = m_next_attempt++;
+    attempt begun;
+    begun.subquery = item.wanted.id;
+    begun.server = index;
+    // One that waits ahead is expected to begin about when the next slot gets free.
+    begun.ahead = ahead;
+    begun.started_at = ahead ? now + m_latency.median() : now;
+    m_attempts.emplace(id, begun);
+    if (ahead)
+    {
+        server.ahead = id;
+    }
+    item.running.push_back(id);
+    ++item.attempts;
+    ++server.in_use;
+    ++m_started;
+    if (item.wanted.repeatable)
+    {
+        arm(begun.started_at + late_after(server), timer_kind::late, id);
+    }
+    m_actions.emplace_back(start_attempt{id, item.wanted.id, server.definition.name, item.wanted.shard,
+                                         item.wanted.version, item.wanted.deadline, item.wanted.body});
+}
+
+} // namespace flaxtiller::dispatch
--- a/src/shell/backend_pool.cpp
+++ b/src/shell/backend_pool.cpp
@@ -1,5 +1,7 @@
 #include "backend_pool.hpp"
 
+#include "http_status.hpp"
+
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -35,10 +37,6 @@
 {
 
 constexpr unsigned http_version = 11;
-constexpr int ok = 200;
-constexpr int conflict = 409;
-constexpr int cancelled = 499;
-constexpr int unavailable = 503;
 /// How long after its deadline an attempt's answer is still awaited, so that a slow cancel can be told from a
 /// dead connection.
 constexpr duration answer_grace = duration::from_ms(250);
@@ -259,17 +257,17 @@
         const bool not_run = !header(answer, "X-Not-Run").empty();
         switch (answer.result_int())
         {
-        case ok:
+        case http_ok:
             result.status = attempt_status::answered;
             result.body = std::make_shared<const std::string>(answer.body());
             break;
-        case conflict:
+        case http_conflict:
             result.status = not_run ? attempt_status::wrong_version : attempt_status::cut;
             break;
-        case cancelled:
+        case http_cancelled:
             result.status = attempt_status::cancelled;
             break;
-        case unavailable:
+        case http_unavailable:
             result.status = !not_run         ? attempt_status::cut
                             : result.leaving ? attempt_status::leaving
                                              : attempt_status::shed;
--- a/src/shell/control_process.cpp
+++ b/src/shell/control_process.cpp
@@ -1,9 +1,13 @@
 #include "control_process.hpp"
 
 #include "http_server.hpp"
+#include "http_status.hpp"
+#include "json_reply.hpp"
 #include "log.hpp"
+#include "machine_dump.hpp"
 #include "peer_links.hpp"
 #include "run_guarded.hpp"
+#include "system.hpp"
 
 #include <flaxtiller/catalog/catalog_state.hpp>
 #include <flaxtiller/catalog/diff.hpp>
@@ -22,7 +26,6 @@
 
 #include <chrono>
 #include <filesystem>
-#include <random>
 
 namespace flaxtiller::shell
 {
@@ -35,63 +38,12 @@
 constexpr duration tick_every = duration::from_ms(10);
 constexpr duration notice_every = duration::from_ms(500);
 
-constexpr int http_ok = 200;
-constexpr int http_bad_request = 400;
-constexpr int http_not_found = 404;
-constexpr int http_conflict = 409;
-constexpr int http_not_leader = 421;
-constexpr int http_unavailable = 503;
-
 constexpr const char* catalog_log = "catalog";
 constexpr const char* register_log = "register";
 
 using catalog_machine = quorum::replicated_machine<catalog_state, quorum::posix_file_system>;
 using register_machine = quorum::replicated_machine<register_state, quorum::posix_file_system>;
 
-std::uint64_t draw64()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
-std::int64_t unix_ms()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
-http_reply json_reply(int status, const nlohmann::json& body)
-{
-    http_reply reply;
-    reply.status = status;
-    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    return reply;
-}
-
-http_reply error_reply(int status, errc code, const std::string& detail = {})
-{
-    return json_reply(status, {{"error",
-                                {{"code", static_cast<int>(code)},
-                                 {"message", make_error_code(code).message()},
-                                 {"detail", detail}}}});
-}
-
-const char* name_of(enum quorum::role role)
-{
-    switch (role)
-    {
-    case quorum::role::follower:
-        return "follower";
-    case quorum::role::pre_candidate:
-        return "pre_candidate";
-    case quorum::role::candidate:
-        return "candidate";
-    case quorum::role::leader:
-        return "leader";
-    }
-    return "unknown";
-}
-
 http_server::limits limits_of(const control_settings& settings)
 {
     http_server::limits limits;
@@ -553,8 +505,8 @@
         respond(json_reply(http_ok, {{"leader", settings.replica.name},
                                      {"revision", catalog.state().revision()},
                                      {"instances", std::move(instances)},
-                                     {"catalog", dump_of(catalog)},
-                                     {"register", dump_of(registers)}}));
+                                     {"catalog", dump_of(catalog, clock.now())},
+                                     {"register", dump_of(registers, clock.now())}}));
     }
 
     void on_members(const http_request& request, const http_server::respond& respond)
@@ -584,7 +536,8 @@
             return;
         }
         log(log_level::info, "members_changed", {{"action", action}, {"replica", name}});
-        respond(json_reply(http_ok, {{"catalog", dump_of(catalog)}, {"register", dump_of(registers)}}));
+        respond(json_reply(http_ok, {{"catalog", dump_of(catalog, clock.now())},
+                                     {"register", dump_of(registers, clock.now())}}));
     }
 
     template <typename Machine>
@@ -610,43 +563,6 @@
 
     // ------------------------------------------------------------------ inspection
 
-    template <typename Machine>
-    nlohmann::json dump_of(Machine& machine)
-    {
-        quorum::replica* node = machine.node();
-        if (node == nullptr)
-        {
-            return {{"storage_error", machine.storage_error().message()}};
-        }
-        nlohmann::json j = {{"role", name_of(node->role())},
-                            {"term", node->term()},
-                            {"leader", node->leader()},
-                            {"incarnation", node->incarnation()},
-                            {"commit", node->commit_index()},
-                            {"applied", machine.applied()},
-                            {"first_index", node->log().first_index()},
-                            {"last_index", node->log().last_index()},
-                            {"file_bytes", machine.file_bytes()},
-                            {"syncs", machine.syncs()},
-                            {"lease", node->has_lease(clock.now())}};
-        for (const auto& [name, item] : node->members().members)
-        {
-            nlohmann::json row = {{"name", name}, {"voter", item.voter}, {"incarnation", item.incarnation}};
-            const auto known = node->others().find(name);
-            if (known != node->others().end())
-            {
-                row["match"] = known->second.match;
-                row["heard_ms_ago"] = (clock.now() - known->second.heard_at).ms();
-            }
-            j["members"].push_back(std::move(row));
-        }
-        for (const auto& [name, incarnation] : node->strangers())
-        {
-            j["strangers"].push_back({{"name", name}, {"incarnation", incarnation}});
-        }
-        return j;
-    }
-
     nlohmann::json dump()
     {
         nlohmann::json j = {{"process", "control"},
@@ -656,8 +572,8 @@
                             {"revision", catalog.state().revision()},
                             {"register_keys", registers.state().size()},
                             {"reachable_peers", links.reachable()},
-                            {"catalog", dump_of(catalog)},
-                            {"register", dump_of(registers)},
+                            {"catalog", dump_of(catalog, clock.now())},
+                            {"register", dump_of(registers, clock.now())},
                             {"metrics", counted.dump()}};
         return j;
     }
--- a/src/shell/entry_process.cpp
+++ b/src/shell/entry_process.cpp
@@ -1,8 +1,11 @@
 #include "entry_process.hpp"
 
 #include "http_call.hpp"
+#include "http_status.hpp"
+#include "json_reply.hpp"
 #include "log.hpp"
 #include "run_guarded.hpp"
+#include "system.hpp"
 
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
@@ -16,7 +19,6 @@
 #include <atomic>
 #include <chrono>
 #include <mutex>
-#include <random>
 #include <thread>
 #include <vector>
 
@@ -35,15 +37,6 @@
 constexpr duration stale_after = duration::from_ms(3000);
 constexpr int platform_timeout_ms = 1000;
 
-constexpr int http_ok = 200;
-constexpr int http_bad_request = 400;
-constexpr int http_not_found = 404;
-constexpr int http_conflict = 409;
-constexpr int http_gone = 410;
-constexpr int http_too_many = 429;
-constexpr int http_unavailable = 503;
-constexpr int http_gateway_timeout = 504;
-
 /// What a request reads, by read-copy-update: the placement in force and the lane of each service.
 struct routing
 {
@@ -51,12 +44,6 @@
     std::map<service_name, std::shared_ptr<service_lane>> lanes;
 };
 
-std::uint64_t draw_run()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 int status_of(const query_answer& answer)
 {
     switch (answer.refusal)
@@ -82,25 +69,6 @@
     return answer.outcome == outcome::not_run ? http_unavailable : http_gateway_timeout;
 }
 
-std::string dump_text(const nlohmann::json& j)
-{
-    return j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-http_reply json_reply(int status, const nlohmann::json& body)
-{
-    http_reply reply;
-    reply.status = status;
-    reply.body = dump_text(body);
-    return reply;
-}
-
-http_reply error_reply(int status, errc code, const std::string& message)
-{
-    return json_reply(status, {{"error", {{"code", static_cast<int>(code)}, {"message", message}}},
-                               {"outcome", "not_run"}});
-}
-
 std::vector<std::string> names_of(const std::vector<named_address>& items)
 {
     std::vector<std::string> names;
@@ -132,7 +100,7 @@
 struct entry_process::implementation
 {
     explicit implementation(entry_settings wanted)
-        : settings(std::move(wanted)), run_id(draw_run()), strand(net::make_strand(io)), link_timer(strand),
+        : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
           report_timer(strand), pools_timer(strand), drain_timer(strand), signals(io, SIGTERM, SIGINT),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id}, counted,
                 {[this](const hello& from, const link_message& message)
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,5 +1,8 @@
 #include "http_server.hpp"
 
+#include "http_status.hpp"
+#include "json_reply.hpp"
+
 #include <flaxtiller/core/error.hpp>
 
 #include <utility>
@@ -51,13 +54,13 @@
 {
     if (failed == http::error::body_limit)
     {
-        return 413;
+        return http_too_large;
     }
     if (failed == http::error::header_limit)
     {
-        return 431;
+        return http_header_too_large;
     }
-    return 400;
+    return http_bad_request;
 }
 
 http_request to_request(const http::request<http::string_body>& message)
@@ -193,10 +196,7 @@
 
     net::awaitable<void> refuse(beast::tcp_stream& stream, beast::error_code failed)
     {
-        http_reply reply;
-        reply.status = status_of(failed);
-        reply.body = R"({"error":{"code":)" + std::to_string(static_cast<int>(errc::message_malformed)) +
-                     R"(,"message":")" + failed.message() + R"("}})";
+        const http_reply reply = error_reply(status_of(failed), errc::message_malformed, failed.message());
         response message = to_response(reply, false);
         stream.expires_after(std::chrono::milliseconds(bounds.request_timeout_ms));
         co_await http::async_write(stream, message, net::use_awaitable);
--- /dev/null
+++ b/src/shell/http_status.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace flaxtiller::shell
+{
+
+/// @brief The HTTP status codes that our protocols use.
+enum http_status : int
+{
+    http_ok = 200,
+    http_bad_request = 400,
+    http_not_found = 404,
+    http_conflict = 409,
+    http_gone = 410,
+    http_too_large = 413,
+    http_not_leader = 421,
+    http_too_many = 429,
+    http_header_too_large = 431,
+    /// The backend server stopped the work on a cancel.
+    http_cancelled = 499,
+    http_error = 500,
+    http_unavailable = 503,
+    http_gateway_timeout = 504,
+};
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/machine_dump.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/quorum/replica.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace flaxtiller::shell
+{
+
+/// @return the name of a role, for dumps
+inline const char* name_of(enum quorum::role role)
+{
+    switch (role)
+    {
+    case quorum::role::follower:
+        return "follower";
+    case quorum::role::pre_candidate:
+        return "pre_candidate";
+    case quorum::role::candidate:
+        return "candidate";
+    case quorum::role::leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
+/// @return the members of a replica's log, with what a leader knows of each
+inline nlohmann::json members_of(const quorum::replica& node, time_point now)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& [name, item] : node.members().members)
+    {
+        nlohmann::json row = {{"name", name}, {"voter", item.voter}, {"incarnation", item.incarnation}};
+        const auto known = node.others().find(name);
+        if (known != node.others().end())
+        {
+            row["match"] = known->second.match;
+            row["heard_ms_ago"] = (now - known->second.heard_at).ms();
+        }
+        members.push_back(std::move(row));
+    }
+    return members;
+}
+
+/// @return the state of a replicated machine
+template <typename Machine>
+nlohmann::json dump_of(Machine& machine, time_point now)
+{
+    const quorum::replica* node = machine.node();
+    if (node == nullptr)
+    {
+        return {{"storage_error", machine.storage_error().message()}};
+    }
+    nlohmann::json j = {{"role", name_of(node->role())},
+                        {"term", node->term()},
+                        {"leader", node->leader()},
+                        {"incarnation", node->incarnation()},
+                        {"commit", node->commit_index()},
+                        {"applied", machine.applied()},
+                        {"first_index", node->log().first_index()},
+                        {"last_index", node->log().last_index()},
+                        {"file_bytes", machine.file_bytes()},
+                        {"syncs", machine.syncs()},
+                        {"lease", node->has_lease(now)},
+                        {"members", members_of(*node, now)}};
+    for (const auto& [name, incarnation] : node->strangers())
+    {
+        j["strangers"].push_back({{"name", name}, {"incarnation", incarnation}});
+    }
+    return j;
+}
+
+} // namespace flaxtiller::shell
--- a/src/shell/service_lane.cpp
+++ b/src/shell/service_lane.cpp
@@ -1,6 +1,8 @@
 #include "service_lane.hpp"
 
+#include "json_reply.hpp"
 #include "log.hpp"
+#include "system.hpp"
 
 #include <utility>
 
@@ -17,12 +19,6 @@
 /// How long the register is asked to record an outcome; the caller is answered sooner if need be.
 constexpr duration finish_bound = duration::from_ms(10000);
 
-std::int64_t unix_ms()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::uint64_t first_serial_of(const lane_context& context)
 {
     // Numbers of an earlier run of this instance must not come again; 40 bits leave room for the parts.
@@ -206,8 +202,7 @@
     register_command command = command_for(action.query, action.request);
     command.action = register_action::finish;
     command.outcome = action.answer.outcome;
-    command.answer =
-        nlohmann::json(action.answer).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    command.answer = to_text(action.answer);
     m_context.registers.call(command, finish_bound,
                              [self = shared_from_this(), id = action.query](const register_reply& reply)
                              {
--- a/src/shell/trace_writer.cpp
+++ b/src/shell/trace_writer.cpp
@@ -1,5 +1,7 @@
 #include "trace_writer.hpp"
 
+#include "json_reply.hpp"
+
 #include <flaxtiller/coordinator/event_codec.hpp>
 
 namespace flaxtiller::shell
@@ -30,7 +32,7 @@
     {
         const nlohmann::json record = {{"begin", {{"instance", self}, {"first_serial", first_serial}}},
                                        {"service", service}};
-        line(record.dump());
+        line(to_text(record));
     }
 }
 
@@ -40,7 +42,7 @@
     {
         const nlohmann::json record = {
             {"t_us", now.since_start().us()}, {"service", service}, {"event", event_to_json(happened)}};
-        line(record.dump());
+        line(to_text(record));
     }
 }
 
@@ -51,7 +53,7 @@
         const nlohmann::json record = {{"t_us", now.since_start().us()},
                                        {"service", service},
                                        {"answer", {{"query", told.query}, {"told", told.answer}}}};
-        line(record.dump());
+        line(to_text(record));
     }
 }
 
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -89,7 +89,8 @@
 class Cluster:
     """Control replicas, entries and stand-in backend servers in a temporary folder."""
 
-    def __init__(self, controls=1, entries=2, shards=3, replicas=2, behaviour=None, relays=False, drain_ms=5000):
+    def __init__(self, controls=1, entries=2, shards=3, replicas=2, behaviour=None, relays=False, drain_ms=5000,
+                 connection_limit=25):
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-")
         self.processes = []
         self.ports = {}
@@ -97,6 +98,7 @@
         self.replicas = replicas
         self.behaviour = behaviour or {}
         self.drain_ms = drain_ms
+        self.connection_limit = connection_limit
         self.relays = {}
         self.control_names = ["c%d" % i for i in range(1, controls + 1)]
         self.entry_names = ["e%d" % i for i in range(1, entries + 1)]
@@ -178,7 +180,8 @@
         behaviour.update(self.behaviour)
         return self.add(name, [
             STAND_IN, "--name=" + name, "--listen=127.0.0.1:%d" % self.ports[name]["http"],
-            "--connection_cost_ms=0", "--behaviour=" + json.dumps(behaviour)]).start()
+            "--connection_cost_ms=0", "--connection_limit=%d" % self.connection_limit,
+            "--behaviour=" + json.dumps(behaviour)]).start()
 
     def start_controls(self):
         first = self.control_names[0]
@@ -220,7 +223,7 @@
 
     def backend(self, name, **changes):
         server = {"name": name, "address": "127.0.0.1:%d" % self.ports[name]["http"],
-                  "labels": {"index": "scooters", "shard": name[1]}, "slots": 2, "connection_limit": 25}
+                  "labels": {"index": "scooters", "shard": name[1]}, "slots": 2, "connection_limit": self.connection_limit}
         server.update(changes)
         return server
 
--- a/tests/stand_in/backend.cpp
+++ b/tests/stand_in/backend.cpp
@@ -1,5 +1,7 @@
 #include "backend.hpp"
 
+#include "shell/http_status.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -13,14 +15,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
-constexpr int http_bad_request = 400;
-constexpr int http_not_found = 404;
-constexpr int http_conflict = 409;
-constexpr int http_cancelled = 499;
-constexpr int http_error = 500;
-constexpr int http_unavailable = 503;
-
 std::string header(const http_request& request, const char* name)
 {
     const auto found = request.headers.find(name);
@@ -87,17 +81,17 @@
     }
     else if (request.target == "/runs")
     {
-        reply({http_ok, runs().dump(), "application/json", {}, false});
+        reply({shell::http_ok, runs().dump(), "application/json", {}, false});
     }
     else if (request.target == "/health")
     {
         const nlohmann::json health = {{"state", m_behaviour.health_state},
                                        {"load", m_behaviour.health_load}};
-        reply({http_ok, health.dump(), "application/json", {}, false});
+        reply({shell::http_ok, health.dump(), "application/json", {}, false});
     }
     else
     {
-        reply({http_not_found, "{}", "application/json", {}, false});
+        reply({shell::http_not_found, "{}", "application/json", {}, false});
     }
 }
 
@@ -146,15 +140,15 @@
     int refusal = 0;
     if (m_behaviour.leaving)
     {
-        refusal = http_unavailable;
+        refusal = shell::http_unavailable;
     }
     else if (item.version.empty())
     {
-        refusal = http_conflict;
+        refusal = shell::http_conflict;
     }
     else if (full && m_behaviour.when_full == "shed")
     {
-        refusal = http_unavailable;
+        refusal = shell::http_unavailable;
     }
     if (refusal != 0)
     {
@@ -181,7 +175,7 @@
     if (draw(m_behaviour.cut_share))
     {
         m_runs.back().end = "cut";
-        item.reply(http_reply{http_ok, {}, {}, {}, true});
+        item.reply(http_reply{shell::http_ok, {}, {}, {}, true});
         return;
     }
     const double work_ms =
@@ -208,8 +202,8 @@
     const work item = std::move(found->second);
     m_running.erase(found);
     m_runs[m_run_index[id]].end = "answered";
-    http_reply reply = make_reply(item, draw(m_behaviour.error_share) ? http_error : http_ok);
-    if (reply.status == http_ok)
+    http_reply reply = make_reply(item, draw(m_behaviour.error_share) ? shell::http_error : shell::http_ok);
+    if (reply.status == shell::http_ok)
     {
         reply.headers["X-Index-Version"] = item.version;
         const nlohmann::json body = {{"server", m_name},
@@ -236,7 +230,7 @@
         if (now_ms() - next.arrived_ms > left)
         {
             ++m_not_run;
-            next.reply(not_run(next, http_unavailable));
+            next.reply(not_run(next, shell::http_unavailable));
             continue;
         }
         begin(std::move(next));
@@ -258,7 +252,7 @@
             const work item = std::move(*waiting);
             m_waiting.erase(waiting);
             ++m_not_run;
-            item.reply(not_run(item, http_cancelled));
+            item.reply(not_run(item, shell::http_cancelled));
             return;
         }
         const auto running = m_running.find(id);
@@ -270,7 +264,7 @@
         m_running.erase(running);
         item.timer->cancel();
         m_runs[m_run_index[id]].end = "cancelled";
-        item.reply(make_reply(item, http_cancelled));
+        item.reply(make_reply(item, shell::http_cancelled));
         start_waiting();
     };
     if (m_behaviour.cancel == "obey")
@@ -286,7 +280,7 @@
                 stop();
             });
     }
-    reply({http_ok, "{}", "application/json", {}, false});
+    reply({shell::http_ok, "{}", "application/json", {}, false});
 }
 
 void backend::on_control(const http_request& request, const respond& reply)
@@ -295,12 +289,12 @@
     const nlohmann::json change = nlohmann::json::parse(request.body, nullptr, false);
     if (!change.is_object())
     {
-        reply({http_bad_request, R"({"error":"wants an object"})", "application/json", {}, false});
+        reply({shell::http_bad_request, R"({"error":"wants an object"})", "application/json", {}, false});
         return;
     }
     wanted.update(change);
     m_behaviour = wanted.get<behaviour>();
-    reply({http_ok, wanted.dump(), "application/json", {}, false});
+    reply({shell::http_ok, wanted.dump(), "application/json", {}, false});
 }
 
 nlohmann::json backend::runs() const
