--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -11,7 +11,7 @@
         return known->second;
     }
     configuration next;
-    const change_result result = decide(requested, next);
+    change_result result = decide(requested, next);
     if (result.status == change_status::accepted)
     {
         m_current = std::move(next);
