--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -82,18 +82,23 @@
     }
 }
 
-/// gflags knows the flags of all subcommands; those of others are refused here, as unknown ones are by
-/// gflags.
-bool flags_fit(const subcommand& item)
+/// gflags knows the flags of all subcommands and ends the process at an unknown one; here each must be this
+/// one's.
+bool flags_fit(const subcommand& item, int argc, char** argv)
 {
-    std::vector<gflags::CommandLineFlagInfo> flags;
-    gflags::GetAllFlags(&flags);
-    for (const auto& flag : flags)
+    for (int i = 2; i < argc; ++i)
     {
-        const bool ours = flag.filename.find("command/") != std::string::npos;
-        if (ours && !flag.is_default && !takes(item, flag.name))
+        const std::string_view argument = argv[i];
+        const auto begin = argument.find_first_not_of('-');
+        if (begin == 0 || begin == std::string_view::npos)
+        {
+            continue;
+        }
+        const std::string_view flag = argument.substr(begin, argument.find('=') - begin);
+        const bool negated = flag.substr(0, 2) == "no" && takes(item, flag.substr(2));
+        if (!takes(item, flag) && !negated)
         {
-            fmt::print(stderr, "flaxtiller {}: --{} isn't a flag of this subcommand\n", item.name, flag.name);
+            fmt::print(stderr, "flaxtiller {}: --{} isn't a flag of this subcommand\n", item.name, flag);
             return false;
         }
     }
@@ -135,12 +140,12 @@
             return success;
         }
     }
-    int rest_count = argc - 1;
-    char** rest = argv + 1;
-    gflags::ParseCommandLineFlags(&rest_count, &rest, true);
-    if (!flags_fit(*found))
+    if (!flags_fit(*found, argc, argv))
     {
         return usage;
     }
+    int rest_count = argc - 1;
+    char** rest = argv + 1;
+    gflags::ParseCommandLineFlags(&rest_count, &rest, true);
     return found->run({rest + 1, rest + rest_count});
 }
