Test ports from outside the kernel's range for outgoing connections

Cause (likely, not proved): one run of the suite failed in the set-up of test_leader_cut_off_in_silence, where no control replica led for 30 s; ports were chosen by binding to 0 and freed, so that a connection of a test running beside it could take one before its process did. The process's log was gone with the test's folder. The fault tests passed together after the change.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -1,6 +1,7 @@
 """Starts real flaxtiller processes and stand-ins for tests of failures, and stops just those."""
 
 import http.client
+import itertools
 import json
 import os
 import shutil
@@ -19,10 +20,21 @@
 PATIENCE_S = 30.0
 
 
+# Below the range from which the kernel gives ports to outgoing connections, one of which could otherwise take a
+# port between its choice here and its use. Test processes that run side by side begin in different blocks.
+FIRST_PORT, LAST_PORT, BLOCK = 10000, 30000, 1000
+_ports = itertools.count((os.getpid() % 20) * BLOCK)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def call(port, method, path, body=None, timeout=5.0):
