--- a/include/flaxtiller/catalog/catalog_state.hpp
+++ b/include/flaxtiller/catalog/catalog_state.hpp
@@ -26,9 +26,6 @@
     /// @brief @ref apply for a change and a result in CBOR; a malformed change has no effect.
     std::string apply_bytes(const std::string& command);
 
-    /// @brief What @ref apply would answer, without an effect.
-    change_result preview(const change& requested) const;
-
     /// @return the present configuration
     const configuration& current() const noexcept;
 
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -196,6 +196,7 @@
 
     server_index take_server_index(const backend_server_name& name);
     void arm(time_point at, timer_kind kind, std::uint64_t id);
+    void arm_late(attempt_id id, const work& item, time_point at);
     bool is_known_shard(int shard) const noexcept;
 
     scheduler_options m_options;
--- a/include/flaxtiller/dispatch/token_budget.hpp
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -33,12 +33,6 @@
         return true;
     }
 
-    /// @brief Gives a token back that wasn't used.
-    void refund() noexcept
-    {
-        m_tokens = std::min(m_burst, m_tokens + 1.0);
-    }
-
     /// @return the tokens at hand
     double tokens() const noexcept
     {
--- a/include/flaxtiller/quorum/file_system.hpp
+++ b/include/flaxtiller/quorum/file_system.hpp
@@ -23,7 +23,6 @@
     { files.rename(text, text) } -> std::same_as<std::error_code>;
     { files.remove(text) } -> std::same_as<std::error_code>;
     { files.sync_folder(text) } -> std::same_as<std::error_code>;
-    { files.truncate(text, std::uint64_t{}) } -> std::same_as<std::error_code>;
     { file.write(text) } -> std::same_as<std::error_code>;
     { file.sync() } -> std::same_as<std::error_code>;
     // clang-format on
--- a/include/flaxtiller/quorum/posix_file_system.hpp
+++ b/include/flaxtiller/quorum/posix_file_system.hpp
@@ -37,7 +37,6 @@
     std::error_code rename(const std::string& from, const std::string& to);
     std::error_code remove(const std::string& path);
     std::error_code sync_folder(const std::string& folder);
-    std::error_code truncate(const std::string& path, std::uint64_t size);
 };
 
 static_assert(file_system<posix_file_system>);
--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -148,7 +148,6 @@
     time_point m_leader_heard_at{};
     time_point m_election_deadline{};
     time_point m_heartbeat_due{};
-    time_point m_led_since{};
     output m_output;
 };
 
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -43,17 +43,6 @@
     return bytes;
 }
 
-change_result catalog_state::preview(const change& requested) const
-{
-    const auto known = m_results.find(requested.id);
-    if (known != m_results.end())
-    {
-        return known->second;
-    }
-    configuration next;
-    return decide(requested, next);
-}
-
 change_result catalog_state::decide(const change& requested, configuration& next) const
 {
     change_result result;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -97,6 +97,15 @@
     m_timers.insert({at, kind, id});
 }
 
+void scheduler::arm_late(attempt_id id, const work& item, time_point at)
+{
+    // At its deadline the subquery is given up; a timer beyond it would only be kept, for as long as an hour.
+    if (at < item.wanted.deadline)
+    {
+        arm(at, timer_kind::late, id);
+    }
+}
+
 time_point scheduler::next_time() const noexcept
 {
     return m_timers.empty() ? time_point::never() : m_timers.begin()->at;
@@ -167,7 +176,7 @@
     if (now - late.started_at < limit)
     {
         // The limit grew since the timer was set.
-        arm(late.started_at + limit, timer_kind::late, id);
+        arm_late(id, item, late.started_at + limit);
         return;
     }
     if (now >= item.wanted.deadline)
@@ -183,7 +192,7 @@
     const bool may_replace = now >= server.replace_paused_until;
     if ((!elsewhere && !may_replace) || !m_budget.spend())
     {
-        arm(now + limit, timer_kind::late, id);
+        arm_late(id, item, now + limit);
         return;
     }
     if (elsewhere)
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -237,6 +237,7 @@
     {
         cancel(running, now);
     }
+    m_timers.erase({found->second.wanted.deadline, timer_kind::deadline, id});
     m_work.erase(found);
 }
 
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -228,7 +228,7 @@
 
 void scheduler::run_queue_of(int shard, time_point now)
 {
-    const std::vector<server_index> replicas = m_shards[static_cast<std::size_t>(shard)].replicas;
+    const auto& replicas = m_shards[static_cast<std::size_t>(shard)].replicas;
     // The head goes to the best free backend server, not to the first.
     auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
     drop_hopeless(shard, now);
@@ -273,8 +273,7 @@
 
 void scheduler::run_queues_at(server_index index, time_point now)
 {
-    const std::vector<int> shards = m_servers[index].shards;
-    for (const int shard : shards)
+    for (const int shard : m_servers[index].shards)
     {
         drop_hopeless(shard, now);
     }
@@ -330,7 +329,11 @@
     }
     waiting->second.ahead = false;
     waiting->second.started_at = now;
-    arm(now + late_after(server), timer_kind::late, waiting->first);
+    const auto item = m_work.find(waiting->second.subquery);
+    if (item != m_work.end())
+    {
+        arm_late(waiting->first, item->second, now + late_after(server));
+    }
 }
 
 void scheduler::start(work& item, server_index index, time_point now, bool ahead)
@@ -355,7 +358,7 @@
     ++m_started;
     if (item.wanted.repeatable)
     {
-        arm(begun.started_at + late_after(server), timer_kind::late, id);
+        arm_late(id, item, begun.started_at + late_after(server));
     }
     m_actions.emplace_back(start_attempt{id, item.wanted.id, server.definition.name, item.wanted.shard,
                                          item.wanted.version, item.wanted.deadline, item.wanted.body});
--- a/src/quorum/posix_file_system.cpp
+++ b/src/quorum/posix_file_system.cpp
@@ -117,9 +117,4 @@
     return failed;
 }
 
-std::error_code posix_file_system::truncate(const std::string& path, std::uint64_t size)
-{
-    return ::truncate(path.c_str(), static_cast<off_t>(size)) == 0 ? std::error_code{} : last_error();
-}
-
 } // namespace flaxtiller::quorum
--- a/src/quorum/replica.cpp
+++ b/src/quorum/replica.cpp
@@ -240,7 +240,6 @@
 {
     m_role = role::leader;
     m_leader = m_name;
-    m_led_since = now;
     m_progress.clear();
     refresh_progress(now);
     log_entry opening;
--- a/src/shell/entry_process.cpp
+++ b/src/shell/entry_process.cpp
@@ -524,9 +524,13 @@
         {
             const auto instances = static_cast<int>(placed.instances.size());
             const int candidates = dispatch::candidate_count(service, std::max(instances, 1));
+            bool owned = false;
             for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
             {
-                const bool owned = first_owner(name, static_cast<int>(shard), placed);
+                if (shard % dispatch::shards_per_owner == 0)
+                {
+                    owned = first_owner(name, static_cast<int>(shard), placed);
+                }
                 for (const backend_server& server : service.shards[shard])
                 {
                     const auto at = parse_address(server.address);
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -105,7 +105,7 @@
             {
                 known.dial_at = now + dial_again_after;
                 known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
-                m_links[known.dialled].outgoing = true;
+                m_links[known.dialled];
             }
             if (beat && !known.links.empty())
             {
@@ -229,13 +229,4 @@
     return names;
 }
 
-void peer_links::stop()
-{
-    const std::scoped_lock lock(m_mutex);
-    for (const auto& [id, item] : m_links)
-    {
-        m_endpoint.close(id);
-    }
-}
-
 } // namespace flaxtiller::shell
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -58,9 +58,6 @@
     /// @return names of the peers that can be reached
     std::set<std::string> reachable() const;
 
-    /// @brief Stops all links.
-    void stop();
-
   private:
     using link_id = link_endpoint::link_id;
 
@@ -80,7 +77,6 @@
     {
         hello from;
         bool greeted = false;
-        bool outgoing = false;
     };
 
     void on_opened(link_id id);
--- a/tests/src/faulty_file_system.hpp
+++ b/tests/src/faulty_file_system.hpp
@@ -103,12 +103,6 @@
         return {};
     }
 
-    std::error_code truncate(const std::string& path, std::uint64_t size)
-    {
-        files.at(path)->bytes.resize(size);
-        return {};
-    }
-
     /// The machine stops: of the last write, @a kept bytes beyond the synced ones made it to the disk.
     void stop_machine(std::size_t kept = 0)
     {
--- a/tests/src/unit-scheduler.cpp
+++ b/tests/src/unit-scheduler.cpp
@@ -114,6 +114,26 @@
 {
     scheduler_driver driver(make_service(1, 2));
 
+    SECTION("nothing is kept of attempts that ended")
+    {
+        // Neither where late attempts are replaced nor where waiting is better, so that a timer lies far
+        // ahead.
+        const bool stragglers = GENERATE(false, true);
+        stragglers ? learn_stragglers(driver) : driver.warm_up(400);
+        driver.pass(100);
+        CHECK(driver.scheduler.running() == 0);
+        CHECK(driver.scheduler.next_time() == time_point::never());
+    }
+
+    SECTION("nothing is kept of subqueries that were abandoned")
+    {
+        const subquery_id id = driver.submit();
+        driver.scheduler.abandon(id, driver.now);
+        driver.fail(driver.running.begin()->first, attempt_status::cancelled);
+        driver.pass(100);
+        CHECK(driver.scheduler.next_time() == time_point::never());
+    }
+
     SECTION("where waiting is better nothing is replaced")
     {
         driver.warm_up(400);
