Planned stop in two phases, direct shares of connections, lateness by each server's own latencies

A near replica was called late only by the service's mixed latencies of near and far ones, and the owners' share of connections was applied to entries that all send directly.

--- a/include/flaxtiller/dispatch/latency_estimator.hpp
+++ b/include/flaxtiller/dispatch/latency_estimator.hpp
@@ -16,7 +16,10 @@
 class latency_estimator
 {
   public:
-    latency_estimator();
+    /// Latencies after which older ones count half, by default.
+    static constexpr double usual_memory = 4000.0;
+
+    explicit latency_estimator(double memory = usual_memory);
 
     /// @brief Chooses what counts as late.
     /// @param quantile no attempt is late before this share of attempts has ended
@@ -55,6 +58,7 @@
 
     bins m_answered = make_bins();
     bins m_stopped = make_bins();
+    double m_memory;
     double m_quantile = 0.97;
     double m_gain = 1.5;
     double m_weight = 0.0;
--- a/include/flaxtiller/dispatch/owner_choice.hpp
+++ b/include/flaxtiller/dispatch/owner_choice.hpp
@@ -31,6 +31,10 @@
 /// @return the share of one candidate
 connection_share share_of(const backend_server& server, int candidates);
 
+/// @return the share of one of so many instances that all send to the backend server directly; there is no
+/// connection for cancels, which close the attempt's own
+connection_share direct_share_of(const backend_server& server, int instances);
+
 /// @return the instances that may own this group of shards, most preferred first (rendezvous hashing)
 std::vector<instance_name> owner_candidates(const service_name& service, int group, const placement& placed);
 
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -4,6 +4,7 @@
 #include <flaxtiller/dispatch/action.hpp>
 #include <flaxtiller/dispatch/attempt_result.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
+#include <flaxtiller/dispatch/owner_choice.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
@@ -157,6 +158,7 @@
     // Choice of a backend server.
     bool eligible(const server_state& server, const work& item) const;
     bool usable(const server_state& server, time_point now) const;
+    connection_share own_share(const server_state& server) const;
     int slots_of(const server_state& server) const;
     bool has_slot(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -33,6 +33,11 @@
     /// Whether an attempt that lost is told to stop. Where a cancel costs a new connection, letting it end is
     /// cheaper.
     bool cancel_losers = true;
+    /// Whether all instances send to each backend server, rather than its owners only.
+    bool direct = false;
+    /// Whether a backend server's attempts are late by its own latencies, once it has enough of them, where
+    /// these say so earlier than the service's: a near replica is late long before a far one.
+    bool late_by_server = false;
     /// Whether a new try after a refusal is paid from the budget of extra attempts, too.
     bool refusals_cost = false;
     /// A cancel that isn't confirmed within this long has failed.
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/catalog/backend_server.hpp>
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/subquery.hpp>
 
 #include <optional>
@@ -10,6 +11,9 @@
 namespace flaxtiller::dispatch
 {
 
+/// Latencies after which older ones count half, for a single backend server: some seconds' worth.
+inline constexpr double server_memory = 200.0;
+
 /// @brief What a scheduler knows of one backend server, from the answers that it got itself.
 struct server_state
 {
@@ -21,6 +25,8 @@
     /// A moving average of latencies, for the choice between backend servers.
     duration recent_latency{};
     int recent_samples = 0;
+    /// Its own latencies; only kept where they decide what is late.
+    latency_estimator latency{server_memory};
     time_point observed_at{};
     /// The attempt that waits at the backend server for a slot, if one does; 0 for none.
     attempt_id ahead = 0;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -115,7 +115,7 @@
     void on_timer(request_number number, time_point now);
     void drop_unused_lanes();
 
-    const router_options m_options;
+    router_options m_options;
     routing_view m_view;
     target_choice m_targets;
     std::map<lane_index, lane> m_lanes;
--- a/src/dispatch/latency_estimator.cpp
+++ b/src/dispatch/latency_estimator.cpp
@@ -12,8 +12,6 @@
 constexpr int bin_count = 240;
 constexpr double lowest_ms = 0.1;
 constexpr double highest_ms = 20000.0;
-/// The histograms are halved whenever they hold this many latencies.
-constexpr double memory = 4000.0;
 constexpr std::size_t early_samples = 64;
 constexpr std::size_t recompute_every = 32;
 /// A fresh attempt takes the median and a little more.
@@ -29,7 +27,9 @@
             boost::histogram::dense_storage<float>()};
 }
 
-latency_estimator::latency_estimator() = default;
+latency_estimator::latency_estimator(double memory) : m_memory(memory)
+{
+}
 
 void latency_estimator::track(double quantile, double gain)
 {
@@ -53,7 +53,7 @@
 {
     m_weight += 1.0;
     ++m_samples;
-    if (m_weight >= memory)
+    if (m_weight >= m_memory)
     {
         constexpr float half = 0.5F;
         m_answered *= half;
--- a/src/dispatch/owner_choice.cpp
+++ b/src/dispatch/owner_choice.cpp
@@ -37,6 +37,13 @@
     return {connections, std::max(connections - 1, 1)};
 }
 
+connection_share direct_share_of(const backend_server& server, int instances)
+{
+    const int share = std::max(server.connection_limit / std::max(instances, 1), 1);
+    const int connections = std::min(share, server.slots + 1);
+    return {connections, connections};
+}
+
 std::vector<instance_name> owner_candidates(const service_name& service, int group, const placement& placed)
 {
     std::vector<std::pair<std::uint64_t, instance_name>> ranked;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -66,6 +66,7 @@
             const server_index index = take_server_index(definition.name);
             server_state& server = m_servers[index];
             server.definition = definition;
+            server.latency.track(m_options.late_quantile, m_options.late_gain);
             server.retired = false;
             server.shards.push_back(static_cast<int>(shard));
             replicas.push_back(index);
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -118,6 +118,10 @@
         server.recent_samples = 0;
     }
     answered ? m_latency.add_answered(latency) : m_latency.add_stopped(latency);
+    if (m_options.late_by_server)
+    {
+        answered ? server.latency.add_answered(latency) : server.latency.add_stopped(latency);
+    }
     server.observed_at = now;
     ++server.recent_samples;
     const double weight = std::max(slowest_average_weight, 1.0 / server.recent_samples);
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -40,9 +40,15 @@
     return server.ejected_until <= now && server.busy_until <= now;
 }
 
+connection_share scheduler::own_share(const server_state& server) const
+{
+    return m_options.direct ? direct_share_of(server.definition, m_candidates)
+                            : share_of(server.definition, m_candidates);
+}
+
 int scheduler::slots_of(const server_state& server) const
 {
-    const int allowed = std::min(server.definition.slots, share_of(server.definition, m_candidates).working);
+    const int allowed = std::min(server.definition.slots, own_share(server).working);
     // One that comes back after failures gets one attempt at a time until it answers.
     return server.ejections_in_row > 0 ? std::min(allowed, 1) : allowed;
 }
@@ -72,6 +78,10 @@
 duration scheduler::late_after(const server_state& server) const
 {
     const duration limit = late_after_now();
+    if (m_options.late_by_server && server.latency.samples() >= enough_server_samples)
+    {
+        return std::clamp(server.latency.late_after(), m_options.least_late_after, limit);
+    }
     const bool known = server.recent_samples >= enough_server_samples;
     const double ratio = known ? server.recent_latency.ms() / m_latency.median().ms() : 1.0;
     // One backend server sees too few stragglers to tell their share; it only tells how slow it is as a
@@ -103,7 +113,7 @@
 
 bool scheduler::has_room_ahead(const server_state& server, time_point now) const
 {
-    const connection_share share = share_of(server.definition, m_candidates);
+    const connection_share share = own_share(server);
     const bool spare_connection = share.working > server.definition.slots;
     const bool queues = now - server.shed_at >= m_options.no_ahead_after_shed;
     return m_options.ahead > 0 && spare_connection && queues && usable(server, now) && server.ahead == 0 &&
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,6 +1,5 @@
 #include <flaxtiller/routing/router.hpp>
 
-#include <flaxtiller/dispatch/owner_choice.hpp>
 #include <flaxtiller/routing/top_records.hpp>
 
 #include <algorithm>
@@ -9,8 +8,11 @@
 namespace flaxtiller
 {
 
-router::router(router_options options) : m_options(options)
+router::router(router_options options) : m_options(std::move(options))
 {
+    m_options.scheduling.direct = true;
+    m_options.scheduling.late_by_server = true;
+    m_options.scheduling.cancel_losers = false;
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -42,7 +44,7 @@
     {
         const auto found = m_view.placed->services.find(item.service);
         const placed_service& placed = found == m_view.placed->services.end() ? none : found->second;
-        item.scheduler.configure(placed, dispatch::candidate_count(placed, m_view.entries), now);
+        item.scheduler.configure(placed, m_view.entries, now);
     }
     for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
     {
--- a/src/shell/entry_process.cpp
+++ b/src/shell/entry_process.cpp
@@ -167,6 +167,9 @@
     std::atomic<std::int64_t> confirmed_at_us{0};
     std::atomic<bool> draining{false};
     time_point drain_until{};
+    /// What is in flight is cut then.
+    time_point drain_end{};
+    bool closing = false;
     /// New connections may come until then: the balancer needs to notice.
     time_point drained_at_least{};
     std::set<std::string> reachable;
@@ -805,6 +808,7 @@
     {
         draining = true;
         drain_until = clock.now() + duration::from_ms(settings.drain_bound_ms);
+        drain_end = drain_until + duration::from_ms(settings.drain_bound_ms * settings.drain_end_share);
         drained_at_least = clock.now() + duration::from_ms(settings.least_drain_ms);
         if (routed)
         {
@@ -826,14 +830,24 @@
             open += lane->open_queries();
         }
         const int quiet = open == 0 ? quiet_checks + 1 : 0;
-        const bool late = clock.now() >= drain_until;
-        const bool quiet_long = quiet >= quiet_needed && clock.now() >= drained_at_least;
-        if (quiet_long || late)
+        const time_point now = clock.now();
+        const bool quiet_long = quiet >= quiet_needed && now >= drained_at_least;
+        if (quiet_long || (now >= drain_until && open == 0) || now >= drain_end)
         {
             log(log_level::info, "stopped", {{"in_flight", open}});
             io.stop();
             return;
         }
+        if (now >= drain_until && !closing)
+        {
+            // Callers that still use their connections find them closed; what was read is answered.
+            closing = true;
+            callers.drain();
+            if (routed)
+            {
+                routed->drain();
+            }
+        }
         drain_timer.expires_after(std::chrono::microseconds(check_every.us()));
         drain_timer.async_wait(
             [this, quiet](const boost::system::error_code& stopped)
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -172,7 +172,7 @@
         while (keep_alive && !draining)
         {
             const auto bounds = in_force.load();
-            if (!co_await await_request(stream, buffer, *bounds))
+            if (!co_await await_request(stream, buffer, *bounds) || draining)
             {
                 co_return;
             }
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -137,6 +137,11 @@
     m_server.close_after_reply();
 }
 
+void routed_front::drain()
+{
+    m_server.drain();
+}
+
 std::size_t routed_front::in_flight() const noexcept
 {
     return m_server.in_flight();
@@ -166,7 +171,6 @@
     std::set<backend_server_name> kept;
     for (const auto& [name, service] : placed.services)
     {
-        const int candidates = dispatch::candidate_count(service, std::max(entries, 1));
         for (const auto& replicas : service.shards)
         {
             for (const backend_server& server : replicas)
@@ -179,7 +183,8 @@
                     continue;
                 }
                 kept.insert(server.name);
-                m_pools.configure(server.name, *at, dispatch::share_of(server, candidates).connections, 0);
+                m_pools.configure(server.name, *at, dispatch::direct_share_of(server, entries).connections,
+                                  0);
             }
         }
     }
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -43,6 +43,9 @@
     /// @brief Serves on, but no connection is kept.
     void close_after_reply();
 
+    /// @brief Takes no more requests; those that were read are answered.
+    void drain();
+
     /// @return requests that aren't replied to yet
     std::size_t in_flight() const noexcept;
 
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -254,10 +254,11 @@
 namespace
 {
 
-/// Where the platform kills a process this long after it told it to stop, the stop must take less.
+/// Where the platform kills a process this long after it told it to stop, the stop must take less: requests
+/// are taken for two thirds of it, and what is in flight may end in nine tenths.
 void read_kill_after(json_reader& reader, int& drain_bound_ms)
 {
-    constexpr double share = 0.8;
+    constexpr double share = 0.65;
     double kill_after_ms = 0.0;
     reader.number("kill_after_ms", kill_after_ms, 0.0, static_cast<double>(hour_ms));
     if (kill_after_ms > 0.0)
--- a/src/shell/settings.hpp
+++ b/src/shell/settings.hpp
@@ -74,7 +74,10 @@
     int request_timeout_ms = 10000;
     int most_queries_per_service = 10000;
     int most_services = 1000;
+    /// A planned stop takes requests for this long at most; then it only answers those that it has.
     int drain_bound_ms = 30000;
+    /// Those may take this share of the bound more.
+    double drain_end_share = 0.4;
     /// A planned stop takes at least this long, for the balancer to notice that no new callers shall come.
     int least_drain_ms = 0;
     dispatch::scheduler_options dispatch;
--- /dev/null
+++ b/tests/src/unit-platform.cpp
@@ -0,0 +1,138 @@
+#include "platform/configuration_codec.hpp"
+
+#include <flaxtiller/catalog/catalog_state.hpp>
+#include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/registration/registration.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace flaxtiller;
+using nlohmann::json;
+
+namespace
+{
+
+json example()
+{
+    return json::parse(R"({"version":7,
+        "routes":[
+            {"name":"r-a","host":"h.example","pathPrefix":"/a/","type":"safe","timeoutMs":500,"targetLatencyMs":80,
+             "priority":2,"fanoutServices":["s1","s2"],"maxAttempts":2,"topK":5,"minSuccessShare":0.75},
+            {"name":"r-b","host":"h.example","pathPrefix":"/b/","type":"unsafe","timeoutMs":2000,
+             "targetLatencyMs":300,"priority":0,"service":"s3","maxAttempts":1},
+            {"name":"r-c","host":"h.example","pathPrefix":"/c/","type":"safe","timeoutMs":2000,
+             "targetLatencyMs":300,"priority":1,"maxAttempts":3,
+             "trafficSplit":[{"service":"s3","weight":9},{"service":"s1","weight":1}]}],
+        "services":[
+            {"name":"s1","healthCheckPath":"/health","maxConnections":26,"protocol":"h1","tls":false},
+            {"name":"s2","healthCheckPath":"/health","maxConnections":26,"protocol":"h1","tls":false},
+            {"name":"s3","healthCheckPath":"/well","maxConnections":45,"protocol":"h1","tls":false}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+}
+
+change_result put(catalog_state& state, const json& document)
+{
+    findings found;
+    const change wanted = platform::read_configuration(document.dump(), found);
+    if (found.has_errors())
+    {
+        return {change_status::invalid, state.revision(), {}, found};
+    }
+    return state.apply(wanted);
+}
+
+} // namespace
+
+TEST_CASE("the platform's configuration becomes the product's and comes back as it was sent", "[platform]")
+{
+    catalog_state state;
+    REQUIRE(put(state, example()).status == change_status::accepted);
+    CHECK(platform::write_configuration(state.current()) == example());
+
+    SECTION("its services are selected by label from the backend servers that registered")
+    {
+        configuration value = state.current();
+        registration said;
+        said.id = backend_server_name("i-1");
+        said.service = service_name("s1");
+        said.address = "10.0.0.1:80";
+        said.slots = 4;
+        value.backend_servers.emplace(said.id, to_backend_server(said, value.services.at(said.service)));
+        const placement placed = place(1, value);
+        CHECK(placed.services.at(service_name("s1")).shards.at(0).size() == 1);
+        CHECK(placed.services.at(service_name("s1")).shards.at(0).at(0).connection_limit == 26);
+        CHECK(placed.services.at(service_name("s2")).shards.at(0).empty());
+    }
+    SECTION("the highest version wins; an equal or lower one is acknowledged and changes nothing")
+    {
+        json other = example();
+        other["routes"].erase(0);
+        CHECK(put(state, other).status == change_status::superseded);
+        other["version"] = 6;
+        CHECK(put(state, other).status == change_status::superseded);
+        CHECK(platform::write_configuration(state.current()) == example());
+        other["version"] = 9;
+        CHECK(put(state, other).status == change_status::accepted);
+        CHECK(platform::write_configuration(state.current()) == other);
+        CHECK(put(state, example()).status == change_status::superseded);
+    }
+    SECTION("it survives a snapshot")
+    {
+        const catalog_state again = catalog_state::deserialize(state.serialize());
+        CHECK(platform::write_configuration(again.current()) == example());
+    }
+}
+
+TEST_CASE("an invalid configuration of the platform's is refused and changes nothing", "[platform]")
+{
+    catalog_state state;
+    json bad = example();
+    SECTION("unknown service")
+    {
+        bad["routes"][0]["fanoutServices"][1] = "nowhere";
+    }
+    SECTION("two routes at the same host and prefix")
+    {
+        bad["routes"][1]["pathPrefix"] = "/a/";
+    }
+    SECTION("weights that add up to zero")
+    {
+        bad["routes"][2]["trafficSplit"] = {{{"service", "s1"}, {"weight", 0}}};
+    }
+    SECTION("a time-out of zero")
+    {
+        bad["routes"][0]["timeoutMs"] = 0;
+    }
+    SECTION("no target")
+    {
+        bad["routes"][1].erase("service");
+    }
+    SECTION("a name of the wrong type")
+    {
+        bad["services"][0]["name"] = 3;
+    }
+    SECTION("routes of the wrong type")
+    {
+        bad["routes"] = 3;
+    }
+    SECTION("routes left out")
+    {
+        bad.erase("routes");
+    }
+    SECTION("no version")
+    {
+        bad.erase("version");
+    }
+    const change_result result = put(state, bad);
+    CHECK(result.status == change_status::invalid);
+    CHECK(result.found.has_errors());
+    CHECK(state.revision() == 0);
+}
+
+TEST_CASE("a configuration cut short is refused", "[platform]")
+{
+    const std::string text = example().dump();
+    findings found;
+    platform::read_configuration(text.substr(0, text.size() / 2), found);
+    CHECK(found.has_errors());
+}
--- /dev/null
+++ b/tests/src/unit-router.cpp
@@ -0,0 +1,305 @@
+#include <flaxtiller/routing/router.hpp>
+#include <flaxtiller/routing/top_records.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace flaxtiller;
+using dispatch::attempt_result;
+using dispatch::attempt_status;
+
+namespace
+{
+
+/// Drives a router by hand in virtual time.
+class router_driver
+{
+  public:
+    explicit router_driver(router_options options = {}) : m_router(options)
+    {
+    }
+
+    void serve(std::map<std::string, route> routes, int services, int replicas = 2)
+    {
+        auto placed = std::make_shared<placement>();
+        placed->revision = ++m_revision;
+        for (int i = 0; i < services; ++i)
+        {
+            placed_service item;
+            item.definition.name = service_name("s" + std::to_string(i));
+            item.shards.resize(1);
+            for (int k = 0; k < replicas; ++k)
+            {
+                backend_server server;
+                server.name = backend_server_name(item.definition.name.str() + "-" + std::to_string(k));
+                server.slots = 2;
+                server.connection_limit = 30;
+                item.shards[0].push_back(server);
+            }
+            placed->services.emplace(item.definition.name, item);
+        }
+        m_router.configure({placed, std::make_shared<const route_table>(routes), 1}, now);
+        take();
+    }
+
+    request_number ask(const std::string& target, double patience_ms = 1000.0)
+    {
+        auto request = std::make_shared<routed_request>();
+        request->id = "r" + std::to_string(++m_number);
+        request->host = "h";
+        request->target = target;
+        request->patience = duration::from_ms(patience_ms);
+        m_router.arrive(m_number, request, now);
+        take();
+        return m_number;
+    }
+
+    void pass(double ms)
+    {
+        const time_point until = now + duration::from_ms(ms);
+        while (m_router.next_time() <= until)
+        {
+            now = std::max(now, m_router.next_time());
+            m_router.on_time(now);
+            take();
+        }
+        now = until;
+    }
+
+    void gone(request_number number)
+    {
+        m_router.caller_gone(number, now);
+        take();
+    }
+
+    /// Ends the oldest attempt on @a service.
+    void end(const std::string& service, attempt_status status, int http_status = 200)
+    {
+        const auto found = std::find_if(started.begin(), started.end(),
+                                        [&](const start_routed_attempt& item)
+                                        {
+                                            return item.service.str() == service;
+                                        });
+        REQUIRE(found != started.end());
+        const start_routed_attempt ended = *found;
+        started.erase(found);
+        std::shared_ptr<backend_answer> answer;
+        const bool whole = status == attempt_status::answered || http_status >= 500;
+        if (whole)
+        {
+            answer = std::make_shared<backend_answer>();
+            answer->status = http_status;
+            answer->signature = "by-" + ended.server.str();
+            answer->body = std::string(record_bytes, service.back());
+        }
+        attempt_result result;
+        result.status = status;
+        m_router.attempt_ended(ended.attempt, result, answer, now);
+        take();
+    }
+
+    int running(const std::string& service) const
+    {
+        return static_cast<int>(std::count_if(started.begin(), started.end(),
+                                              [&](const start_routed_attempt& item)
+                                              {
+                                                  return item.service.str() == service;
+                                              }));
+    }
+
+    time_point now{duration::from_ms(1000)};
+    std::vector<start_routed_attempt> started;
+    std::vector<routed_attempt_number> cancelled;
+    std::map<request_number, routed_outcome> answers;
+
+  private:
+    void take()
+    {
+        for (const router_action& action : m_router.take_actions())
+        {
+            if (const auto* start = std::get_if<start_routed_attempt>(&action))
+            {
+                started.push_back(*start);
+            }
+            else if (const auto* cancel = std::get_if<cancel_routed_attempt>(&action))
+            {
+                cancelled.push_back(cancel->attempt);
+            }
+            else
+            {
+                const auto& told = std::get<answer_request>(action);
+                // Exactly one final answer.
+                REQUIRE(answers.emplace(told.request, told.outcome).second);
+            }
+        }
+    }
+
+    router m_router;
+    request_number m_number = 0;
+    std::int64_t m_revision = 0;
+};
+
+route fan_out_over(int services, double least_share)
+{
+    route item;
+    item.name = "all";
+    item.host = "h";
+    item.path_prefix = "/all/";
+    item.timeout = duration::from_ms(500);
+    item.objective = duration::from_ms(100);
+    item.least_share = least_share;
+    item.top_records = 2;
+    for (int i = 0; i < services; ++i)
+    {
+        item.fan_out.emplace_back("s" + std::to_string(i));
+    }
+    return item;
+}
+
+route single(bool repeatable)
+{
+    route item;
+    item.name = "one";
+    item.host = "h";
+    item.path_prefix = "/one/";
+    item.timeout = duration::from_ms(500);
+    item.repeatable = repeatable;
+    item.targets = {{service_name("s0"), 1}};
+    return item;
+}
+
+} // namespace
+
+TEST_CASE("a fan-out: coverage against the latency objective", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(4, 0.75)}}, 4);
+    const request_number asked = driver.ask("/all/x");
+    REQUIRE(driver.started.size() == 4);
+
+    SECTION("whole once all parts are in")
+    {
+        for (const char* service : {"s0", "s1", "s2", "s3"})
+        {
+            CHECK(driver.answers.empty());
+            driver.end(service, attempt_status::answered);
+        }
+        const routed_outcome& told = driver.answers.at(asked);
+        CHECK(told.end == routed_end::merged);
+        CHECK(told.missing == 0);
+        CHECK(told.signatures.size() == 4);
+        CHECK(told.merged == std::string(record_bytes, '3') + std::string(record_bytes, '2'));
+    }
+    SECTION("at the objective with what is in, truthfully marked")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.end("s1", attempt_status::answered);
+        driver.end("s2", attempt_status::answered);
+        driver.pass(70);
+        CHECK(driver.answers.empty());
+        driver.pass(20);
+        const routed_outcome& told = driver.answers.at(asked);
+        CHECK(told.end == routed_end::merged);
+        CHECK(told.missing == 1);
+        CHECK(told.signatures.size() == 3);
+    }
+    SECTION("past the objective as soon as the least share is in")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.end("s1", attempt_status::answered);
+        driver.pass(200);
+        CHECK(driver.answers.empty());
+        driver.end("s3", attempt_status::answered);
+        CHECK(driver.answers.at(asked).missing == 1);
+    }
+    SECTION("too little in at the time-out: late, and it may have run")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.pass(501);
+        CHECK(driver.answers.at(asked).end == routed_end::late);
+    }
+    SECTION("a caller that went away gets nothing, and its attempts are stopped")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.gone(asked);
+        CHECK(driver.cancelled.size() == 3);
+        driver.pass(600);
+        CHECK(driver.answers.empty());
+    }
+    SECTION("another shard map while it runs doesn't mix with its own")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.serve({{"all", fan_out_over(2, 0.75)}}, 2);
+        driver.end("s1", attempt_status::answered);
+        driver.end("s2", attempt_status::answered);
+        driver.end("s3", attempt_status::answered);
+        CHECK(driver.answers.at(asked).signatures.size() == 4);
+    }
+}
+
+TEST_CASE("a fan-out that can't reach its least share fails at once", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(4, 0.75)}}, 4, 0);
+    SECTION("no backend server at all: refused, since nothing was run")
+    {
+        const request_number asked = driver.ask("/all/x");
+        CHECK(driver.answers.at(asked).end == routed_end::refused);
+        CHECK(driver.answers.at(asked).retry_after > duration{});
+    }
+}
+
+TEST_CASE("a request to one service", "[router]")
+{
+    router_driver driver;
+
+    SECTION("the backend server's answer is passed on")
+    {
+        driver.serve({{"one", single(true)}}, 1);
+        const request_number asked = driver.ask("/one/x");
+        driver.end("s0", attempt_status::answered);
+        CHECK(driver.answers.at(asked).end == routed_end::passed_on);
+        CHECK(driver.answers.at(asked).answer->signature.rfind("by-s0", 0) == 0);
+    }
+    SECTION("no route")
+    {
+        driver.serve({{"one", single(true)}}, 1);
+        CHECK(driver.answers.at(driver.ask("/two/x")).end == routed_end::no_route);
+    }
+    SECTION("what may run once isn't tried again after a lost answer, and isn't called refused")
+    {
+        driver.serve({{"one", single(false)}}, 1);
+        const request_number asked = driver.ask("/one/x");
+        driver.end("s0", attempt_status::cut);
+        CHECK(driver.started.empty());
+        CHECK(driver.answers.at(asked).end == routed_end::failed);
+    }
+    SECTION("what may run once is tried elsewhere after a refusal")
+    {
+        driver.serve({{"one", single(false)}}, 1);
+        const request_number asked = driver.ask("/one/x");
+        driver.end("s0", attempt_status::shed);
+        REQUIRE(driver.started.size() == 1);
+        driver.end("s0", attempt_status::answered);
+        CHECK(driver.answers.at(asked).end == routed_end::passed_on);
+    }
+    SECTION("a failure is passed on as the backend server gave it where nothing better came")
+    {
+        driver.serve({{"one", single(false)}}, 1);
+        const request_number asked = driver.ask("/one/x");
+        driver.end("s0", attempt_status::cut, 500);
+        CHECK(driver.answers.at(asked).end == routed_end::passed_on);
+        CHECK(driver.answers.at(asked).answer->status == 500);
+    }
+    SECTION("no more backend servers than the route allows")
+    {
+        driver.serve({{"one", single(true)}}, 1, 5);
+        const request_number asked = driver.ask("/one/x");
+        driver.end("s0", attempt_status::cut);
+        REQUIRE(driver.started.size() == 1);
+        driver.end("s0", attempt_status::cut);
+        CHECK(driver.started.empty());
+        CHECK(driver.answers.at(asked).end == routed_end::failed);
+    }
+}
