Fan-outs run by an entry of the region that holds the shards

Now the query goes there once and the merged records come back. Only an entry with the same revision runs it, lest a caller sees versions out of order.

--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/core/duration.hpp>
+#include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/query/missing_reason.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
@@ -46,6 +47,10 @@
     std::int64_t revision = 0;
     /// Attempts on backend servers.
     int attempts = 0;
+    /// The entry that ran it on this one's behalf, if one did.
+    instance_name elsewhere;
+    /// How long it took that entry, without the way to it.
+    duration took_elsewhere{};
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace flaxtiller
@@ -22,6 +23,11 @@
     std::string body;
     /// How long the caller waits.
     duration patience{};
+    /// Set where another entry asks on its caller's behalf: the revision that it goes by. Only an entry with
+    /// the same one may run the request, lest the caller sees first a newer and then an older configuration.
+    std::int64_t asked_revision = 0;
+    /// Set with it: when a fan-out shall answer with what is in.
+    duration answer_within{};
 
     bool operator==(const routed_request&) const = default;
 };
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <flaxtiller/dispatch/scheduler.hpp>
+#include <flaxtiller/dispatch/token_budget.hpp>
+#include <flaxtiller/routing/region_choice.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/router_options.hpp>
 #include <flaxtiller/routing/routing_view.hpp>
@@ -44,6 +46,10 @@
     void attempt_ended(routed_attempt_number attempt, const dispatch::attempt_result& result,
                        std::shared_ptr<const backend_answer> answer, time_point now);
 
+    /// @brief Another entry answered what it was asked by @ref ask_entry.
+    void entry_answered(const instance_name& peer, request_number number, routed_outcome outcome,
+                        time_point now);
+
     /// @brief Time has passed.
     void on_time(time_point now);
 
@@ -87,12 +93,17 @@
         time_point deadline;
         /// When a fan-out answers with what is in; the deadline once that moment has passed.
         time_point answer_at;
+        /// When it is looked at next.
+        time_point timer_at;
         std::vector<part> parts;
         int in = 0;
         int missing = 0;
         int attempts = 0;
         bool may_have_run = false;
         bool past_objective = false;
+        /// The entry that runs it, if one does.
+        instance_name elsewhere;
+        time_point sent_elsewhere_at{};
         missing_reason reason = missing_reason::none;
         duration retry_after{};
     };
@@ -100,7 +111,13 @@
     lane_index lane_of(const service_name& service);
     std::vector<service_name> services_of(const route& by);
     void refuse(request_number number, const route* by, missing_reason reason);
-    void submit(request_number number, open_request& opened, part& wanted, time_point now);
+    bool ask_elsewhere(request_number number, open_request& opened, time_point now);
+    void run_here(request_number number, open_request& opened, time_point now);
+    duration way_to(const instance_name& peer) const;
+    void note_way(const instance_name& peer, duration way);
+    bool may_run_twice(const open_request& opened) const;
+    void set_timer(request_number number, open_request& opened, time_point at);
+    void submit(open_request& opened, part& wanted, time_point now);
     void collect(lane_index at, time_point now);
     void take(lane_index at, const dispatch::start_attempt& action);
     void take(lane_index at, const dispatch::cancel_attempt& action);
@@ -118,6 +135,11 @@
     router_options m_options;
     routing_view m_view;
     target_choice m_targets;
+    region_choice m_regions;
+    /// What the way to and from each other entry costs, a moving average.
+    std::map<instance_name, duration> m_ways;
+    /// Pays for fan-outs that are run here after all, although another entry may have run them.
+    dispatch::token_budget m_second_runs;
     std::map<lane_index, lane> m_lanes;
     std::map<service_name, lane_index> m_lane_of;
     lane_index m_next_lane = 1;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -44,6 +44,26 @@
     routed_outcome outcome;
 };
 
-using router_action = std::variant<start_routed_attempt, cancel_routed_attempt, answer_request>;
+/// @brief Let another entry run the request; it answers by @ref router::entry_answered.
+struct ask_entry
+{
+    request_number request = 0;
+    instance_name peer;
+    std::int64_t revision = 0;
+    duration patience{};
+    /// When it shall answer with what is in.
+    duration answer_within{};
+    std::shared_ptr<const routed_request> sent;
+};
+
+/// @brief Tell that entry that nobody waits for the request any more.
+struct abandon_at_entry
+{
+    request_number request = 0;
+    instance_name peer;
+};
+
+using router_action =
+    std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry, abandon_at_entry>;
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -22,6 +22,11 @@
     /// When a caller that was refused for want of a backend server or of room shall come back, at least.
     duration least_retry = duration::from_ms(100);
 
+    /// What the way to and from another entry is taken to cost before it was measured: two regions apart.
+    duration first_way_elsewhere = duration::from_ms(30);
+    /// A fan-out that another entry runs is run here, too, if no answer came this long after it was due.
+    duration elsewhere_grace = duration::from_ms(10);
+
     bool operator==(const router_options&) const = default;
 };
 
--- a/include/flaxtiller/routing/routing_view.hpp
+++ b/include/flaxtiller/routing/routing_view.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/route_table.hpp>
 
+#include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace flaxtiller
 {
@@ -15,6 +19,11 @@
     std::shared_ptr<const route_table> routes;
     /// Entry instances that share the backend servers' connections; at least 1.
     int entries = 1;
+    /// Where this instance stands, and where the availability zones are.
+    std::string region;
+    std::map<std::string, std::string> region_of_zone;
+    /// Other entries that can be reached now.
+    std::vector<entry_peer> peers;
 };
 
 } // namespace flaxtiller
--- /dev/null
+++ b/src/routing/routed_json.cpp
@@ -0,0 +1,77 @@
+#include <flaxtiller/routing/routed_json.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace flaxtiller
+{
+
+NLOHMANN_JSON_SERIALIZE_ENUM(routed_end, {{routed_end::refused, "refused"},
+                                          {routed_end::merged, "merged"},
+                                          {routed_end::no_route, "no_route"},
+                                          {routed_end::failed, "failed"},
+                                          {routed_end::late, "late"},
+                                          {routed_end::passed_on, "passed_on"}})
+
+void to_json(nlohmann::json& j, const entry_peer& value)
+{
+    j = {{"name", value.name}, {"region", value.region}, {"address", value.address}};
+}
+
+void from_json(const nlohmann::json& j, entry_peer& value)
+{
+    value.name = j.at("name").get<instance_name>();
+    value.region = j.at("region").get<std::string>();
+    value.address = j.at("address").get<std::string>();
+}
+
+void to_json(nlohmann::json& j, const routed_request& value)
+{
+    j = {{"id", value.id},
+         {"method", value.method},
+         {"host", value.host},
+         {"target", value.target},
+         {"headers", value.headers},
+         {"body", value.body},
+         {"patience_us", value.patience.us()},
+         {"revision", value.asked_revision},
+         {"answer_within_us", value.answer_within.us()}};
+}
+
+void from_json(const nlohmann::json& j, routed_request& value)
+{
+    value.id = j.at("id").get<std::string>();
+    value.method = j.at("method").get<std::string>();
+    value.host = j.at("host").get<std::string>();
+    value.target = j.at("target").get<std::string>();
+    value.headers = j.at("headers").get<header_list>();
+    value.body = j.at("body").get<std::string>();
+    value.patience = duration::from_us(j.at("patience_us").get<std::int64_t>());
+    value.asked_revision = j.at("revision").get<std::int64_t>();
+    value.answer_within = duration::from_us(j.at("answer_within_us").get<std::int64_t>());
+}
+
+void to_json(nlohmann::json& j, const routed_outcome& value)
+{
+    j = {{"end", value.end},
+         {"merged", value.merged},
+         {"signatures", value.signatures},
+         {"missing", value.missing},
+         {"reason", value.reason},
+         {"retry_after_us", value.retry_after.us()},
+         {"attempts", value.attempts},
+         {"took_us", value.took_elsewhere.us()}};
+}
+
+void from_json(const nlohmann::json& j, routed_outcome& value)
+{
+    value.end = j.at("end").get<routed_end>();
+    value.merged = j.at("merged").get<std::string>();
+    value.signatures = j.at("signatures").get<std::vector<std::string>>();
+    value.missing = j.at("missing").get<int>();
+    value.reason = j.at("reason").get<missing_reason>();
+    value.retry_after = duration::from_us(j.at("retry_after_us").get<std::int64_t>());
+    value.attempts = j.at("attempts").get<int>();
+    value.took_elsewhere = duration::from_us(j.at("took_us").get<std::int64_t>());
+}
+
+} // namespace flaxtiller
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -8,7 +8,9 @@
 namespace flaxtiller
 {
 
-router::router(router_options options) : m_options(std::move(options))
+router::router(router_options options)
+    : m_options(std::move(options)),
+      m_second_runs(m_options.scheduling.extra_load_share, m_options.scheduling.budget_burst)
 {
     m_options.scheduling.direct = true;
     m_options.scheduling.late_by_server = true;
@@ -35,6 +37,7 @@
 void router::configure(routing_view view, time_point now)
 {
     m_view = std::move(view);
+    m_regions.configure(m_view);
     for (const auto& [name, placed] : m_view.placed->services)
     {
         lane_of(name);
@@ -100,6 +103,11 @@
         refuse(number, nullptr, missing_reason::no_backend_server);
         return;
     }
+    if (request->asked_revision != 0 && request->asked_revision != m_view.placed->revision)
+    {
+        refuse(number, nullptr, missing_reason::wrong_version);
+        return;
+    }
     const auto by = m_view.routes->find(request->host, request->target);
     if (!by)
     {
@@ -123,20 +131,118 @@
     opened.answer_at =
         has_objective ? std::min(now + std::max(objective, duration{}), opened.deadline) : opened.deadline;
     opened.request = std::move(request);
-    m_timers.emplace(opened.answer_at, number);
-    for (const service_name& service : services_of(*by))
+    set_timer(number, opened, opened.answer_at);
+    if (!ask_elsewhere(number, opened, now))
     {
-        opened.parts.push_back({lane_of(service), m_next_subquery++, false, nullptr});
-        m_origins.emplace(opened.parts.back().subquery, number);
+        run_here(number, opened, now);
     }
-    for (part& wanted : opened.parts)
+}
+
+void router::set_timer(request_number number, open_request& opened, time_point at)
+{
+    m_timers.erase({opened.timer_at, number});
+    opened.timer_at = at;
+    m_timers.emplace(at, number);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// other entries
+// ---------------------------------------------------------------------------------------------------------
+
+bool router::ask_elsewhere(request_number number, open_request& opened, time_point now)
+{
+    if (!opened.by->fans_out() || opened.request->asked_revision != 0)
     {
-        submit(number, opened, wanted, now);
+        return false;
     }
-    // Collected only now: an early end of one part must not answer before all were submitted.
+    const auto peer = m_regions.next(*opened.by, now);
+    if (!peer)
+    {
+        return false;
+    }
+    opened.elsewhere = *peer;
+    opened.sent_elsewhere_at = now;
+    set_timer(number, opened, std::min(opened.answer_at + m_options.elsewhere_grace, opened.deadline));
+    const duration within = std::max(opened.answer_at - now - way_to(*peer), duration::from_ms(1));
+    m_actions.emplace_back(
+        ask_entry{number, *peer, m_view.placed->revision, opened.deadline - now, within, opened.request});
+    return true;
+}
+
+duration router::way_to(const instance_name& peer) const
+{
+    const auto known = m_ways.find(peer);
+    return known == m_ways.end() ? m_options.first_way_elsewhere : known->second;
+}
+
+void router::note_way(const instance_name& peer, duration way)
+{
+    // A few answers suffice, and one that was held up doesn't count for much.
+    constexpr double weight = 0.2;
+    const auto known = m_ways.emplace(peer, way).first;
+    known->second = known->second + (way - known->second) * weight;
+}
+
+/// Whether running it here as well can't bring any shard to more backend servers than the route allows.
+bool router::may_run_twice(const open_request& opened) const
+{
+    return std::all_of(opened.by->fan_out.begin(), opened.by->fan_out.end(),
+                       [&](const service_name& service)
+                       {
+                           const auto placed = m_view.placed->services.find(service);
+                           return placed == m_view.placed->services.end() ||
+                                  static_cast<int>(placed->second.shards.at(0).size()) <=
+                                      opened.by->most_attempts;
+                       });
+}
+
+void router::entry_answered(const instance_name& peer, request_number number, routed_outcome outcome,
+                            time_point now)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end() || found->second.elsewhere != peer)
+    {
+        return;
+    }
+    open_request& opened = found->second;
+    if (outcome.end == routed_end::merged)
+    {
+        m_second_runs.earn();
+        note_way(peer, now - opened.sent_elsewhere_at - outcome.took_elsewhere);
+        outcome.elsewhere = peer;
+        finish(number, opened, std::move(outcome));
+        return;
+    }
+    m_regions.failed(peer, now);
+    opened.elsewhere = {};
+    if (!opened.parts.empty())
+    {
+        return;
+    }
+    const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
+    opened.may_have_run = !not_run;
+    if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
+    {
+        run_here(number, opened, now);
+        return;
+    }
+    opened.reason = outcome.reason;
+    fail(number, opened, outcome.end == routed_end::late);
+}
+
+void router::run_here(request_number number, open_request& opened, time_point now)
+{
+    set_timer(number, opened, std::max(opened.answer_at, now));
+    for (const service_name& service : services_of(*opened.by))
+    {
+        opened.parts.push_back({lane_of(service), m_next_subquery++, false, nullptr});
+        m_origins.emplace(opened.parts.back().subquery, number);
+    }
+    // Collected only after all are submitted: an early end of one part must not answer before.
     std::vector<lane_index> lanes;
-    for (const part& wanted : opened.parts)
+    for (part& wanted : opened.parts)
     {
+        submit(opened, wanted, now);
         lanes.push_back(wanted.at);
     }
     for (const lane_index at : lanes)
@@ -145,7 +251,7 @@
     }
 }
 
-void router::submit(request_number, open_request& opened, part& wanted, time_point now)
+void router::submit(open_request& opened, part& wanted, time_point now)
 {
     dispatch::subquery asked;
     asked.id = wanted.subquery;
@@ -163,8 +269,12 @@
         return;
     }
     const open_request opened = std::move(found->second);
-    m_timers.erase({opened.answer_at, number});
+    m_timers.erase({opened.timer_at, number});
     m_open.erase(found);
+    if (!opened.elsewhere.empty())
+    {
+        m_actions.emplace_back(abandon_at_entry{number, opened.elsewhere});
+    }
     for (const part& asked : opened.parts)
     {
         m_origins.erase(asked.subquery);
@@ -367,7 +477,7 @@
                                      });
     routed_outcome told;
     told.end = routed_end::refused;
-    if (opened.may_have_run || (running && opened.attempts > 0))
+    if (opened.may_have_run || (running && opened.attempts > 0) || !opened.elsewhere.empty())
     {
         told.end = late ? routed_end::late : routed_end::failed;
     }
@@ -377,11 +487,14 @@
 
 void router::finish(request_number number, open_request& opened, routed_outcome outcome)
 {
-    outcome.reason = opened.reason;
     outcome.route = opened.by->name;
     outcome.revision = m_view.placed->revision;
-    outcome.attempts = opened.attempts;
-    m_timers.erase({opened.answer_at, number});
+    if (outcome.elsewhere.empty())
+    {
+        outcome.reason = opened.reason;
+        outcome.attempts = opened.attempts;
+    }
+    m_timers.erase({opened.timer_at, number});
     for (const part& asked : opened.parts)
     {
         if (!asked.over)
@@ -419,6 +532,20 @@
 void router::on_timer(request_number number, time_point now)
 {
     open_request& opened = m_open.at(number);
+    const bool waits_elsewhere = !opened.elsewhere.empty() && opened.parts.empty() && now < opened.deadline;
+    if (waits_elsewhere)
+    {
+        m_regions.failed(opened.elsewhere, now);
+        if (may_run_twice(opened) && m_second_runs.spend())
+        {
+            run_here(number, opened, now);
+        }
+        else
+        {
+            set_timer(number, opened, opened.deadline);
+        }
+        return;
+    }
     if (opened.by->fans_out() && enough_in(opened))
     {
         merge(number, opened);
@@ -430,8 +557,7 @@
         return;
     }
     opened.past_objective = true;
-    opened.answer_at = opened.deadline;
-    m_timers.emplace(opened.answer_at, number);
+    set_timer(number, opened, opened.deadline);
 }
 
 time_point router::next_time() const noexcept
--- a/src/shell/control_process.cpp
+++ b/src/shell/control_process.cpp
@@ -39,6 +39,8 @@
 
 constexpr duration tick_every = duration::from_ms(10);
 constexpr duration notice_every = duration::from_ms(500);
+/// An entry is named to the others for this long after its last report.
+constexpr duration listed_entry_age = duration::from_ms(3000);
 /// An instance counts as sharing the backend servers for this long after its last report.
 constexpr duration instance_age = duration::from_ms(10000);
 
@@ -63,8 +65,9 @@
     explicit implementation(control_settings wanted)
         : settings(std::move(wanted)), strand(net::make_strand(io)), timer(strand),
           signals(strand, SIGTERM, SIGINT, SIGHUP),
-          links(hello{link_protocol_version, "control", settings.replica.name, draw64()}, counted,
-                settings.links,
+          links(hello{link_protocol_version, "control", settings.replica.name, draw64(),
+                      settings.replica.region, settings.link.str()},
+                counted, settings.links,
                 {[this](const hello& from, const link_message& message)
                  {
                      net::post(strand,
@@ -117,6 +120,9 @@
     time_point notice_at{};
     /// What the replicas that can be reached say they hold, by log and name.
     std::map<std::string, std::map<quorum::replica_name, quorum::announcement>> announced;
+    /// Entries by name, and what each of them was last told of the others.
+    std::map<std::string, entry_peer> entries;
+    std::map<std::string, std::vector<entry_peer>> told_entries;
     /// The replicas of the last member set that was linked to.
     std::set<std::string> linked;
     bool pump_posted = false;
@@ -295,6 +301,7 @@
 
     void on_reachable(const std::string& name, bool up)
     {
+        told_entries.erase(name);
         if (!up)
         {
             // It may come back with another folder.
@@ -326,6 +333,10 @@
             keep_members(registers, register_log, now);
         }
         hub.tick(replica_names(), catalog.may_answer(now), now);
+        if (catalog.may_answer(now))
+        {
+            tell_entries(now);
+        }
         timer.expires_after(std::chrono::microseconds(tick_every.us()));
         timer.async_wait(
             [this](const boost::system::error_code& stopped)
@@ -391,6 +402,7 @@
     void on_report(const hello& from, const distribution::revision_report& report, time_point now)
     {
         publisher.on_report(instance_name(from.name), report, now);
+        entries[from.name] = {instance_name(from.name), from.region, from.address};
         if (catalog.may_answer(now))
         {
             // Said under the lease: no other replica can have accepted a later revision.
@@ -400,6 +412,29 @@
         }
     }
 
+    /// A leader tells the entries of one another.
+    void tell_entries(time_point now)
+    {
+        entry_list list;
+        for (const auto& [name, known] : publisher.instances())
+        {
+            const auto entry = entries.find(name.str());
+            if (entry != entries.end() && now - known.heard_at < listed_entry_age)
+            {
+                list.items.push_back(entry->second);
+            }
+        }
+        for (const entry_peer& item : list.items)
+        {
+            std::vector<entry_peer>& told = told_entries[item.name.str()];
+            if (told != list.items)
+            {
+                told = list.items;
+                links.send(item.name.str(), list);
+            }
+        }
+    }
+
     void on_register_call(const hello& from, const register_call& call, time_point now)
     {
         register_command command = call.command;
--- a/src/shell/entry_process.cpp
+++ b/src/shell/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "run_guarded.hpp"
 #include "system.hpp"
 
+#include <flaxtiller/core/hash.hpp>
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
 #include <flaxtiller/registration/registry.hpp>
@@ -41,6 +42,8 @@
 /// Beyond this, the configuration counts as stale: the balancer is told, answers go on and say its age.
 constexpr duration stale_after = duration::from_ms(3000);
 constexpr int platform_timeout_ms = 1000;
+/// Links to entries of each other region: enough that one may fail and another be passed over.
+constexpr std::size_t far_entries_per_region = 3;
 
 /// What a request reads, by read-copy-update: the placement in force and the lane of each service.
 struct routing
@@ -108,8 +111,9 @@
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
           report_timer(strand), pools_timer(strand), drain_timer(strand),
           signals(io, SIGTERM, SIGINT, SIGHUP),
-          links(hello{link_protocol_version, "entry", settings.instance.name, run_id}, counted,
-                settings.links,
+          links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
+                      settings.instance.region, settings.link.str()},
+                counted, settings.links,
                 {[this](const hello& from, const link_message& message)
                  {
                      on_message(from, message);
@@ -129,9 +133,13 @@
                                             run_id,
                                             options_of(settings)},
           table(std::make_shared<const routing>()), control(settings.control),
-          routed(settings.routed.port == 0
-                     ? nullptr
-                     : std::make_unique<routed_front>(io, counted, settings.routing, settings.routed_names)),
+          routed(settings.routed.port == 0 ? nullptr
+                                           : std::make_unique<routed_front>(
+                                                 io, counted, settings.routing, settings.routed_names,
+                                                 [this](const std::string& to, const link_message& message)
+                                                 {
+                                                     links.send(to, message);
+                                                 })),
           callers(io, limits_of(settings),
                   [this](const http_request& request, http_server::respond respond)
                   {
@@ -179,6 +187,8 @@
     registry registered;
     /// Entry instances that share the backend servers, as the leader counts them.
     int entries = 1;
+    /// Entries of other regions that this one keeps links to.
+    std::vector<entry_peer> far_entries;
     std::map<backend_server_name, bool> listed_leaving;
     std::thread platform_poller;
     std::atomic<bool> stopping{false};
@@ -414,17 +424,42 @@
                           on_confirmation(word);
                       });
         }
-        else
+        else if (!on_routed(from, message))
         {
             net::post(strand,
                       [this, from, message]
                       {
-                          on_registrations(from, message);
+                          on_surroundings(from, message);
                       });
         }
     }
 
-    void on_registrations(const hello& from, const link_message& message)
+    /// @return whether it was a message between entries on a routed request
+    bool on_routed(const hello& from, const link_message& message)
+    {
+        if (!routed)
+        {
+            return false;
+        }
+        if (const auto* asked = std::get_if<routed_ask>(&message))
+        {
+            routed->on_ask(from.name, *asked);
+            return true;
+        }
+        if (const auto* returned = std::get_if<routed_return>(&message))
+        {
+            routed->on_return(from.name, *returned);
+            return true;
+        }
+        if (const auto* abandoned = std::get_if<routed_abandon>(&message))
+        {
+            routed->on_abandon(from.name, *abandoned);
+            return true;
+        }
+        return false;
+    }
+
+    void on_surroundings(const hello& from, const link_message& message)
     {
         if (const auto* update = std::get_if<registration_update>(&message))
         {
@@ -434,6 +469,10 @@
         {
             on_control_members(*told);
         }
+        else if (const auto* list = std::get_if<entry_list>(&message))
+        {
+            on_entry_list(*list);
+        }
     }
 
     void on_registrations(const hello& from, const registration_update& update)
@@ -494,8 +533,53 @@
     {
         if (routed)
         {
-            routed->update(subscriber.revision(), subscriber.current(), registered.present(), entries);
+            routed_front::surroundings around;
+            around.entries = entries;
+            around.region = settings.instance.region;
+            around.region_of_zone = settings.region_of_zone;
+            for (const entry_peer& peer : far_entries)
+            {
+                if (reachable.count(peer.name.str()) > 0)
+                {
+                    around.peers.push_back(peer);
+                }
+            }
+            routed->update(subscriber.revision(), subscriber.current(), registered.present(), around);
+        }
+    }
+
+    /// Of each other region this one links to a few entries, other ones than its neighbours do, so that links
+    /// don't grow with the square of the instances.
+    void on_entry_list(const entry_list& list)
+    {
+        std::map<std::string, std::map<std::uint64_t, entry_peer>> by_region;
+        for (const entry_peer& item : list.items)
+        {
+            if (item.region != settings.instance.region)
+            {
+                by_region[item.region].emplace(hash64(settings.instance.name + '/' + item.name.str()), item);
+            }
         }
+        std::vector<entry_peer> next;
+        for (const auto& [region, ranked] : by_region)
+        {
+            std::size_t taken = 0;
+            for (const auto& [rank, item] : ranked)
+            {
+                if (taken++ < far_entries_per_region)
+                {
+                    next.push_back(item);
+                }
+            }
+        }
+        if (next == far_entries)
+        {
+            return;
+        }
+        far_entries = std::move(next);
+        log(log_level::info, "far_entries", {{"linked", far_entries.size()}, {"listed", list.items.size()}});
+        want_peers();
+        update_routed();
     }
 
     void post_to_lane(const service_name& service, coordinator_event event)
@@ -514,6 +598,15 @@
                   [this, name, up]
                   {
                       up ? (void)reachable.insert(name) : (void)reachable.erase(name);
+                      const bool far = std::any_of(far_entries.begin(), far_entries.end(),
+                                                   [&](const entry_peer& item)
+                                                   {
+                                                       return item.name.str() == name;
+                                                   });
+                      if (far)
+                      {
+                          update_routed();
+                      }
                       const auto now_in_force = table.load();
                       for (const auto& [service, lane] : now_in_force->lanes)
                       {
@@ -626,6 +719,13 @@
     void want_peers()
     {
         std::vector<named_address> peers = control;
+        for (const entry_peer& item : far_entries)
+        {
+            if (const auto at = parse_address(item.address))
+            {
+                peers.push_back({item.name.str(), *at});
+            }
+        }
         const auto now_in_force = table.load();
         const std::map<instance_name, instance> none;
         for (const auto& [name, item] : now_in_force->placed ? now_in_force->placed->instances : none)
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -6,6 +6,8 @@
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
 #include <flaxtiller/registration/registration.hpp>
+#include <flaxtiller/routing/entry_peer.hpp>
+#include <flaxtiller/routing/router_action.hpp>
 
 #include <optional>
 #include <string>
@@ -26,6 +28,9 @@
     std::string name;
     /// Drawn at each start of a process.
     std::uint64_t run = 0;
+    std::string region;
+    /// IP number and port at which it takes links.
+    std::string address;
 };
 
 /// @brief A sign of life.
@@ -111,11 +116,38 @@
     std::vector<std::string> names;
 };
 
+/// @brief The entry instances that can be reached, from a control leader.
+struct entry_list
+{
+    std::vector<entry_peer> items;
+};
+
+/// @brief A fan-out that the receiver shall run, with the sender's number for it.
+struct routed_ask
+{
+    request_number number = 0;
+    routed_request request;
+};
+
+/// @brief What came of a fan-out that the receiver asked for.
+struct routed_return
+{
+    request_number number = 0;
+    routed_outcome outcome;
+};
+
+/// @brief Nobody waits for that fan-out any more.
+struct routed_abandon
+{
+    request_number number = 0;
+};
+
 using link_message =
     std::variant<hello, heartbeat, quorum_envelope, ask_message, answer_message, abandon_message,
                  register_call, register_return, distribution::revision_update, distribution::revision_report,
                  distribution::revision_confirmation, incarnation_notice, registration_update,
-                 registration_heard, registration_digest, control_members>;
+                 registration_heard, registration_digest, control_members, entry_list, routed_ask,
+                 routed_return, routed_abandon>;
 
 /// @return the message as CBOR
 std::string encode(const link_message& message);
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -111,9 +111,9 @@
 } // namespace
 
 routed_front::routed_front(net::io_context& io, metrics& counted, const router_options& options,
-                           routed_headers names)
+                           routed_headers names, sender send)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
-      m_router(options), m_pools(io, counted),
+      m_send(std::move(send)), m_router(options), m_pools(io, counted),
       m_server(io, limits_of({}),
                [this](const http_request& request, http_server::respond respond)
                {
@@ -152,16 +152,21 @@
 // ---------------------------------------------------------------------------------------------------------
 
 void routed_front::update(std::int64_t revision, std::shared_ptr<const configuration> value,
-                          const std::vector<registration>& registered, int entries)
+                          const std::vector<registration>& registered, const surroundings& around)
 {
     m_server.bound(limits_of(value->limits));
-    auto placed = std::make_shared<const placement>(place(revision, with_registered(*value, registered)));
-    auto routes = std::make_shared<const route_table>(value->routes);
+    routing_view view;
+    view.placed = std::make_shared<const placement>(place(revision, with_registered(*value, registered)));
+    view.routes = std::make_shared<const route_table>(value->routes);
+    view.entries = std::max(around.entries, 1);
+    view.region = around.region;
+    view.region_of_zone = around.region_of_zone;
+    view.peers = around.peers;
     net::dispatch(m_strand,
-                  [this, placed = std::move(placed), routes = std::move(routes), entries]
+                  [this, view = std::move(view)]
                   {
-                      configure_pools(*placed, entries);
-                      m_router.configure({placed, routes, std::max(entries, 1)}, m_clock.now());
+                      configure_pools(*view.placed, view.entries);
+                      m_router.configure(view, m_clock.now());
                       carry_out();
                   });
 }
@@ -229,29 +234,119 @@
         net::dispatch(m_strand,
                       [this, number]
                       {
-                          const auto found = m_callers.find(number);
-                          if (found == m_callers.end())
-                          {
-                              return;
-                          }
-                          log(log_level::info, "caller_gone",
-                              {{"request", found->second.id},
-                               {"after_ms", (m_clock.now() - found->second.arrived).ms()}});
-                          m_callers.erase(found);
-                          m_router.caller_gone(number, m_clock.now());
-                          carry_out();
+                          on_gone(number);
                       });
     };
+    caller from;
+    from.id = shared->id;
+    from.respond = [this, respond = std::move(respond)](const routed_outcome& outcome)
+    {
+        respond(m_codec.write_answer(outcome));
+    };
+    net::dispatch(m_strand,
+                  [this, number, shared = std::move(shared), from = std::move(from)]
+                  {
+                      arrive(number, shared, from);
+                  });
+}
+
+void routed_front::arrive(request_number number, std::shared_ptr<const routed_request> request, caller from)
+{
+    const time_point now = m_clock.now();
+    from.arrived = now;
+    if (!from.asked_by.empty())
+    {
+        m_asked[{from.asked_by, from.asked_number}] = number;
+    }
+    m_callers.emplace(number, std::move(from));
+    m_router.arrive(number, std::move(request), now);
+    carry_out();
+}
+
+void routed_front::on_gone(request_number number)
+{
+    const auto found = m_callers.find(number);
+    if (found == m_callers.end())
+    {
+        return;
+    }
+    log(log_level::info, "caller_gone",
+        {{"request", found->second.id}, {"after_ms", (m_clock.now() - found->second.arrived).ms()}});
+    m_asked.erase({found->second.asked_by, found->second.asked_number});
+    m_callers.erase(found);
+    m_router.caller_gone(number, m_clock.now());
+    carry_out();
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// other entries
+// ---------------------------------------------------------------------------------------------------------
+
+void routed_front::on_ask(const std::string& from, const routed_ask& asked)
+{
+    caller asker;
+    asker.id = asked.request.id;
+    asker.asked_by = from;
+    asker.asked_number = asked.number;
+    asker.respond = [this, from, number = asked.number](const routed_outcome& outcome)
+    {
+        m_send(from, routed_return{number, outcome});
+    };
+    if (!m_open.load(std::memory_order_acquire))
+    {
+        asker.respond(routed_outcome{});
+        return;
+    }
+    net::dispatch(m_strand,
+                  [this, number = m_next_request++, asker = std::move(asker),
+                   request = std::make_shared<const routed_request>(asked.request)]
+                  {
+                      arrive(number, request, asker);
+                  });
+}
+
+void routed_front::on_return(const std::string& from, const routed_return& returned)
+{
     net::dispatch(m_strand,
-                  [this, number, shared = std::move(shared), respond = std::move(respond)]
+                  [this, from, returned]
                   {
-                      const time_point now = m_clock.now();
-                      m_callers.emplace(number, caller{respond, shared->id, now});
-                      m_router.arrive(number, shared, now);
+                      m_router.entry_answered(instance_name(from), returned.number, returned.outcome,
+                                              m_clock.now());
                       carry_out();
                   });
 }
 
+void routed_front::on_abandon(const std::string& from, const routed_abandon& abandoned)
+{
+    net::dispatch(m_strand,
+                  [this, from, number = abandoned.number]
+                  {
+                      const auto found = m_asked.find({from, number});
+                      if (found != m_asked.end())
+                      {
+                          on_gone(found->second);
+                      }
+                  });
+}
+
+void routed_front::carry(const ask_entry& action)
+{
+    routed_ask asked{action.request, *action.sent};
+    asked.request.patience = action.patience;
+    asked.request.asked_revision = action.revision;
+    asked.request.answer_within = action.answer_within;
+    m_send(action.peer.str(), asked);
+}
+
+void routed_front::carry(const abandon_at_entry& action)
+{
+    m_send(action.peer.str(), routed_abandon{action.request});
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// actions
+// ---------------------------------------------------------------------------------------------------------
+
 void routed_front::carry_out()
 {
     for (auto todo = m_router.take_actions(); !todo.empty(); todo = m_router.take_actions())
@@ -335,25 +430,40 @@
     {
         return;
     }
-    const routed_outcome& outcome = action.outcome;
-    const duration took = m_clock.now() - found->second.arrived;
-    m_metrics.add(counter_of(outcome));
-    m_metrics.observe(metrics::timer::query, took);
+    const caller from = std::move(found->second);
+    m_callers.erase(found);
+    const duration took = m_clock.now() - from.arrived;
+    routed_outcome outcome = action.outcome;
+    outcome.took_elsewhere = took;
+    if (from.asked_by.empty())
+    {
+        m_metrics.add(counter_of(outcome));
+        m_metrics.observe(metrics::timer::query, took);
+    }
+    else
+    {
+        m_asked.erase({from.asked_by, from.asked_number});
+    }
+    log_answer(from, outcome, took);
+    from.respond(outcome);
+}
+
+void routed_front::log_answer(const caller& from, const routed_outcome& outcome, duration took) const
+{
     log(log_level::info, "answer",
-        {{"request", found->second.id},
+        {{"request", from.id},
+         {"asked_by", from.asked_by},
          {"route", outcome.route},
          {"end", name_of(outcome.end)},
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"parts", outcome.signatures.size()},
          {"missing", outcome.missing},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
+         {"elsewhere", outcome.elsewhere.str()},
          {"attempts", outcome.attempts},
          {"retry_after_ms", outcome.retry_after.ms()},
          {"revision", outcome.revision},
          {"after_ms", took.ms()}});
-    const http_server::respond respond = std::move(found->second.respond);
-    m_callers.erase(found);
-    respond(m_codec.write_answer(outcome));
 }
 
 void routed_front::schedule()
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -2,6 +2,7 @@
 
 #include "connection_pool.hpp"
 #include "http_server.hpp"
+#include "link_message.hpp"
 #include "pools_by_server.hpp"
 #include "routed_codec.hpp"
 
@@ -15,6 +16,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -26,16 +28,34 @@
 class routed_front
 {
   public:
+    /// Sends to another process, by name.
+    using sender = std::function<void(const std::string&, const link_message&)>;
+
+    /// @brief What of this instance's surroundings decides where a request runs.
+    struct surroundings
+    {
+        /// Entry instances that share the backend servers.
+        int entries = 1;
+        std::string region;
+        std::map<std::string, std::string> region_of_zone;
+        /// Other entries that can be reached now.
+        std::vector<entry_peer> peers;
+    };
+
     routed_front(boost::asio::io_context& io, metrics& counted, const router_options& options,
-                 routed_headers names);
+                 routed_headers names, sender send);
 
     std::error_code listen(const address& at);
 
     /// @brief Puts a configuration and the registered backend servers in force. Thread-safe; calls must not
     /// overtake one another.
-    /// @param entries how many entry instances share the backend servers
     void update(std::int64_t revision, std::shared_ptr<const configuration> value,
-                const std::vector<registration>& registered, int entries);
+                const std::vector<registration>& registered, const surroundings& around);
+
+    /// @brief Another entry asks, answers, or no longer waits. Thread-safe.
+    void on_ask(const std::string& from, const routed_ask& asked);
+    void on_return(const std::string& from, const routed_return& returned);
+    void on_abandon(const std::string& from, const routed_abandon& abandoned);
 
     /// @brief From now on requests are taken; before, all are refused as not run.
     void open();
@@ -55,19 +75,27 @@
   private:
     struct caller
     {
-        http_server::respond respond;
+        std::function<void(const routed_outcome&)> respond;
         std::string id;
         time_point arrived;
+        /// The entry that asks on its caller's behalf; empty for a caller of this one's own.
+        std::string asked_by;
+        request_number asked_number = 0;
     };
 
     void on_request(const http_request& request, http_server::respond respond);
+    void arrive(request_number number, std::shared_ptr<const routed_request> request, caller from);
+    void on_gone(request_number number);
     void carry_out();
+    void carry(const ask_entry& action);
+    void carry(const abandon_at_entry& action);
     void carry(const start_routed_attempt& action);
     void carry(const cancel_routed_attempt& action);
     void carry(const answer_request& action);
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void schedule();
     void configure_pools(const placement& placed, int entries);
+    void log_answer(const caller& from, const routed_outcome& outcome, duration took) const;
     nlohmann::json dump_state() const;
 
     metrics& m_metrics;
@@ -76,6 +104,7 @@
     time_point m_timer_at = time_point::never();
     monotonic_clock m_clock;
     const routed_codec m_codec;
+    const sender m_send;
     std::atomic<bool> m_open{false};
     std::atomic<request_number> m_next_request{1};
     // On the strand only.
@@ -83,6 +112,8 @@
     pools_by_server<connection_pool> m_pools;
     std::set<backend_server_name> m_servers;
     std::unordered_map<request_number, caller> m_callers;
+    /// Requests that other entries asked for, by their name and number.
+    std::map<std::pair<std::string, request_number>, request_number> m_asked;
     std::unordered_map<routed_attempt_number, std::shared_ptr<connection_pool>> m_attempts;
     http_server m_server;
 };
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -254,6 +254,27 @@
 namespace
 {
 
+void read_zones(json_reader& reader, std::map<std::string, std::string>& into)
+{
+    const nlohmann::json* zones = reader.take("availability_zones");
+    if (zones == nullptr)
+    {
+        return;
+    }
+    const bool texts = zones->is_object() && std::all_of(zones->begin(), zones->end(),
+                                                         [](const nlohmann::json& region)
+                                                         {
+                                                             return region.is_string();
+                                                         });
+    if (!texts)
+    {
+        reader.found().error(errc::wrong_type, reader.at("availability_zones"),
+                             "must be an object of strings");
+        return;
+    }
+    into = zones->get<std::map<std::string, std::string>>();
+}
+
 /// Where the platform kills a process this long after it told it to stop, the stop must take less: requests
 /// are taken for two thirds of it, and what is in flight may end in nine tenths.
 void read_kill_after(json_reader& reader, int& drain_bound_ms)
@@ -313,6 +334,7 @@
                  {
                      read_links(r, settings.links);
                  });
+    read_zones(reader, settings.region_of_zone);
     read_ms(reader, "report_every_ms", settings.report_every, 1.0, hour_ms);
     read_section(reader, "routing", false,
                  [&](json_reader& r)
--- a/src/shell/settings.hpp
+++ b/src/shell/settings.hpp
@@ -12,6 +12,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,8 @@
     /// How often it tells control what it has in force.
     duration report_every = duration::from_ms(250);
     router_options routing;
+    /// The regions of the availability zones, to know which backend servers are near.
+    std::map<std::string, std::string> region_of_zone;
     routed_headers routed_names;
     /// Where the platform lists live and leaving backend servers; port 0 for none.
     address platform_list;
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -35,11 +35,18 @@
                 server.name = backend_server_name(item.definition.name.str() + "-" + std::to_string(k));
                 server.slots = 2;
                 server.connection_limit = 30;
+                server.availability_zone = "far-zone";
                 item.shards[0].push_back(server);
             }
             placed->services.emplace(item.definition.name, item);
         }
-        m_router.configure({placed, std::make_shared<const route_table>(routes), 1}, now);
+        routing_view view;
+        view.placed = placed;
+        view.routes = std::make_shared<const route_table>(routes);
+        view.region = region;
+        view.region_of_zone = {{"near-zone", "near"}, {"far-zone", "far"}};
+        view.peers = peers;
+        m_router.configure(view, now);
         take();
     }
 
@@ -55,6 +62,22 @@
         return m_number;
     }
 
+    /// @return how a request that another entry asks for by this revision ends if nothing is answered
+    routed_end ask_as_peer(const std::string& target, std::int64_t revision)
+    {
+        auto request = std::make_shared<routed_request>();
+        request->host = "h";
+        request->target = target;
+        request->patience = duration::from_ms(100);
+        request->asked_revision = revision;
+        request->answer_within = duration::from_ms(50);
+        const request_number number = ++m_number;
+        m_router.arrive(number, request, now);
+        take();
+        pass(200);
+        return answers.at(number).end;
+    }
+
     void pass(double ms)
     {
         const time_point until = now + duration::from_ms(ms);
@@ -108,9 +131,22 @@
                                               }));
     }
 
+    void returned(const ask_entry& asked, routed_end end, int missing = 0)
+    {
+        routed_outcome outcome;
+        outcome.end = end;
+        outcome.missing = missing;
+        m_router.entry_answered(asked.peer, asked.request, outcome, now);
+        take();
+    }
+
+    std::string region = "near";
+    std::vector<entry_peer> peers;
     time_point now{duration::from_ms(1000)};
     std::vector<start_routed_attempt> started;
     std::vector<routed_attempt_number> cancelled;
+    std::vector<ask_entry> sent_away;
+    std::vector<abandon_at_entry> abandoned;
     std::map<request_number, routed_outcome> answers;
 
   private:
@@ -126,6 +162,14 @@
             {
                 cancelled.push_back(cancel->attempt);
             }
+            else if (const auto* ask = std::get_if<ask_entry>(&action))
+            {
+                sent_away.push_back(*ask);
+            }
+            else if (const auto* abandon = std::get_if<abandon_at_entry>(&action))
+            {
+                abandoned.push_back(*abandon);
+            }
             else
             {
                 const auto& told = std::get<answer_request>(action);
@@ -303,3 +347,68 @@
         CHECK(driver.answers.at(asked).end == routed_end::failed);
     }
 }
+
+TEST_CASE("a fan-out whose replicas are all in another region", "[router]")
+{
+    router_driver driver;
+    driver.peers = {{instance_name("f1"), "far", ""}, {instance_name("f2"), "far", ""}};
+    driver.serve({{"all", fan_out_over(4, 0.75)}, {"one", single(true)}}, 4);
+
+    SECTION("is run by an entry there, in turns, and its answer is passed on")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.ask("/all/y");
+        REQUIRE(driver.sent_away.size() == 2);
+        CHECK(driver.started.empty());
+        CHECK(driver.sent_away[0].peer != driver.sent_away[1].peer);
+        // The way there and back is taken off what is left until the objective.
+        CHECK(driver.sent_away[0].answer_within < duration::from_ms(80 - 29));
+        driver.returned(driver.sent_away[0], routed_end::merged, 1);
+        CHECK(driver.answers.at(first).end == routed_end::merged);
+        CHECK(driver.answers.at(first).missing == 1);
+    }
+    SECTION("is run here if that entry refuses, and that entry is passed over for a while")
+    {
+        const request_number first = driver.ask("/all/x");
+        const instance_name refused_by = driver.sent_away.at(0).peer;
+        driver.returned(driver.sent_away[0], routed_end::refused);
+        CHECK(driver.started.size() == 4);
+        driver.ask("/all/y");
+        driver.ask("/all/z");
+        REQUIRE(driver.sent_away.size() == 3);
+        CHECK(driver.sent_away[1].peer != refused_by);
+        CHECK(driver.sent_away[2].peer != refused_by);
+        for (const char* service : {"s0", "s1", "s2", "s3"})
+        {
+            driver.end(service, attempt_status::answered);
+        }
+        CHECK(driver.answers.at(first).missing == 0);
+    }
+    SECTION("is run here, too, if that entry is silent past the objective; the first answer counts")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.pass(95);
+        CHECK(driver.started.size() == 4);
+        driver.returned(driver.sent_away.at(0), routed_end::merged);
+        CHECK(driver.answers.at(first).end == routed_end::merged);
+        driver.pass(500);
+        CHECK(driver.answers.size() == 1);
+    }
+    SECTION("is abandoned there if its caller goes")
+    {
+        driver.gone(driver.ask("/all/x"));
+        CHECK(driver.abandoned.size() == 1);
+    }
+    SECTION("a request to one service isn't sent away")
+    {
+        driver.ask("/one/x");
+        CHECK(driver.sent_away.empty());
+        CHECK(driver.started.size() == 1);
+    }
+    SECTION("what another entry asked for isn't sent on, and runs only by the same revision")
+    {
+        CHECK(driver.ask_as_peer("/all/x", 1) == routed_end::late);
+        CHECK(driver.sent_away.empty());
+        CHECK(driver.ask_as_peer("/all/x", 2) == routed_end::refused);
+    }
+}
