Shards without a near replica go in one message to an entry of their region

Cause: the first try sent whole fan-outs away, and never did: on these sites the copies are spread so that no region holds all shards (7 or so of 20 have no replica in a given region). Now the shards with a near replica run here and the rest goes as one group.

--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -47,10 +47,10 @@
     std::int64_t revision = 0;
     /// Attempts on backend servers.
     int attempts = 0;
-    /// The entry that ran it on this one's behalf, if one did.
-    instance_name elsewhere;
-    /// How long it took that entry, without the way to it.
-    duration took_elsewhere{};
+    /// The entries that ran some of it on this one's behalf.
+    std::vector<instance_name> elsewhere;
+    /// How long it took, for an entry that asked.
+    duration took{};
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <flaxtiller/core/duration.hpp>
+#include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace flaxtiller
 {
@@ -26,10 +28,18 @@
     /// Set where another entry asks on its caller's behalf: the revision that it goes by. Only an entry with
     /// the same one may run the request, lest the caller sees first a newer and then an older configuration.
     std::int64_t asked_revision = 0;
+    /// Set with it: the shards of the fan-out that shall be run.
+    std::vector<service_name> asked_services;
     /// Set with it: when a fan-out shall answer with what is in.
     duration answer_within{};
 
     bool operator==(const routed_request&) const = default;
+
+    /// @return whether another entry asks on its caller's behalf
+    bool is_asked() const noexcept
+    {
+        return asked_revision != 0;
+    }
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -47,7 +47,7 @@
                        std::shared_ptr<const backend_answer> answer, time_point now);
 
     /// @brief Another entry answered what it was asked by @ref ask_entry.
-    void entry_answered(const instance_name& peer, request_number number, routed_outcome outcome,
+    void entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
                         time_point now);
 
     /// @brief Time has passed.
@@ -80,42 +80,56 @@
 
     struct part
     {
+        service_name service;
+        /// Set once it is run here.
         lane_index at = 0;
         dispatch::subquery_id subquery = 0;
         bool over = false;
         std::shared_ptr<const backend_answer> answer;
     };
 
+    /// Shards that another entry runs.
+    struct group
+    {
+        ask_number number = 0;
+        instance_name peer;
+        std::vector<std::size_t> parts;
+        time_point sent_at;
+        bool over = false;
+        routed_outcome outcome;
+    };
+
     struct open_request
     {
         std::shared_ptr<const routed_request> request;
         std::shared_ptr<const route> by;
         time_point deadline;
-        /// When a fan-out answers with what is in; the deadline once that moment has passed.
+        /// When a fan-out answers with what is in.
         time_point answer_at;
         /// When it is looked at next.
         time_point timer_at;
         std::vector<part> parts;
+        std::vector<group> groups;
         int in = 0;
         int missing = 0;
         int attempts = 0;
         bool may_have_run = false;
         bool past_objective = false;
-        /// The entry that runs it, if one does.
-        instance_name elsewhere;
-        time_point sent_elsewhere_at{};
         missing_reason reason = missing_reason::none;
         duration retry_after{};
     };
 
     lane_index lane_of(const service_name& service);
-    std::vector<service_name> services_of(const route& by);
+    std::vector<service_name> services_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason);
-    bool ask_elsewhere(request_number number, open_request& opened, time_point now);
-    void run_here(request_number number, open_request& opened, time_point now);
+    void ask_elsewhere(request_number number, open_request& opened, time_point now);
+    void run_here(request_number number, const std::vector<std::size_t>& wanted, time_point now);
+    void run_group_here(request_number number, group& lost, bool not_run, time_point now);
+    void run_silent_groups_here(request_number number, time_point now);
     duration way_to(const instance_name& peer) const;
     void note_way(const instance_name& peer, duration way);
     bool may_run_twice(const open_request& opened) const;
+    double least_share_of(const open_request& opened) const;
     void set_timer(request_number number, open_request& opened, time_point at);
     void submit(open_request& opened, part& wanted, time_point now);
     void collect(lane_index at, time_point now);
@@ -147,6 +161,8 @@
     std::set<std::pair<time_point, request_number>> m_timers;
     dispatch::subquery_id m_next_subquery = 1;
     std::unordered_map<dispatch::subquery_id, request_number> m_origins;
+    ask_number m_next_ask = 1;
+    std::unordered_map<ask_number, request_number> m_asks;
     struct started
     {
         lane_index at = 0;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace flaxtiller
 {
@@ -44,22 +45,26 @@
     routed_outcome outcome;
 };
 
-/// @brief Let another entry run the request; it answers by @ref router::entry_answered.
+/// @brief Identity of what this instance asks of another entry.
+using ask_number = std::uint64_t;
+
+/// @brief Let another entry run some shards of a fan-out; it answers by @ref router::entry_answered.
 struct ask_entry
 {
-    request_number request = 0;
+    ask_number number = 0;
     instance_name peer;
     std::int64_t revision = 0;
+    std::vector<service_name> services;
     duration patience{};
     /// When it shall answer with what is in.
     duration answer_within{};
     std::shared_ptr<const routed_request> sent;
 };
 
-/// @brief Tell that entry that nobody waits for the request any more.
+/// @brief Tell that entry that nobody waits for it any more.
 struct abandon_at_entry
 {
-    request_number request = 0;
+    ask_number number = 0;
     instance_name peer;
 };
 
--- a/src/routing/region_choice.cpp
+++ b/src/routing/region_choice.cpp
@@ -1,90 +1,111 @@
 #include <flaxtiller/routing/region_choice.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace flaxtiller
 {
 
-namespace
-{
-
-/// Below this share of shards with a replica near by, a fan-out is better run elsewhere.
-constexpr double near_share = 0.5;
-
-} // namespace
-
 void region_choice::configure(const routing_view& view)
 {
     m_view = view;
-    m_regions_by_route.clear();
+    m_split.clear();
+}
+
+std::set<std::string> region_choice::regions_with(const service_name& service) const
+{
+    std::set<std::string> regions;
+    const auto placed = m_view.placed->services.find(service);
+    if (placed == m_view.placed->services.end())
+    {
+        return regions;
+    }
+    for (const backend_server& server : placed->second.shards.at(0))
+    {
+        const auto region = m_view.region_of_zone.find(server.availability_zone);
+        if (!server.leaving && region != m_view.region_of_zone.end())
+        {
+            regions.insert(region->second);
+        }
+    }
+    return regions;
 }
 
-/// @return the other regions that have a replica of every shard, if the own one has too few
-std::vector<std::string> region_choice::regions_of(const route& by) const
+region_choice::by_region region_choice::split(const route& by) const
 {
-    std::map<std::string, int> covered;
-    for (const service_name& service : by.fan_out)
+    by_region candidates;
+    for (std::size_t shard = 0; shard < by.fan_out.size(); ++shard)
     {
-        const auto placed = m_view.placed->services.find(service);
-        std::set<std::string> regions;
-        if (placed != m_view.placed->services.end())
+        const auto regions = regions_with(by.fan_out[shard]);
+        if (regions.count(m_view.region) > 0)
         {
-            for (const backend_server& server : placed->second.shards.at(0))
-            {
-                const auto region = m_view.region_of_zone.find(server.availability_zone);
-                if (!server.leaving && region != m_view.region_of_zone.end())
-                {
-                    regions.insert(region->second);
-                }
-            }
+            continue;
         }
         for (const std::string& region : regions)
         {
-            ++covered[region];
+            candidates[region].push_back(shard);
         }
     }
-    std::vector<std::string> others;
-    const auto shards = static_cast<int>(by.fan_out.size());
-    const auto own = covered.find(m_view.region);
-    const bool near = own != covered.end() && own->second >= near_share * shards;
-    for (const auto& [region, count] : covered)
+    by_region chosen;
+    while (!candidates.empty())
     {
-        if (!near && region != m_view.region && count == shards)
+        const auto most = std::max_element(candidates.begin(), candidates.end(),
+                                           [](const auto& a, const auto& b)
+                                           {
+                                               return a.second.size() < b.second.size();
+                                           });
+        const std::vector<std::size_t> taken = most->second;
+        if (taken.size() < least_group)
+        {
+            break;
+        }
+        chosen.emplace(most->first, taken);
+        candidates.erase(most);
+        for (auto& [region, shards] : candidates)
         {
-            others.push_back(region);
+            std::erase_if(shards,
+                          [&](std::size_t shard)
+                          {
+                              return std::binary_search(taken.begin(), taken.end(), shard);
+                          });
         }
     }
-    return others;
+    return chosen;
 }
 
-std::optional<instance_name> region_choice::next(const route& by, time_point now)
+std::optional<instance_name> region_choice::next_entry(const std::string& region, time_point now)
 {
-    if (m_view.peers.empty())
+    for (std::size_t i = 0; i < m_view.peers.size(); ++i)
     {
-        return std::nullopt;
+        const entry_peer& peer = m_view.peers[m_turn++ % m_view.peers.size()];
+        const auto passed_over = m_passed_over_until.find(peer.name);
+        if (peer.region == region && (passed_over == m_passed_over_until.end() || passed_over->second <= now))
+        {
+            return peer.name;
+        }
     }
-    auto known = m_regions_by_route.find(by.name);
-    if (known == m_regions_by_route.end())
+    return std::nullopt;
+}
+
+std::vector<region_choice::group> region_choice::groups_of(const route& by, time_point now)
+{
+    std::vector<group> groups;
+    if (m_view.peers.empty())
     {
-        known = m_regions_by_route.emplace(by.name, regions_of(by)).first;
+        return groups;
     }
-    const std::vector<std::string>& regions = known->second;
-    if (regions.empty())
+    auto known = m_split.find(by.name);
+    if (known == m_split.end())
     {
-        return std::nullopt;
+        known = m_split.emplace(by.name, split(by)).first;
     }
-    for (std::size_t i = 0; i < m_view.peers.size(); ++i)
+    for (const auto& [region, shards] : known->second)
     {
-        const entry_peer& peer = m_view.peers[m_turn++ % m_view.peers.size()];
-        const bool holds = std::find(regions.begin(), regions.end(), peer.region) != regions.end();
-        const auto passed_over = m_passed_over_until.find(peer.name);
-        if (holds && (passed_over == m_passed_over_until.end() || passed_over->second <= now))
+        if (const auto peer = next_entry(region, now))
         {
-            return peer.name;
+            groups.push_back({*peer, shards});
         }
     }
-    return std::nullopt;
+    return groups;
 }
 
 void region_choice::failed(const instance_name& peer, time_point now)
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -34,6 +34,7 @@
          {"body", value.body},
          {"patience_us", value.patience.us()},
          {"revision", value.asked_revision},
+         {"services", value.asked_services},
          {"answer_within_us", value.answer_within.us()}};
 }
 
@@ -47,19 +48,16 @@
     value.body = j.at("body").get<std::string>();
     value.patience = duration::from_us(j.at("patience_us").get<std::int64_t>());
     value.asked_revision = j.at("revision").get<std::int64_t>();
+    value.asked_services = j.at("services").get<std::vector<service_name>>();
     value.answer_within = duration::from_us(j.at("answer_within_us").get<std::int64_t>());
 }
 
 void to_json(nlohmann::json& j, const routed_outcome& value)
 {
-    j = {{"end", value.end},
-         {"merged", value.merged},
-         {"signatures", value.signatures},
-         {"missing", value.missing},
-         {"reason", value.reason},
-         {"retry_after_us", value.retry_after.us()},
-         {"attempts", value.attempts},
-         {"took_us", value.took_elsewhere.us()}};
+    j = {
+        {"end", value.end},           {"merged", value.merged},    {"signatures", value.signatures},
+        {"missing", value.missing},   {"reason", value.reason},    {"retry_after_us", value.retry_after.us()},
+        {"attempts", value.attempts}, {"took_us", value.took.us()}};
 }
 
 void from_json(const nlohmann::json& j, routed_outcome& value)
@@ -71,7 +69,7 @@
     value.reason = j.at("reason").get<missing_reason>();
     value.retry_after = duration::from_us(j.at("retry_after_us").get<std::int64_t>());
     value.attempts = j.at("attempts").get<int>();
-    value.took_elsewhere = duration::from_us(j.at("took_us").get<std::int64_t>());
+    value.took = duration::from_us(j.at("took_us").get<std::int64_t>());
 }
 
 } // namespace flaxtiller
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -87,8 +87,12 @@
     m_actions.emplace_back(answer_request{number, std::move(told)});
 }
 
-std::vector<service_name> router::services_of(const route& by)
+std::vector<service_name> router::services_of(const route& by, const routed_request& request)
 {
+    if (request.is_asked())
+    {
+        return request.asked_services;
+    }
     if (by.fans_out())
     {
         return by.fan_out;
@@ -103,7 +107,7 @@
         refuse(number, nullptr, missing_reason::no_backend_server);
         return;
     }
-    if (request->asked_revision != 0 && request->asked_revision != m_view.placed->revision)
+    if (request->is_asked() && request->asked_revision != m_view.placed->revision)
     {
         refuse(number, nullptr, missing_reason::wrong_version);
         return;
@@ -132,9 +136,50 @@
         has_objective ? std::min(now + std::max(objective, duration{}), opened.deadline) : opened.deadline;
     opened.request = std::move(request);
     set_timer(number, opened, opened.answer_at);
-    if (!ask_elsewhere(number, opened, now))
+    for (const service_name& service : services_of(*by, *opened.request))
+    {
+        opened.parts.push_back({service, 0, 0, false, nullptr});
+    }
+    ask_elsewhere(number, opened, now);
+    std::vector<bool> here(opened.parts.size(), true);
+    for (const group& asked : opened.groups)
+    {
+        for (const std::size_t at : asked.parts)
+        {
+            here[at] = false;
+        }
+    }
+    std::vector<std::size_t> wanted;
+    for (std::size_t at = 0; at < here.size(); ++at)
     {
-        run_here(number, opened, now);
+        if (here[at])
+        {
+            wanted.push_back(at);
+        }
+    }
+    run_here(number, wanted, now);
+}
+
+void router::run_here(request_number number, const std::vector<std::size_t>& wanted, time_point now)
+{
+    open_request& opened = m_open.at(number);
+    std::vector<lane_index> lanes;
+    for (const std::size_t at : wanted)
+    {
+        part& item = opened.parts[at];
+        item.at = lane_of(item.service);
+        item.subquery = m_next_subquery++;
+        m_origins.emplace(item.subquery, number);
+        lanes.push_back(item.at);
+    }
+    for (const std::size_t at : wanted)
+    {
+        submit(opened, opened.parts[at], now);
+    }
+    // Collected only after all are submitted: an early end of one part must not answer before.
+    for (const lane_index at : lanes)
+    {
+        collect(at, now);
     }
 }
 
@@ -149,24 +194,29 @@
 // other entries
 // ---------------------------------------------------------------------------------------------------------
 
-bool router::ask_elsewhere(request_number number, open_request& opened, time_point now)
+void router::ask_elsewhere(request_number number, open_request& opened, time_point now)
 {
-    if (!opened.by->fans_out() || opened.request->asked_revision != 0)
+    if (!opened.by->fans_out() || opened.request->is_asked())
     {
-        return false;
+        return;
     }
-    const auto peer = m_regions.next(*opened.by, now);
-    if (!peer)
+    for (const region_choice::group& chosen : m_regions.groups_of(*opened.by, now))
     {
-        return false;
+        ask_entry ask{m_next_ask++,
+                      chosen.peer,
+                      m_view.placed->revision,
+                      {},
+                      opened.deadline - now,
+                      std::max(opened.answer_at - now - way_to(chosen.peer), duration::from_ms(1)),
+                      opened.request};
+        for (const std::size_t at : chosen.shards)
+        {
+            ask.services.push_back(opened.parts[at].service);
+        }
+        m_asks.emplace(ask.number, number);
+        opened.groups.push_back({ask.number, chosen.peer, chosen.shards, now, false, {}});
+        m_actions.emplace_back(std::move(ask));
     }
-    opened.elsewhere = *peer;
-    opened.sent_elsewhere_at = now;
-    set_timer(number, opened, std::min(opened.answer_at + m_options.elsewhere_grace, opened.deadline));
-    const duration within = std::max(opened.answer_at - now - way_to(*peer), duration::from_ms(1));
-    m_actions.emplace_back(
-        ask_entry{number, *peer, m_view.placed->revision, opened.deadline - now, within, opened.request});
-    return true;
 }
 
 duration router::way_to(const instance_name& peer) const
@@ -186,68 +236,92 @@
 /// Whether running it here as well can't bring any shard to more backend servers than the route allows.
 bool router::may_run_twice(const open_request& opened) const
 {
-    return std::all_of(opened.by->fan_out.begin(), opened.by->fan_out.end(),
-                       [&](const service_name& service)
+    return std::all_of(opened.parts.begin(), opened.parts.end(),
+                       [&](const part& item)
                        {
-                           const auto placed = m_view.placed->services.find(service);
+                           const auto placed = m_view.placed->services.find(item.service);
                            return placed == m_view.placed->services.end() ||
                                   static_cast<int>(placed->second.shards.at(0).size()) <=
                                       opened.by->most_attempts;
                        });
 }
 
-void router::entry_answered(const instance_name& peer, request_number number, routed_outcome outcome,
+void router::entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
                             time_point now)
 {
-    const auto found = m_open.find(number);
-    if (found == m_open.end() || found->second.elsewhere != peer)
+    const auto asked = m_asks.find(number);
+    if (asked == m_asks.end())
     {
         return;
     }
-    open_request& opened = found->second;
-    if (outcome.end == routed_end::merged)
-    {
-        m_second_runs.earn();
-        note_way(peer, now - opened.sent_elsewhere_at - outcome.took_elsewhere);
-        outcome.elsewhere = peer;
-        finish(number, opened, std::move(outcome));
+    const request_number request = asked->second;
+    m_asks.erase(asked);
+    open_request& opened = m_open.at(request);
+    const auto found = std::find_if(opened.groups.begin(), opened.groups.end(),
+                                    [&](const group& item)
+                                    {
+                                        return item.number == number;
+                                    });
+    if (outcome.end != routed_end::merged)
+    {
+        m_regions.failed(peer, now);
+        const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
+        run_group_here(request, *found, not_run, now);
         return;
     }
-    m_regions.failed(peer, now);
-    opened.elsewhere = {};
-    if (!opened.parts.empty())
+    m_second_runs.earn();
+    note_way(peer, now - found->sent_at - outcome.took);
+    found->over = true;
+    found->outcome = outcome;
+    opened.may_have_run = true;
+    opened.in += static_cast<int>(outcome.signatures.size());
+    opened.missing += static_cast<int>(found->parts.size() - outcome.signatures.size());
+    opened.attempts += outcome.attempts;
+    for (const std::size_t at : found->parts)
     {
-        return;
+        opened.parts[at].over = true;
     }
-    const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
-    opened.may_have_run = !not_run;
-    if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
-    {
-        run_here(number, opened, now);
-        return;
-    }
-    opened.reason = outcome.reason;
-    fail(number, opened, outcome.end == routed_end::late);
+    settle(request, opened, now);
 }
 
-void router::run_here(request_number number, open_request& opened, time_point now)
+void router::run_group_here(request_number number, group& lost, bool not_run, time_point now)
 {
-    set_timer(number, opened, std::max(opened.answer_at, now));
-    for (const service_name& service : services_of(*opened.by))
+    open_request& opened = m_open.at(number);
+    lost.over = true;
+    m_asks.erase(lost.number);
+    opened.may_have_run = opened.may_have_run || !not_run;
+    if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
     {
-        opened.parts.push_back({lane_of(service), m_next_subquery++, false, nullptr});
-        m_origins.emplace(opened.parts.back().subquery, number);
+        const std::vector<std::size_t> wanted = lost.parts;
+        run_here(number, wanted, now);
+        return;
     }
-    // Collected only after all are submitted: an early end of one part must not answer before.
-    std::vector<lane_index> lanes;
-    for (part& wanted : opened.parts)
+    opened.missing += static_cast<int>(lost.parts.size());
+    opened.reason = missing_reason::owner_unreachable;
+    for (const std::size_t at : lost.parts)
     {
-        submit(opened, wanted, now);
-        lanes.push_back(wanted.at);
+        opened.parts[at].over = true;
     }
-    for (const lane_index at : lanes)
+    settle(number, opened, now);
+}
+
+/// Past the objective, what an entry that is silent should have run is run here.
+void router::run_silent_groups_here(request_number number, time_point now)
+{
+    const std::size_t count = m_open.at(number).groups.size();
+    for (std::size_t i = 0; i < count; ++i)
     {
-        collect(at, now);
+        const auto found = m_open.find(number);
+        if (found == m_open.end())
+        {
+            return;
+        }
+        group& asked = found->second.groups[i];
+        if (!asked.over)
+        {
+            m_regions.failed(asked.peer, now);
+            run_group_here(number, asked, false, now);
+        }
     }
 }
 
@@ -271,14 +345,18 @@
     const open_request opened = std::move(found->second);
     m_timers.erase({opened.timer_at, number});
     m_open.erase(found);
-    if (!opened.elsewhere.empty())
+    for (const group& asked : opened.groups)
     {
-        m_actions.emplace_back(abandon_at_entry{number, opened.elsewhere});
+        if (!asked.over)
+        {
+            m_asks.erase(asked.number);
+            m_actions.emplace_back(abandon_at_entry{asked.number, asked.peer});
+        }
     }
     for (const part& asked : opened.parts)
     {
         m_origins.erase(asked.subquery);
-        if (!asked.over)
+        if (!asked.over && asked.subquery != 0)
         {
             m_lanes.at(asked.at).scheduler.abandon(asked.subquery, now);
             collect(asked.at, now);
@@ -400,9 +478,15 @@
 // answers
 // ---------------------------------------------------------------------------------------------------------
 
+/// What another entry asked for is of use to it whatever its share.
+double router::least_share_of(const open_request& opened) const
+{
+    return opened.request->is_asked() ? 0.0 : opened.by->least_share;
+}
+
 bool router::enough_in(const open_request& opened) const
 {
-    const auto wanted = opened.by->least_share * static_cast<double>(opened.parts.size());
+    const auto wanted = least_share_of(opened) * static_cast<double>(opened.parts.size());
     return opened.in > 0 && static_cast<double>(opened.in) >= wanted;
 }
 
@@ -443,7 +527,7 @@
         return;
     }
     const auto most_in = static_cast<double>(all - opened.missing);
-    const bool hopeless = most_in < opened.by->least_share * static_cast<double>(all) || most_in == 0.0;
+    const bool hopeless = most_in < least_share_of(opened) * static_cast<double>(all) || most_in == 0.0;
     if (hopeless || complete)
     {
         fail(number, opened, now >= opened.deadline);
@@ -463,7 +547,17 @@
             told.signatures.push_back(asked.answer->signature);
         }
     }
-    told.missing = static_cast<int>(opened.parts.size() - bodies.size());
+    for (const group& asked : opened.groups)
+    {
+        if (!asked.outcome.signatures.empty())
+        {
+            bodies.emplace_back(asked.outcome.merged);
+            told.signatures.insert(told.signatures.end(), asked.outcome.signatures.begin(),
+                                   asked.outcome.signatures.end());
+            told.elsewhere.push_back(asked.peer);
+        }
+    }
+    told.missing = static_cast<int>(opened.parts.size() - told.signatures.size());
     told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
     finish(number, opened, std::move(told));
 }
@@ -477,7 +571,7 @@
                                      });
     routed_outcome told;
     told.end = routed_end::refused;
-    if (opened.may_have_run || (running && opened.attempts > 0) || !opened.elsewhere.empty())
+    if (opened.may_have_run || (running && opened.attempts > 0) || !opened.groups.empty())
     {
         told.end = late ? routed_end::late : routed_end::failed;
     }
@@ -489,15 +583,16 @@
 {
     outcome.route = opened.by->name;
     outcome.revision = m_view.placed->revision;
-    if (outcome.elsewhere.empty())
+    outcome.reason = opened.reason;
+    outcome.attempts = opened.attempts;
+    for (const group& asked : opened.groups)
     {
-        outcome.reason = opened.reason;
-        outcome.attempts = opened.attempts;
+        m_asks.erase(asked.number);
     }
     m_timers.erase({opened.timer_at, number});
     for (const part& asked : opened.parts)
     {
-        if (!asked.over)
+        if (!asked.over && asked.subquery != 0)
         {
             m_origins.erase(asked.subquery);
             m_lanes.at(asked.at).scheduler.detach(asked.subquery);
@@ -532,20 +627,6 @@
 void router::on_timer(request_number number, time_point now)
 {
     open_request& opened = m_open.at(number);
-    const bool waits_elsewhere = !opened.elsewhere.empty() && opened.parts.empty() && now < opened.deadline;
-    if (waits_elsewhere)
-    {
-        m_regions.failed(opened.elsewhere, now);
-        if (may_run_twice(opened) && m_second_runs.spend())
-        {
-            run_here(number, opened, now);
-        }
-        else
-        {
-            set_timer(number, opened, opened.deadline);
-        }
-        return;
-    }
     if (opened.by->fans_out() && enough_in(opened))
     {
         merge(number, opened);
@@ -556,8 +637,16 @@
         fail(number, opened, true);
         return;
     }
+    if (opened.past_objective)
+    {
+        set_timer(number, opened, opened.deadline);
+        run_silent_groups_here(number, now);
+        return;
+    }
     opened.past_objective = true;
-    set_timer(number, opened, opened.deadline);
+    const bool waits = !opened.groups.empty();
+    set_timer(number, opened,
+              waits ? std::min(now + m_options.elsewhere_grace, opened.deadline) : opened.deadline);
 }
 
 time_point router::next_time() const noexcept
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -122,24 +122,24 @@
     std::vector<entry_peer> items;
 };
 
-/// @brief A fan-out that the receiver shall run, with the sender's number for it.
+/// @brief Shards of a fan-out that the receiver shall run, with the sender's number for it.
 struct routed_ask
 {
-    request_number number = 0;
+    ask_number number = 0;
     routed_request request;
 };
 
-/// @brief What came of a fan-out that the receiver asked for.
+/// @brief What came of that.
 struct routed_return
 {
-    request_number number = 0;
+    ask_number number = 0;
     routed_outcome outcome;
 };
 
-/// @brief Nobody waits for that fan-out any more.
+/// @brief Nobody waits for that any more.
 struct routed_abandon
 {
-    request_number number = 0;
+    ask_number number = 0;
 };
 
 using link_message =
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -76,6 +76,16 @@
     return metrics::counter::answers_unknown;
 }
 
+std::string joined(const std::vector<instance_name>& names)
+{
+    std::string text;
+    for (const instance_name& name : names)
+    {
+        text += (text.empty() ? "" : ",") + name.str();
+    }
+    return text;
+}
+
 http_reply not_ready()
 {
     http_reply reply = error_reply(http_unavailable, errc::not_ready);
@@ -331,16 +341,17 @@
 
 void routed_front::carry(const ask_entry& action)
 {
-    routed_ask asked{action.request, *action.sent};
+    routed_ask asked{action.number, *action.sent};
     asked.request.patience = action.patience;
     asked.request.asked_revision = action.revision;
+    asked.request.asked_services = action.services;
     asked.request.answer_within = action.answer_within;
     m_send(action.peer.str(), asked);
 }
 
 void routed_front::carry(const abandon_at_entry& action)
 {
-    m_send(action.peer.str(), routed_abandon{action.request});
+    m_send(action.peer.str(), routed_abandon{action.number});
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -434,7 +445,7 @@
     m_callers.erase(found);
     const duration took = m_clock.now() - from.arrived;
     routed_outcome outcome = action.outcome;
-    outcome.took_elsewhere = took;
+    outcome.took = took;
     if (from.asked_by.empty())
     {
         m_metrics.add(counter_of(outcome));
@@ -459,7 +470,7 @@
          {"parts", outcome.signatures.size()},
          {"missing", outcome.missing},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
-         {"elsewhere", outcome.elsewhere.str()},
+         {"elsewhere", joined(outcome.elsewhere)},
          {"attempts", outcome.attempts},
          {"retry_after_ms", outcome.retry_after.ms()},
          {"revision", outcome.revision},
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -80,7 +80,7 @@
         time_point arrived;
         /// The entry that asks on its caller's behalf; empty for a caller of this one's own.
         std::string asked_by;
-        request_number asked_number = 0;
+        ask_number asked_number = 0;
     };
 
     void on_request(const http_request& request, http_server::respond respond);
@@ -113,7 +113,7 @@
     std::set<backend_server_name> m_servers;
     std::unordered_map<request_number, caller> m_callers;
     /// Requests that other entries asked for, by their name and number.
-    std::map<std::pair<std::string, request_number>, request_number> m_asked;
+    std::map<std::pair<std::string, ask_number>, request_number> m_asked;
     std::unordered_map<routed_attempt_number, std::shared_ptr<connection_pool>> m_attempts;
     http_server m_server;
 };
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -35,7 +35,7 @@
                 server.name = backend_server_name(item.definition.name.str() + "-" + std::to_string(k));
                 server.slots = 2;
                 server.connection_limit = 30;
-                server.availability_zone = "far-zone";
+                server.availability_zone = i < near_services ? "near-zone" : "far-zone";
                 item.shards[0].push_back(server);
             }
             placed->services.emplace(item.definition.name, item);
@@ -70,6 +70,7 @@
         request->target = target;
         request->patience = duration::from_ms(100);
         request->asked_revision = revision;
+        request->asked_services = {service_name("s1"), service_name("s2")};
         request->answer_within = duration::from_ms(50);
         const request_number number = ++m_number;
         m_router.arrive(number, request, now);
@@ -131,16 +132,21 @@
                                               }));
     }
 
-    void returned(const ask_entry& asked, routed_end end, int missing = 0)
+    void returned(const ask_entry& asked, routed_end end, std::size_t missing = 0)
     {
         routed_outcome outcome;
         outcome.end = end;
-        outcome.missing = missing;
-        m_router.entry_answered(asked.peer, asked.request, outcome, now);
+        for (std::size_t i = missing; i < asked.services.size(); ++i)
+        {
+            outcome.signatures.push_back("by-" + asked.services[i].str());
+            outcome.merged += std::string(record_bytes, static_cast<char>('z' - i));
+        }
+        m_router.entry_answered(asked.peer, asked.number, outcome, now);
         take();
     }
 
     std::string region = "near";
+    int near_services = 0;
     std::vector<entry_peer> peers;
     time_point now{duration::from_ms(1000)};
     std::vector<start_routed_attempt> started;
@@ -367,6 +373,31 @@
         CHECK(driver.answers.at(first).end == routed_end::merged);
         CHECK(driver.answers.at(first).missing == 1);
     }
+    SECTION("in part: the near shards are run here, the others there, and the whole is merged")
+    {
+        driver.near_services = 2;
+        driver.serve({{"all", fan_out_over(4, 0.75)}}, 4);
+        const request_number first = driver.ask("/all/x");
+        REQUIRE(driver.started.size() == 2);
+        REQUIRE(driver.sent_away.size() == 1);
+        CHECK(driver.sent_away[0].services == std::vector{service_name("s2"), service_name("s3")});
+        driver.returned(driver.sent_away[0], routed_end::merged);
+        CHECK(driver.answers.empty());
+        driver.end("s0", attempt_status::answered);
+        driver.end("s1", attempt_status::answered);
+        const routed_outcome& told = driver.answers.at(first);
+        CHECK(told.missing == 0);
+        CHECK(told.signatures.size() == 4);
+        CHECK(told.merged == std::string(record_bytes, 'z') + std::string(record_bytes, 'y'));
+    }
+    SECTION("a single far shard is asked directly")
+    {
+        driver.near_services = 3;
+        driver.serve({{"all", fan_out_over(4, 0.75)}}, 4);
+        driver.ask("/all/x");
+        CHECK(driver.sent_away.empty());
+        CHECK(driver.started.size() == 4);
+    }
     SECTION("is run here if that entry refuses, and that entry is passed over for a while")
     {
         const request_number first = driver.ask("/all/x");
@@ -409,6 +440,7 @@
     {
         CHECK(driver.ask_as_peer("/all/x", 1) == routed_end::late);
         CHECK(driver.sent_away.empty());
+        CHECK(driver.started.size() == 2);
         CHECK(driver.ask_as_peer("/all/x", 2) == routed_end::refused);
     }
 }
