--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -124,12 +124,14 @@
     void refuse(request_number number, const route* by, missing_reason reason);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void run_here(request_number number, const std::vector<std::size_t>& wanted, time_point now);
-    void run_group_here(request_number number, group& lost, bool not_run, time_point now);
+    void run_group_here(request_number number, group& lost, time_point now);
+    void drop_group(request_number number, group& lost, missing_reason reason, time_point now);
     void run_silent_groups_here(request_number number, time_point now);
     duration way_to(const instance_name& peer) const;
     void note_way(const instance_name& peer, duration way);
     bool may_run_twice(const open_request& opened) const;
     double least_share_of(const open_request& opened) const;
+    duration time_to_answer(const route& by, const routed_request& request) const;
     void set_timer(request_number number, open_request& opened, time_point at);
     void submit(open_request& opened, part& wanted, time_point now);
     void collect(lane_index at, time_point now);
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -24,8 +24,9 @@
 
     /// What the way to and from another entry is taken to cost before it was measured: two regions apart.
     duration first_way_elsewhere = duration::from_ms(30);
-    /// A fan-out that another entry runs is run here, too, if no answer came this long after it was due.
-    duration elsewhere_grace = duration::from_ms(10);
+    /// A fan-out that another entry runs is run here, too, if no answer came this long after it was due:
+    /// more than a busy entry's delay, less than what is left to most deadlines.
+    duration elsewhere_grace = duration::from_ms(40);
 
     bool operator==(const router_options&) const = default;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -100,6 +100,20 @@
     return {m_targets.next(by)};
 }
 
+/// How long a fan-out may wait for parts that are missing.
+duration router::time_to_answer(const route& by, const routed_request& request) const
+{
+    if (request.is_asked())
+    {
+        return request.answer_within;
+    }
+    if (!by.fans_out() || by.objective <= duration{})
+    {
+        return by.timeout;
+    }
+    return std::max(by.objective * m_options.objective_share - m_options.way_back, duration{});
+}
+
 void router::arrive(request_number number, std::shared_ptr<const routed_request> request, time_point now)
 {
     if (!m_view.placed)
@@ -130,10 +144,7 @@
     opened.by = by;
     const duration patience = std::max(request->patience - m_options.way_back, duration{});
     opened.deadline = now + std::min(patience, by->timeout);
-    const bool has_objective = by->fans_out() && by->objective > duration{};
-    const duration objective = by->objective * m_options.objective_share - m_options.way_back;
-    opened.answer_at =
-        has_objective ? std::min(now + std::max(objective, duration{}), opened.deadline) : opened.deadline;
+    opened.answer_at = std::min(now + time_to_answer(*by, *request), opened.deadline);
     opened.request = std::move(request);
     set_timer(number, opened, opened.answer_at);
     for (const service_name& service : services_of(*by, *opened.request))
@@ -266,7 +277,13 @@
     {
         m_regions.failed(peer, now);
         const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
-        run_group_here(request, *found, not_run, now);
+        opened.may_have_run = opened.may_have_run || !not_run;
+        if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
+        {
+            run_group_here(request, *found, now);
+            return;
+        }
+        drop_group(request, *found, outcome.reason, now);
         return;
     }
     m_second_runs.earn();
@@ -284,20 +301,20 @@
     settle(request, opened, now);
 }
 
-void router::run_group_here(request_number number, group& lost, bool not_run, time_point now)
+void router::run_group_here(request_number number, group& lost, time_point now)
 {
-    open_request& opened = m_open.at(number);
     lost.over = true;
     m_asks.erase(lost.number);
-    opened.may_have_run = opened.may_have_run || !not_run;
-    if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
-    {
-        const std::vector<std::size_t> wanted = lost.parts;
-        run_here(number, wanted, now);
-        return;
-    }
+    const std::vector<std::size_t> wanted = lost.parts;
+    run_here(number, wanted, now);
+}
+
+void router::drop_group(request_number number, group& lost, missing_reason reason, time_point now)
+{
+    open_request& opened = m_open.at(number);
+    lost.over = true;
     opened.missing += static_cast<int>(lost.parts.size());
-    opened.reason = missing_reason::owner_unreachable;
+    opened.reason = reason;
     for (const std::size_t at : lost.parts)
     {
         opened.parts[at].over = true;
@@ -305,7 +322,8 @@
     settle(number, opened, now);
 }
 
-/// Past the objective, what an entry that is silent should have run is run here.
+/// Past the objective, what an entry that is silent should have run is run here, as far as the budget goes;
+/// else its answer may still come until the deadline.
 void router::run_silent_groups_here(request_number number, time_point now)
 {
     const std::size_t count = m_open.at(number).groups.size();
@@ -317,10 +335,14 @@
             return;
         }
         group& asked = found->second.groups[i];
-        if (!asked.over)
+        if (asked.over)
+        {
+            continue;
+        }
+        m_regions.failed(asked.peer, now);
+        if (may_run_twice(found->second) && m_second_runs.spend())
         {
-            m_regions.failed(asked.peer, now);
-            run_group_here(number, asked, false, now);
+            run_group_here(number, asked, now);
         }
     }
 }
