--- a/include/flaxtiller/quorum/member_keeper.hpp
+++ b/include/flaxtiller/quorum/member_keeper.hpp
@@ -40,8 +40,8 @@
 /// voter that stays away leaves the set once a newcomer is there to take its place. Deterministic, without
 /// state.
 ///
-/// A lost voter stays as long as nobody can replace it: it may come back, and a smaller set bears no more
-/// losses.
+/// A lost voter stays as long as nobody can replace it, since it may come back, unless the voters are an even
+/// number: then the set bears as many losses without it.
 class member_keeper
 {
   public:
--- a/src/quorum/member_keeper.cpp
+++ b/src/quorum/member_keeper.cpp
@@ -69,7 +69,9 @@
         learner_lives = learner_lives || (!item.voter && !silent);
         silent_learner = !item.voter && silent ? std::optional(name) : silent_learner;
     }
-    if (newcomer || learner_lives)
+    // An even number of voters bears no more losses than one fewer.
+    const bool one_to_spare = members.voters() > 2 && members.voters() % 2 == 0;
+    if (newcomer || learner_lives || one_to_spare)
     {
         if (const auto lost = replaceable(self, members, others, now))
         {
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -53,6 +53,18 @@
     http_reply reply;
 };
 
+/// The time limit of reading one request.
+struct read_limit
+{
+    explicit read_limit(const net::any_io_executor& executor) : timer(executor)
+    {
+    }
+
+    net::steady_timer timer;
+    bool late = false;
+    bool over = false;
+};
+
 int status_of(const beast::error_code& failed)
 {
     if (failed == http::error::body_limit)
@@ -179,10 +191,7 @@
             parser incoming;
             incoming.body_limit(bounds->most_body_bytes);
             incoming.header_limit(static_cast<std::uint32_t>(bounds->most_header_bytes));
-            stream.expires_after(std::chrono::milliseconds(bounds->request_timeout_ms));
-            beast::error_code failed;
-            co_await http::async_read(stream, buffer, incoming,
-                                      net::redirect_error(net::use_awaitable, failed));
+            const beast::error_code failed = co_await read_request(stream, buffer, incoming, *bounds);
             if (failed)
             {
                 co_await refuse(stream, failed, *bounds);
@@ -211,6 +220,32 @@
         co_return !failed && count > 0;
     }
 
+    /// Reads a request within its time limit. The stream's own limit would close the connection, so that
+    /// nobody could be told.
+    static net::awaitable<beast::error_code> read_request(beast::tcp_stream& stream,
+                                                          beast::flat_buffer& buffer, parser& incoming,
+                                                          const limits& bounds)
+    {
+        stream.expires_never();
+        auto limit = std::make_shared<read_limit>(stream.get_executor());
+        limit->timer.expires_after(std::chrono::milliseconds(bounds.request_timeout_ms));
+        limit->timer.async_wait(
+            [limit, &stream](const beast::error_code& stopped)
+            {
+                // Where the request is in already, the stream may be gone.
+                if (!stopped && !limit->over)
+                {
+                    limit->late = true;
+                    stream.cancel();
+                }
+            });
+        beast::error_code failed;
+        co_await http::async_read(stream, buffer, incoming, net::redirect_error(net::use_awaitable, failed));
+        limit->over = true;
+        limit->timer.cancel();
+        co_return limit->late ? beast::error_code(beast::error::timeout) : failed;
+    }
+
     /// Says what was wrong with a request that couldn't be read; where the peer went away, nothing.
     net::awaitable<void> refuse(beast::tcp_stream& stream, beast::error_code failed, const limits& bounds)
     {
--- /dev/null
+++ b/tests/faults/platform_stand_in.py
@@ -0,0 +1,273 @@
+"""A small stand-in of the users' platform: it fills settings templates, sends configurations, heartbeats and
+requests, and speaks as backend servers do. Written from the platform's published protocol."""
+
+import http.client
+import json
+import os
+import re
+import shutil
+import socketserver
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler
+
+from cluster import FLAXTILLER, ROOT, Process, eventually
+
+RECORD_BYTES = 16
+HEARTBEAT_S = 0.3
+
+
+def render(template, fields):
+    """Fills {{a.b}}, {{a|json}}, {{#a}}..{{/a}}, {{^a}}..{{/a}} and {{,}} as the platform does."""
+
+    def look_up(path, scopes):
+        if path == ".":
+            return scopes[-1]
+        for scope in reversed(scopes):
+            value = scope
+            for step in path.split("."):
+                if isinstance(value, list) and step.isdigit():
+                    value = value[int(step)] if int(step) < len(value) else None
+                else:
+                    value = value.get(step) if isinstance(value, dict) else None
+            if value is not None:
+                return value
+        return None
+
+    def fill(text, scopes, last):
+        section = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.S)
+
+        def expand(found):
+            kind, path, inner = found.groups()
+            value = look_up(path, scopes)
+            if kind == "^":
+                return "" if value else fill(inner, scopes, True)
+            if isinstance(value, list):
+                return "".join(fill(inner, scopes + [item], i + 1 == len(value)) for i, item in enumerate(value))
+            return fill(inner, scopes, True) if value else ""
+
+        text = section.sub(expand, text).replace("{{,}}", "" if last else ",")
+
+        def gap(found):
+            path, as_json = found.group(1), found.group(2)
+            value = look_up(path, scopes)
+            if as_json or isinstance(value, dict):
+                return json.dumps(value)
+            return "" if value is None else str(value)
+
+        return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", gap, text)
+
+    return fill(template, [fields], True)
+
+
+def call(address, method, path, body=None, headers=None, timeout=3.0):
+    """One HTTP request. Returns (status, headers, body), or (None, {}, b"") if there was no answer."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        payload = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+        connection.request(method, path, payload, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    except (OSError, http.client.HTTPException):
+        return None, {}, b""
+    finally:
+        connection.close()
+
+
+class Backend:
+    """A backend server that registers itself. Its answer to a shard's request is three records of its service."""
+
+    def __init__(self, platform, service, address):
+        self.platform, self.service, self.address = platform, service, address
+        self.id = "i-%s-%d" % (service, time.monotonic_ns())
+        self.state, self.sequence, self.alive = "ready", 0, True
+        self.delay_s, self.served, self.expected_others = 0.0, [], 0
+        backend = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                backend.answer(self)
+
+            def do_POST(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                backend.answer(self)
+
+        class Server(socketserver.ThreadingTCPServer):
+            allow_reuse_address, daemon_threads = True, True
+            request_queue_size = 64
+
+        host, port = address.split(":")
+        self.server = Server((host, int(port)), Handler)
+        threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def records(self):
+        return [(self.service + "-%d" % i).encode().ljust(RECORD_BYTES, b".") for i in range(3)]
+
+    def answer(self, handler):
+        request = handler.headers.get("X-Request-Id", "")
+        status, body = 200, b"".join(self.records()) + b"rest"
+        if handler.headers.get("X-Expect-Instance") != self.id:
+            self.expected_others += 1
+            status, body = 421, b""
+        else:
+            time.sleep(self.delay_s)
+            self.served.append(request)
+        handler.send_response(status)
+        handler.send_header("X-Request-Id", request)
+        handler.send_header("X-Server-Stamp", "stamp." + self.id + "." + request)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def beat(self):
+        while self.alive:
+            self.say("heartbeat")
+            time.sleep(HEARTBEAT_S)
+
+    def say(self, what):
+        self.sequence += 1
+        body = {"service": self.service, "address": self.address, "zone": "zone-1", "version": "v1", "capacity": 4,
+                "state": self.state, "warmupRemainingMs": 0, "sequence": self.sequence}
+        for machine in self.platform.core():
+            path = "/api/instances/%s/%s" % (self.id, what)
+            if call(machine.control, "POST", path, body, timeout=1.0)[0] == 200:
+                return True
+        return False
+
+    def crash(self):
+        self.alive = False
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Machine:
+    """An instance: an entry process and, in the core, a control process."""
+
+    def __init__(self, platform, number, core):
+        self.platform, self.number, self.in_core = platform, number, core
+        self.ip = "127.0.1.%d" % number
+        self.front, self.readiness, self.control = (self.ip + ":%d" % port for port in (8104, 8108, 8106))
+        self.folder = os.path.join(platform.folder, "disk-%d" % number)
+        self.processes = {}
+        for role in ("entry", "control") if core else ("entry",):
+            self.processes[role] = Process(role, [FLAXTILLER, "platform", role],
+                                           os.path.join(platform.folder, "%s-%d.log" % (role, number)))
+
+    def fields(self, bootstrap):
+        return {"nodeName": "machine-%d" % self.number, "ip": self.ip, "zone": "zone-1", "region": "region-1",
+                "zones": {"zone-1": "region-1"},
+                "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
+                "internalPortRange": [7380, 7395], "seeds": self.platform.seeds, "bootstrap": bootstrap,
+                "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
+                "bounds": {"graceS": 6}}
+
+    def start(self, role, bootstrap=False):
+        if role == "control":
+            os.makedirs(self.folder, exist_ok=True)
+        with open(os.path.join(ROOT, "platform", role + ".json")) as file:
+            text = render(file.read(), self.fields(bootstrap))
+        settings = os.path.join(self.platform.folder, "%s-%d.json" % (role, self.number))
+        with open(settings, "w") as file:
+            file.write(text)
+        os.environ["FLAXTILLER_BOOT"] = settings
+        self.processes[role].start()
+
+    def running(self, role):
+        handle = self.processes[role].handle
+        return handle is not None and handle.poll() is None
+
+    def wipe(self):
+        shutil.rmtree(self.folder)
+
+    def dump(self, role):
+        port = {"entry": 7384, "control": 7385}[role]
+        status, _, body = call(self.ip + ":%d" % port, "GET", "/dump")
+        return json.loads(body) if status == 200 else {}
+
+    def is_ready(self):
+        return call(self.readiness, "GET", "/api/ready")[0] == 200
+
+
+class Platform:
+    def __init__(self, entries=2):
+        self.folder = tempfile.mkdtemp(prefix="flaxtiller-platform-")
+        self.seeds = ["127.0.1.%d:8106" % number for number in (1, 2, 3)]
+        self.machines = [Machine(self, number, number <= 3) for number in range(1, 4 + max(0, entries - 3))]
+        self.entries = entries
+        self.backends = []
+        self._next = 0
+
+    def __enter__(self):
+        for machine in self.machines:
+            for role in machine.processes:
+                if role == "control" or machine.number <= self.entries:
+                    machine.start(role, bootstrap=True)
+        return self
+
+    def __exit__(self, *_):
+        for backend in self.backends:
+            if backend.alive:
+                backend.crash()
+        for machine in self.machines:
+            for process in machine.processes.values():
+                process.kill()
+        if os.environ.get("FLAXTILLER_KEEP") is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def core(self):
+        return [machine for machine in self.machines if machine.in_core and machine.running("control")]
+
+    def add_backend(self, service):
+        self._next += 1
+        backend = Backend(self, service, "127.0.1.%d:%d" % (100 + self._next // 100, 9000 + self._next))
+        self.backends.append(backend)
+        return backend
+
+    def order(self, path, body=None, method="POST"):
+        """Sends an operator's call to the core machines until one answers it; follows two redirects."""
+        def once():
+            for machine in self.core():
+                address, status, headers, text = machine.control, 307, {}, b""
+                for _ in range(3):
+                    status, headers, text = call(address, method, path, body)
+                    if status != 307:
+                        break
+                    address = headers["Location"].split("/")[2]
+                if status is not None and status < 500 and status != 307:
+                    return status, text
+            return None
+        return eventually("an answer to " + path, once)
+
+    def put(self, configuration):
+        return self.order("/api/config/replace", configuration)[0]
+
+    def read(self):
+        return json.loads(self.order("/api/config/get", method="GET")[1])
+
+    def request(self, machine, path, request_id, host="h.example", headers=None, deadline_ms=2000):
+        fields = {"Host": host, "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline_ms)}
+        fields.update(headers or {})
+        return call(machine.front, "GET", path, headers=fields)
+
+
+def configuration(version, shards=3, least_share=0.6):
+    services = ["s%d" % i for i in range(shards)]
+    return {"version": version,
+            "routes": [
+                {"name": "r-all", "host": "h.example", "pathPrefix": "/all/", "type": "safe", "timeoutMs": 1500,
+                 "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2, "fanoutServices": services, "topK": 4,
+                 "minSuccessShare": least_share},
+                {"name": "r-one", "host": "h.example", "pathPrefix": "/one/", "type": "safe", "timeoutMs": 1500,
+                 "targetLatencyMs": 400, "priority": 2, "maxAttempts": 2, "service": "s0"}],
+            "services": [{"name": name, "healthCheckPath": "/health", "maxConnections": 30, "protocol": "h1",
+                          "tls": False} for name in services],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
--- /dev/null
+++ b/tests/faults/test_platform.py
@@ -0,0 +1,182 @@
+"""The whole path on a stand-in of the users' platform, in real processes, under the failures it is meant for."""
+
+import os
+import socket
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from cluster import eventually
+from platform_stand_in import Platform, configuration
+
+
+class PlatformTest(unittest.TestCase):
+    def serve(self, platform, shards=3, replicas=2):
+        """Brings the whole path up with one configuration in force; returns the backends by service."""
+        backends = {}
+        for i in range(shards):
+            backends["s%d" % i] = [platform.add_backend("s%d" % i) for _ in range(replicas)]
+        self.assertEqual(platform.put(configuration(7, shards)), 200)
+        for machine in platform.machines[:platform.entries]:
+            eventually("machine %d ready" % machine.number, machine.is_ready)
+            eventually("a whole answer", lambda m=machine: self.whole(platform, m, "warm-up-%d" % time.monotonic_ns()))
+        return backends
+
+    def whole(self, platform, machine, request_id, shards=3):
+        status, headers, _ = platform.request(machine, "/all/x", request_id)
+        return status == 200 and len(headers["X-Part-Stamps"].split(",")) == shards
+
+    def voters(self, platform):
+        """The voters of both logs, as the leader has them."""
+        for machine in platform.core():
+            dump = machine.dump("control")
+            if dump and dump["catalog"].get("lease") and dump["catalog"]["role"] == "leader":
+                sets = []
+                for log in ("catalog", "register"):
+                    members = dump[log].get("members", [])
+                    sets.append(sorted(m["name"].split(":")[0] for m in members if m["voter"]))
+                return sets
+        return []
+
+    def test_calm_day(self):
+        with Platform() as platform:
+            backends = self.serve(platform)
+            first = platform.machines[0]
+
+            status, headers, body = platform.request(first, "/all/query", "r-1")
+            self.assertEqual(status, 200)
+            stamps = [stamp.strip() for stamp in headers["X-Part-Stamps"].split(",")]
+            self.assertEqual(len(stamps), 3)
+            self.assertEqual(headers["X-Missing-Parts"], "0")
+            for stamp in stamps:
+                self.assertTrue(stamp.endswith(".r-1"), stamp)
+            records = sorted((r for items in backends.values() for r in items[0].records()), reverse=True)
+            self.assertEqual(body, b"".join(records[:4]))
+
+            status, headers, body = platform.request(first, "/one/query?x=1", "r-2")
+            self.assertEqual(status, 200)
+            self.assertTrue(headers["X-Server-Stamp"].endswith(".r-2"))
+            self.assertEqual(headers["X-Request-Id"], "r-2")
+            self.assertTrue(body.endswith(b"rest"))
+
+            self.assertEqual(platform.request(first, "/nowhere/x", "r-3")[0], 404)
+            self.assertEqual(platform.request(first, "/all/x", "r-4", host="other.example")[0], 404)
+            self.assertEqual(platform.read(), configuration(7))
+
+    def test_bad_input_gets_a_clear_error_and_changes_nothing(self):
+        with Platform() as platform:
+            self.serve(platform)
+            first = platform.machines[0]
+            bad = configuration(9)
+            bad["routes"][0]["fanoutServices"] = ["nowhere"]
+            status, text = platform.order("/api/config/replace", bad)
+            self.assertEqual(status, 400)
+            self.assertIn(b"nowhere", text)
+            self.assertEqual(platform.order("/api/config/replace", b'{"version": 9, "routes"')[0], 400)
+            self.assertEqual(platform.put(configuration(6, shards=1)), 200)
+            self.assertEqual(platform.read(), configuration(7))
+            # Requests: no id, too large a header, too large a body, half a request.
+            self.assertEqual(platform.request(first, "/all/x", "")[0], 400)
+            self.assertEqual(platform.request(first, "/all/x", "r", headers={"X-Large": "x" * 20000})[0], 431)
+            host, port = first.front.split(":")
+            with socket.create_connection((host, int(port)), timeout=10) as half:
+                half.sendall(b"GET /all/x HTTP/1.1\r\nHost: h.exa")
+                self.assertTrue(half.recv(100).startswith(b"HTTP/1.1 408"))
+            with socket.create_connection((host, int(port)), timeout=10) as large:
+                large.sendall(b"POST /all/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 999999\r\n\r\n")
+                self.assertTrue(large.recv(100).startswith(b"HTTP/1.1 413"))
+
+    def test_backends_come_and_go(self):
+        with Platform() as platform:
+            backends = self.serve(platform)
+            first = platform.machines[0]
+            # One crashes in silence: answers stay whole by its twin.
+            backends["s0"][0].crash()
+            eventually("whole by the twin", lambda: self.whole(platform, first, "r-%d" % time.monotonic_ns()))
+            # One says that it drains: it gets nothing more.
+            leaver = backends["s1"][0]
+            leaver.state = "draining"
+            self.assertTrue(leaver.say("heartbeat"))
+            time.sleep(1.0)
+            served = len(leaver.served)
+            for i in range(20):
+                self.assertTrue(self.whole(platform, first, "d-%d" % i))
+            self.assertEqual(len(leaver.served), served)
+            # A whole shard is gone: answers say truthfully that it is missing.
+            for backend in backends["s2"]:
+                backend.say("deregister")
+                backend.crash()
+
+            def marked():
+                status, headers, _ = platform.request(first, "/all/x", "m-%d" % time.monotonic_ns())
+                return status == 200 and headers["X-Missing-Parts"] == "1"
+            eventually("an answer without the shard", marked)
+
+    def test_planned_stop_cuts_nothing(self):
+        with Platform() as platform:
+            backends = self.serve(platform)
+            for items in backends.values():
+                for backend in items:
+                    backend.delay_s = 0.05
+            second = platform.machines[1]
+            ended, stopping = [], threading.Event()
+
+            def ask(worker):
+                number = 0
+                while not stopping.is_set():
+                    number += 1
+                    status, headers, _ = platform.request(second, "/all/x", "s-%d-%d" % (worker, number))
+                    if status is None and not second.is_ready():
+                        return
+                    ended.append(status)
+
+            workers = [threading.Thread(target=ask, args=(i,)) for i in range(4)]
+            for worker in workers:
+                worker.start()
+            time.sleep(0.5)
+            begun = time.monotonic()
+            second.processes["entry"].signal(15)
+            eventually("not ready at once", lambda: not second.is_ready(), patience=2.0)
+            self.assertEqual(second.processes["entry"].handle.wait(30), 0)
+            self.assertLess(time.monotonic() - begun, 6.0)
+            stopping.set()
+            for worker in workers:
+                worker.join()
+            self.assertGreater(len(ended), 10)
+            self.assertEqual(set(ended), {200})
+
+    def test_core_mends_itself(self):
+        with Platform() as platform:
+            self.serve(platform)
+            ips = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
+            eventually("three voters", lambda: self.voters(platform) == [ips, ips])
+            # A disk is lost: the machine comes back at its address as a newcomer and becomes a voter again.
+            third = platform.machines[2]
+            third.processes["control"].kill()
+            third.wipe()
+            self.assertEqual(platform.put(configuration(8)), 200)
+            third.start("control")
+            eventually("a voter again", lambda: third.dump("control").get("catalog", {}).get("commit", 0) > 1
+                       and self.voters(platform) == [ips, ips])
+            # Then another is lost for good, and an empty one comes at another address.
+            platform.machines[1].processes["control"].kill()
+            self.assertEqual(platform.put(configuration(9)), 200)
+            newcomer = type(third)(platform, 9, True)
+            platform.machines.append(newcomer)
+            newcomer.start("control")
+            mended = ["127.0.1.1", "127.0.1.3", "127.0.1.9"]
+            eventually("the newcomer votes, the lost one left",
+                       lambda: self.voters(platform) == [mended, mended])
+            self.assertEqual(platform.put(configuration(10)), 200)
+            # All are killed at once and come back with their disks.
+            for machine in platform.core():
+                machine.processes["control"].kill()
+            for number in (0, 2, 3):
+                platform.machines[number].start("control")
+            self.assertEqual(platform.read(), configuration(10))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/src/unit-membership.cpp
+++ b/tests/src/unit-membership.cpp
@@ -60,6 +60,14 @@
         others[d].heard_at = now;
         CHECK_FALSE(next());
     }
+    SECTION("a newcomer that was promoted before the loss was noticed: the lost one leaves four voters")
+    {
+        members.members[d] = {d, 4, true};
+        others[d].heard_at = now;
+        others[c].heard_at = silent;
+        announced.erase(c);
+        CHECK(next() == member_change{member_change::kind::remove, c, 0});
+    }
     SECTION("nobody leaves where the rest wouldn't be a majority of their own")
     {
         others[b].heard_at = silent;
