--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -37,6 +37,9 @@
     /// @param candidates how many instances may own the service; bounds the connections of each
     void configure(const placed_service& placed, int candidates, time_point now);
 
+    /// @brief Changes how many extra attempts may pile up.
+    void limit_budget(double burst);
+
     /// @brief A subquery to run.
     void submit(const subquery& wanted, time_point now);
 
--- a/include/flaxtiller/dispatch/token_budget.hpp
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -33,6 +33,13 @@
         return true;
     }
 
+    /// @brief Changes the most tokens kept.
+    void limit(double burst) noexcept
+    {
+        m_burst = burst;
+        m_tokens = std::min(m_tokens, burst);
+    }
+
     /// @return the tokens at hand
     double tokens() const noexcept
     {
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -39,6 +39,8 @@
     std::string merged;
     std::vector<std::string> signatures;
     int missing = 0;
+    /// The services of the parts that are missing.
+    std::vector<service_name> missing_services;
     missing_reason reason = missing_reason::none;
     duration retry_after{};
     /// The route that was used; empty if none fits.
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -85,7 +85,13 @@
         lane_index at = 0;
         dispatch::subquery_id subquery = 0;
         bool over = false;
+        int attempts = 0;
         std::shared_ptr<const backend_answer> answer;
+
+        bool is_in() const
+        {
+            return over && answer && answer->status / 100 == 2;
+        }
     };
 
     /// Shards that another entry runs.
@@ -143,6 +149,8 @@
     void settle_fan_out(request_number number, open_request& opened, time_point now);
     void merge(request_number number, open_request& opened);
     void fail(request_number number, open_request& opened, bool late);
+    static std::vector<service_name> missing_services(const open_request& opened);
+    static part& part_of(open_request& opened, dispatch::subquery_id subquery);
     void finish(request_number number, open_request& opened, routed_outcome outcome);
     bool enough_in(const open_request& opened) const;
     void on_timer(request_number number, time_point now);
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -28,6 +28,8 @@
     service_name service;
     /// Whether only a success counts, as for a part of a fan-out.
     bool part = false;
+    /// 1 for the first attempt on the service for this request.
+    int ordinal = 1;
     time_point deadline;
     std::shared_ptr<const routed_request> sent;
 };
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -28,6 +28,14 @@
     /// more than a busy entry's delay, less than what is left to most deadlines.
     duration elsewhere_grace = duration::from_ms(40);
 
+    /// What operators allow over all instances in a window of time, for each service: so many attempts beyond
+    /// the first for each request, and so many more.
+    double retry_ratio = 0.1;
+    double retry_slack = 20.0;
+    /// Of that, this share is spent by what one instance sees. The rest is for what it can't: requests that
+    /// other instances run on its behalf twice, and the instances' uneven shares.
+    double retry_share = 0.8;
+
     bool operator==(const router_options&) const = default;
 };
 
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -78,6 +78,11 @@
     }
 }
 
+void scheduler::limit_budget(double burst)
+{
+    m_budget.limit(burst);
+}
+
 void scheduler::set_leaving(const backend_server_name& server, bool leaving, time_point now)
 {
     const auto found = m_server_index.find(server);
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -66,6 +66,7 @@
     value.merged = j.at("merged").get<std::string>();
     value.signatures = j.at("signatures").get<std::vector<std::string>>();
     value.missing = j.at("missing").get<int>();
+    value.missing_services = j.at("missing_services").get<std::vector<service_name>>();
     value.reason = j.at("reason").get<missing_reason>();
     value.retry_after = duration::from_us(j.at("retry_after_us").get<std::int64_t>());
     value.attempts = j.at("attempts").get<int>();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -10,8 +10,9 @@
 
 router::router(router_options options)
     : m_options(std::move(options)),
-      m_second_runs(m_options.scheduling.extra_load_share, m_options.scheduling.budget_burst)
+      m_second_runs(m_options.retry_ratio * (1.0 - m_options.retry_share), m_options.retry_slack)
 {
+    m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
     m_options.scheduling.late_by_server = true;
     m_options.scheduling.cancel_losers = false;
@@ -42,11 +43,16 @@
     {
         lane_of(name);
     }
+    // At least one, or an instance among many could never try again.
+    const double own_slack = std::max(1.0, m_options.retry_slack * m_options.retry_share / m_view.entries);
+    m_second_runs.limit(
+        std::max(1.0, m_options.retry_slack * (1.0 - m_options.retry_share) / m_view.entries));
     const placed_service none{{}, {{}}};
     for (auto& [at, item] : m_lanes)
     {
         const auto found = m_view.placed->services.find(item.service);
         const placed_service& placed = found == m_view.placed->services.end() ? none : found->second;
+        item.scheduler.limit_budget(own_slack);
         item.scheduler.configure(placed, m_view.entries, now);
     }
     for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
@@ -149,7 +155,7 @@
     set_timer(number, opened, opened.answer_at);
     for (const service_name& service : services_of(*by, *opened.request))
     {
-        opened.parts.push_back({service, 0, 0, false, nullptr});
+        opened.parts.push_back({service, 0, 0, false, 0, nullptr});
     }
     ask_elsewhere(number, opened, now);
     std::vector<bool> here(opened.parts.size(), true);
@@ -404,14 +410,7 @@
     const auto origin = m_origins.find(ended.subquery);
     if (origin != m_origins.end() && answer)
     {
-        open_request& opened = m_open.at(origin->second);
-        for (part& asked : opened.parts)
-        {
-            if (asked.subquery == ended.subquery)
-            {
-                asked.answer = std::move(answer);
-            }
-        }
+        part_of(m_open.at(origin->second), ended.subquery).answer = std::move(answer);
     }
     const auto at = m_lanes.find(ended.at);
     if (at != m_lanes.end())
@@ -421,6 +420,15 @@
     }
 }
 
+router::part& router::part_of(open_request& opened, dispatch::subquery_id subquery)
+{
+    return *std::find_if(opened.parts.begin(), opened.parts.end(),
+                         [&](const part& asked)
+                         {
+                             return asked.subquery == subquery;
+                         });
+}
+
 void router::collect(lane_index at, time_point now)
 {
     dispatch::scheduler& scheduler = m_lanes.at(at).scheduler;
@@ -452,8 +460,10 @@
     const request_number request = m_origins.at(action.subquery);
     open_request& opened = m_open.at(request);
     ++opened.attempts;
+    const int ordinal = ++part_of(opened, action.subquery).attempts;
     m_actions.emplace_back(start_routed_attempt{number, request, action.server, m_lanes.at(at).service,
-                                                opened.by->fans_out(), opened.deadline, opened.request});
+                                                opened.by->fans_out(), ordinal, opened.deadline,
+                                                opened.request});
 }
 
 void router::take(lane_index at, const dispatch::cancel_attempt& action)
@@ -475,12 +485,7 @@
     const request_number number = origin->second;
     m_origins.erase(origin);
     open_request& opened = m_open.at(number);
-    const auto over = std::find_if(opened.parts.begin(), opened.parts.end(),
-                                   [&](const part& asked)
-                                   {
-                                       return asked.subquery == action.subquery;
-                                   });
-    over->over = true;
+    part_of(opened, action.subquery).over = true;
     const subquery_result& result = action.result;
     opened.may_have_run = opened.may_have_run || result.outcome != outcome::not_run;
     if (result.outcome == outcome::run)
@@ -563,7 +568,7 @@
     std::vector<std::string_view> bodies;
     for (const part& asked : opened.parts)
     {
-        if (asked.over && asked.answer && asked.answer->status / 100 == 2)
+        if (asked.is_in())
         {
             bodies.emplace_back(asked.answer->body);
             told.signatures.push_back(asked.answer->signature);
@@ -601,10 +606,42 @@
     finish(number, opened, std::move(told));
 }
 
+std::vector<service_name> router::missing_services(const open_request& opened)
+{
+    std::vector<service_name> missing;
+    if (!opened.by->fans_out())
+    {
+        return missing;
+    }
+    std::vector<bool> known_elsewhere(opened.parts.size(), false);
+    for (const group& asked : opened.groups)
+    {
+        if (asked.outcome.signatures.empty())
+        {
+            continue;
+        }
+        missing.insert(missing.end(), asked.outcome.missing_services.begin(),
+                       asked.outcome.missing_services.end());
+        for (const std::size_t at : asked.parts)
+        {
+            known_elsewhere[at] = true;
+        }
+    }
+    for (std::size_t at = 0; at < opened.parts.size(); ++at)
+    {
+        if (!known_elsewhere[at] && !opened.parts[at].is_in())
+        {
+            missing.push_back(opened.parts[at].service);
+        }
+    }
+    return missing;
+}
+
 void router::finish(request_number number, open_request& opened, routed_outcome outcome)
 {
     outcome.route = opened.by->name;
     outcome.revision = m_view.placed->revision;
+    outcome.missing_services = missing_services(opened);
     outcome.reason = opened.reason;
     outcome.attempts = opened.attempts;
     for (const group& asked : opened.groups)
--- a/src/shell/routed_codec.hpp
+++ b/src/shell/routed_codec.hpp
@@ -31,6 +31,12 @@
     {
     }
 
+    /// @return the caller's id for the request; empty if it gave none
+    std::string id_of(const http_request& request) const
+    {
+        return request.headers.value(m_names.request_id);
+    }
+
     /// @return the request, or nothing where it has no id or an unreadable deadline
     std::optional<routed_request> read_request(const http_request& request) const;
 
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -76,14 +76,17 @@
     return metrics::counter::answers_unknown;
 }
 
-std::string joined(const std::vector<instance_name>& names)
+/// The first few of @a names, so that a line stays short.
+template <typename Name>
+std::string joined(const std::vector<Name>& names)
 {
+    constexpr std::size_t most_shown = 8;
     std::string text;
-    for (const instance_name& name : names)
+    for (std::size_t i = 0; i < names.size() && i < most_shown; ++i)
     {
-        text += (text.empty() ? "" : ",") + name.str();
+        text += (text.empty() ? "" : ",") + names[i].str();
     }
-    return text;
+    return names.size() > most_shown ? text + ",..." : text;
 }
 
 http_reply not_ready()
@@ -224,7 +227,9 @@
     {
         m_metrics.add(metrics::counter::answers_refused);
         log(log_level::info, "request_refused",
-            {{"target", request.target}, {"reason", "no confirmed configuration"}});
+            {{"request", m_codec.id_of(request)},
+             {"target", request.target},
+             {"reason", "no confirmed configuration"}});
         respond(not_ready());
         return;
     }
@@ -232,7 +237,8 @@
     if (!read)
     {
         m_metrics.add(metrics::counter::malformed_requests);
-        log(log_level::info, "request_malformed", {{"target", request.target}});
+        log(log_level::info, "request_malformed",
+            {{"request", m_codec.id_of(request)}, {"target", request.target}});
         respond(
             error_reply(http_bad_request, errc::message_malformed, "needs an id and a readable deadline"));
         return;
@@ -379,6 +385,14 @@
 {
     m_metrics.add(metrics::counter::attempts);
     const time_point now = m_clock.now();
+    if (action.ordinal > 1)
+    {
+        log(log_level::info, "attempt_again",
+            {{"request", action.sent->id},
+             {"service", action.service.str()},
+             {"backend_server", action.server.str()},
+             {"ordinal", action.ordinal}});
+    }
     const auto pool = m_pools.find(action.server);
     if (!pool)
     {
@@ -469,6 +483,7 @@
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"parts", outcome.signatures.size()},
          {"missing", outcome.missing},
+         {"missing_services", joined(outcome.missing_services)},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
          {"elsewhere", joined(outcome.elsewhere)},
          {"attempts", outcome.attempts},
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -176,6 +176,8 @@
     read_ms(reader, "way_back_ms", into.way_back, 0.0, hour_ms);
     reader.number("requests", into.most_requests, std::size_t{1}, std::size_t{1} << 30U);
     read_ms(reader, "least_retry_ms", into.least_retry, 0.0, hour_ms);
+    reader.number("retry_ratio", into.retry_ratio, 0.0, 10.0);
+    reader.number("retry_slack", into.retry_slack, 0.0, 1e6);
     reader.flag("refusals_cost", into.scheduling.refusals_cost);
     read_section(reader, "dispatch", false,
                  [&](json_reader& r)
