--- a/src/shell/entry_process.cpp
+++ b/src/shell/entry_process.cpp
@@ -916,7 +916,7 @@
         }
         log(log_level::info, "draining",
             {{"in_flight", callers.in_flight()}, {"bound_ms", settings.drain_bound_ms}});
-        // New connections go on being accepted until the balancer has noticed; see docs/operations.md.
+        // New connections go on being accepted until the balancer has noticed; see docs/OPERATIONS.md.
         check_drained(0);
     }
 
