Split by job: entry and control processes, router, replica

No behaviour changes: the two processes' parts are declared in one header each and defined by job; the router's groups and answers and the replica's leading have files of their own.

--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -3,8 +3,8 @@
 #include "commands.hpp"
 #include "exit_status.hpp"
 
-#include "shell/control_process.hpp"
-#include "shell/entry_process.hpp"
+#include "control/control_process.hpp"
+#include "entry/entry_process.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
--- /dev/null
+++ b/src/control/control_decisions.cpp
@@ -0,0 +1,188 @@
+#include "control_implementation.hpp"
+
+#include <chrono>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+constexpr duration tick_every = duration::from_ms(10);
+constexpr duration notice_every = duration::from_ms(500);
+
+} // namespace
+
+void control_process::implementation::pump_soon()
+{
+    if (!pump_posted)
+    {
+        pump_posted = true;
+        net::post(strand,
+                  [this]
+                  {
+                      pump();
+                  });
+    }
+}
+
+void control_process::implementation::pump()
+{
+    pump_posted = false;
+    const time_point now = clock.now();
+    catalog.pump(
+        [this](const quorum::message& message)
+        {
+            send(catalog_log, message);
+        },
+        now);
+    registers.pump(
+        [this](const quorum::message& message)
+        {
+            send(register_log, message);
+        },
+        now);
+    publish();
+    note_changes();
+    link_to_members();
+}
+
+bool control_process::implementation::forms_itself() const
+{
+    return settings.self_forming;
+}
+
+std::set<std::string> control_process::implementation::replica_names()
+{
+    std::set<std::string> names;
+    for (const named_address& seed : settings.replicas)
+    {
+        names.insert(seed.name);
+    }
+    if (const quorum::replica* node = catalog.node(); node != nullptr && forms_itself())
+    {
+        for (const auto& [name, item] : node->members().members)
+        {
+            names.insert(name.str());
+        }
+    }
+    return names;
+}
+
+void control_process::implementation::link_to_members()
+{
+    std::set<std::string> names = replica_names();
+    if (!forms_itself() || names == linked)
+    {
+        return;
+    }
+    linked = std::move(names);
+    std::vector<named_address> peers;
+    for (const std::string& name : linked)
+    {
+        if (const auto at = parse_address(name))
+        {
+            peers.push_back({name, *at});
+        }
+    }
+    links.want(peers);
+    const control_members told{{linked.begin(), linked.end()}};
+    for (const std::string& peer : links.reachable())
+    {
+        links.send(peer, told);
+    }
+}
+
+void control_process::implementation::send(const char* log_name, const quorum::message& message)
+{
+    links.send(message.to.str(), quorum_envelope{log_name, message});
+}
+
+void control_process::implementation::publish()
+{
+    const time_point now = clock.now();
+    const catalog_state& state = catalog.state();
+    if (state.revision() > publisher.revision())
+    {
+        publisher.on_revision(state.revision(), std::make_shared<const configuration>(state.current()));
+    }
+    if (!catalog.may_answer(now))
+    {
+        return;
+    }
+    for (const auto& update : publisher.take_updates(now))
+    {
+        links.send(update.to.str(), update.update);
+    }
+}
+
+void control_process::implementation::note_changes()
+{
+    quorum::replica* node = catalog.node();
+    const bool leads = node != nullptr && node->is_ready_leader();
+    if (leads != led)
+    {
+        led = leads;
+        log(log_level::info, leads ? "leading" : "not_leading", {{"term", node ? node->term() : 0}});
+    }
+    const std::error_code now_failing =
+        catalog.storage_error() ? catalog.storage_error() : registers.storage_error();
+    if (now_failing != reported_storage_error)
+    {
+        reported_storage_error = now_failing;
+        log(now_failing ? log_level::error : log_level::info,
+            now_failing ? "storage_failing" : "storage_recovered",
+            {{"error", now_failing.message()}, {"folder", settings.data_folder}});
+    }
+}
+
+void control_process::implementation::on_reachable(const std::string& name, bool up)
+{
+    told_entries.erase(name);
+    if (!up)
+    {
+        // It may come back with another folder.
+        announced[catalog_log].erase(quorum::replica_name(name));
+        announced[register_log].erase(quorum::replica_name(name));
+        return;
+    }
+    hub.on_reachable(name);
+    if (forms_itself())
+    {
+        const std::set<std::string> names = replica_names();
+        links.send(name, control_members{{names.begin(), names.end()}});
+    }
+}
+
+void control_process::implementation::tick()
+{
+    const time_point now = clock.now();
+    links.tick();
+    catalog.tick(now);
+    registers.tick(now);
+    pump();
+    if (now >= notice_at)
+    {
+        notice_at = now + notice_every;
+        send_notice(catalog, catalog_log);
+        send_notice(registers, register_log);
+        keep_members(catalog, catalog_log, now);
+        keep_members(registers, register_log, now);
+    }
+    hub.tick(replica_names(), catalog.may_answer(now), now);
+    if (catalog.may_answer(now))
+    {
+        tell_entries(now);
+    }
+    timer.expires_after(std::chrono::microseconds(tick_every.us()));
+    timer.async_wait(
+        [this](const boost::system::error_code& stopped)
+        {
+            if (!stopped)
+            {
+                tick();
+            }
+        });
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/control/control_links.cpp
@@ -0,0 +1,126 @@
+#include "control_implementation.hpp"
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+/// An entry is named to the others for this long after its last report.
+constexpr duration listed_entry_age = duration::from_ms(3000);
+/// An instance counts as sharing the backend servers for this long after its last report.
+constexpr duration instance_age = duration::from_ms(10000);
+
+} // namespace
+
+void control_process::implementation::on_message(const hello& from, const link_message& message)
+{
+    const time_point now = clock.now();
+    if (const auto* envelope = std::get_if<quorum_envelope>(&message))
+    {
+        if (envelope->log == catalog_log)
+        {
+            catalog.receive(envelope->message, now);
+        }
+        else if (envelope->log == register_log)
+        {
+            registers.receive(envelope->message, now);
+        }
+        pump_soon();
+    }
+    else if (const auto* notice = std::get_if<incarnation_notice>(&message))
+    {
+        announced[notice->log][quorum::replica_name(from.name)] = {notice->incarnation, now};
+    }
+    else if (const auto* report = std::get_if<distribution::revision_report>(&message))
+    {
+        on_report(from, *report, now);
+    }
+    else if (const auto* call = std::get_if<register_call>(&message))
+    {
+        on_register_call(from, *call, now);
+    }
+    else
+    {
+        on_registrations(from, message, now);
+    }
+}
+
+void control_process::implementation::on_registrations(const hello& from, const link_message& message,
+                                                       time_point now)
+{
+    if (const auto* update = std::get_if<registration_update>(&message))
+    {
+        hub.on_update(from.name, *update, now);
+    }
+    else if (const auto* heard = std::get_if<registration_heard>(&message))
+    {
+        hub.on_heard(*heard, now);
+    }
+    else if (const auto* digest = std::get_if<registration_digest>(&message))
+    {
+        hub.on_digest(from.name, *digest, now);
+    }
+}
+
+void control_process::implementation::on_report(const hello& from,
+                                                const distribution::revision_report& report, time_point now)
+{
+    publisher.on_report(instance_name(from.name), report, now);
+    entries[from.name] = {instance_name(from.name), from.region, from.address};
+    if (catalog.may_answer(now))
+    {
+        // Said under the lease: no other replica can have accepted a later revision.
+        links.send(from.name, distribution::revision_confirmation{catalog.state().revision(),
+                                                                  publisher.heard_since(now - instance_age)});
+        publish();
+    }
+}
+
+void control_process::implementation::tell_entries(time_point now)
+{
+    entry_list list;
+    for (const auto& [name, known] : publisher.instances())
+    {
+        const auto entry = entries.find(name.str());
+        if (entry != entries.end() && now - known.heard_at < listed_entry_age)
+        {
+            list.items.push_back(entry->second);
+        }
+    }
+    for (const entry_peer& item : list.items)
+    {
+        std::vector<entry_peer>& told = told_entries[item.name.str()];
+        if (told != list.items)
+        {
+            told = list.items;
+            links.send(item.name.str(), list);
+        }
+    }
+}
+
+void control_process::implementation::on_register_call(const hello& from, const register_call& call,
+                                                       time_point now)
+{
+    register_command command = call.command;
+    command.now_ms = unix_ms();
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(command), bytes);
+    registers.propose(
+        std::move(bytes),
+        [this, to = from.name, number = call.number](std::error_code failed, const std::string& result)
+        {
+            register_return returned;
+            returned.number = number;
+            returned.leads = !failed;
+            if (!failed)
+            {
+                returned.reply = nlohmann::json::from_cbor(result).get<register_reply>();
+            }
+            links.send(to, returned);
+        },
+        now);
+    pump_soon();
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/control/control_operators.cpp
@@ -0,0 +1,312 @@
+#include "control_implementation.hpp"
+
+#include "shell/http_status.hpp"
+#include "shell/json_reply.hpp"
+#include "shell/machine_dump.hpp"
+
+#include <flaxtiller/catalog/diff.hpp>
+#include <flaxtiller/catalog/placement.hpp>
+
+namespace flaxtiller::shell
+{
+
+void control_process::implementation::on_operator(const http_request& request,
+                                                  const http_server::respond& respond)
+{
+    if (request.target == "/health")
+    {
+        respond(json_reply(http_ok, {{"state", catalog.node() ? "running" : "storage_failing"}}));
+    }
+    else if (request.target == "/changes" && request.method == "POST")
+    {
+        on_change(request, respond);
+    }
+    else if (request.target == "/changes/preview" && request.method == "POST")
+    {
+        on_preview(request, respond);
+    }
+    else if (request.target == "/configuration")
+    {
+        on_configuration(respond);
+    }
+    else if (request.target == "/status")
+    {
+        on_status(respond);
+    }
+    else if (request.target == "/members" && request.method == "POST")
+    {
+        on_members(request, respond);
+    }
+    else if (request.target == "/dump")
+    {
+        respond(json_reply(http_ok, dump()));
+    }
+    else if (request.target == "/metrics")
+    {
+        respond(json_reply(http_ok, counted.dump()));
+    }
+    else
+    {
+        respond(error_reply(http_not_found, errc::message_malformed, "no such resource"));
+    }
+}
+
+http_reply control_process::implementation::not_leader() const
+{
+    http_reply reply = error_reply(http_not_leader, errc::not_leader);
+    const quorum::replica* node = const_cast<catalog_machine&>(catalog).node();
+    if (node != nullptr && !node->leader().empty())
+    {
+        reply.headers.set("X-Leader", node->leader().str());
+    }
+    return reply;
+}
+
+std::optional<change> control_process::implementation::read_change(const http_request& request,
+                                                                   http_reply& refusal)
+{
+    const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+    try
+    {
+        change wanted = j.get<change>();
+        if (wanted.id.empty())
+        {
+            refusal = error_reply(http_bad_request, errc::missing_key, "/id must not be empty");
+            return std::nullopt;
+        }
+        return wanted;
+    }
+    catch (const nlohmann::json::exception& malformed)
+    {
+        refusal = error_reply(http_bad_request, errc::document_malformed, malformed.what());
+        return std::nullopt;
+    }
+}
+
+int control_process::implementation::status_of(const change_result& result)
+{
+    switch (result.status)
+    {
+    case change_status::accepted:
+    case change_status::superseded:
+        return http_ok;
+    case change_status::conflict:
+        return http_conflict;
+    case change_status::invalid:
+        break;
+    }
+    return http_bad_request;
+}
+
+void control_process::implementation::on_change(const http_request& request,
+                                                const http_server::respond& respond)
+{
+    http_reply refusal;
+    const auto wanted = read_change(request, refusal);
+    if (!wanted)
+    {
+        respond(refusal);
+        return;
+    }
+    submit(*wanted,
+           [this, respond](std::error_code failed, const change_result& decided)
+           {
+               if (failed == make_error_code(errc::not_leader))
+               {
+                   respond(not_leader());
+               }
+               else if (failed)
+               {
+                   respond(error_reply(http_unavailable, errc::not_committed));
+               }
+               else
+               {
+                   respond(json_reply(status_of(decided), decided));
+               }
+           });
+}
+
+void control_process::implementation::submit(const change& wanted,
+                                             std::function<void(std::error_code, const change_result&)> done)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(wanted), bytes);
+    catalog.propose(
+        std::move(bytes),
+        [id = wanted.id, version = wanted.version, done = std::move(done)](std::error_code failed,
+                                                                           const std::string& result)
+        {
+            change_result decided;
+            if (!failed)
+            {
+                decided = nlohmann::json::from_cbor(result).get<change_result>();
+            }
+            log(log_level::info, "change",
+                {{"id", id.str()},
+                 {"version", version},
+                 {"status", failed ? failed.message() : nlohmann::json(decided.status).get<std::string>()},
+                 {"revision", decided.revision}});
+            done(failed, decided);
+        },
+        clock.now());
+    pump_soon();
+}
+
+void control_process::implementation::on_signal()
+{
+    signals.async_wait(
+        [this](const boost::system::error_code& failed, int number)
+        {
+            if (failed)
+            {
+                return;
+            }
+            if (number == SIGHUP)
+            {
+                log(log_level::info, "reload_ignored", {{"reason", "settings hold from start to stop"}});
+                on_signal();
+                return;
+            }
+            log(log_level::info, "stopped", {{"signal", number}});
+            io.stop();
+        });
+}
+
+void control_process::implementation::on_preview(const http_request& request,
+                                                 const http_server::respond& respond)
+{
+    http_reply refusal;
+    const auto wanted = read_change(request, refusal);
+    if (!wanted)
+    {
+        respond(refusal);
+        return;
+    }
+    if (!catalog.may_answer(clock.now()))
+    {
+        respond(not_leader());
+        return;
+    }
+    catalog_state trial = catalog.state();
+    const change_result decided = trial.apply(*wanted);
+    nlohmann::json body = decided;
+    body["difference"] = diff(catalog.state().current(), trial.current());
+    body["moved_shards"] = moved_shards(catalog.state().current(), trial.current());
+    respond(json_reply(status_of(decided), body));
+}
+
+nlohmann::json control_process::implementation::moved_shards(const configuration& before,
+                                                             const configuration& after)
+{
+    nlohmann::json moved = nlohmann::json::array();
+    const placement old_placed = place(0, before);
+    const placement new_placed = place(0, after);
+    for (const auto& [name, service] : new_placed.services)
+    {
+        const auto known = old_placed.services.find(name);
+        for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
+        {
+            const bool same = known != old_placed.services.end() && shard < known->second.shards.size() &&
+                              known->second.shards[shard] == service.shards[shard];
+            if (!same)
+            {
+                moved.push_back({{"service", name}, {"shard", shard}});
+            }
+        }
+    }
+    return moved;
+}
+
+void control_process::implementation::on_configuration(const http_server::respond& respond)
+{
+    if (!catalog.may_answer(clock.now()))
+    {
+        respond(not_leader());
+        return;
+    }
+    const catalog_state& state = catalog.state();
+    nlohmann::json history = nlohmann::json::array();
+    for (const auto& [revision, id] : state.history())
+    {
+        history.push_back({{"revision", revision}, {"change", id}});
+    }
+    respond(json_reply(http_ok, {{"revision", state.revision()},
+                                 {"configuration", state.current()},
+                                 {"history", std::move(history)}}));
+}
+
+void control_process::implementation::on_status(const http_server::respond& respond)
+{
+    const time_point now = clock.now();
+    if (!catalog.may_answer(now))
+    {
+        respond(not_leader());
+        return;
+    }
+    nlohmann::json instances = nlohmann::json::array();
+    for (const auto& [name, known] : publisher.instances())
+    {
+        instances.push_back({{"instance", name},
+                             {"revision_in_force", known.in_force},
+                             {"heard_ms_ago", (now - known.heard_at).ms()}});
+    }
+    respond(json_reply(http_ok, {{"leader", settings.replica.name},
+                                 {"revision", catalog.state().revision()},
+                                 {"instances", std::move(instances)},
+                                 {"catalog", dump_of(catalog, clock.now())},
+                                 {"register", dump_of(registers, clock.now())}}));
+}
+
+void control_process::implementation::on_members(const http_request& request,
+                                                 const http_server::respond& respond)
+{
+    const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+    const std::string action = j.is_object() ? j.value("action", std::string()) : std::string();
+    const std::string name = j.is_object() ? j.value("name", std::string()) : std::string();
+    if (name.empty() || (action != "add" && action != "replace" && action != "remove"))
+    {
+        respond(error_reply(http_bad_request, errc::document_malformed,
+                            "wants {\"action\": add, replace or remove, \"name\": a replica}"));
+        return;
+    }
+    const quorum::replica_name replica(name);
+    const std::error_code first = change_members(catalog, catalog_log, action, replica);
+    const std::error_code second = change_members(registers, register_log, action, replica);
+    pump_soon();
+    const std::error_code refused = first ? first : second;
+    if (refused == make_error_code(errc::not_leader))
+    {
+        respond(not_leader());
+        return;
+    }
+    if (refused)
+    {
+        respond(error_reply(http_unavailable, static_cast<errc>(refused.value()), "try again"));
+        return;
+    }
+    log(log_level::info, "members_changed", {{"action", action}, {"replica", name}});
+    respond(json_reply(http_ok, {{"catalog", dump_of(catalog, clock.now())},
+                                 {"register", dump_of(registers, clock.now())}}));
+}
+
+nlohmann::json control_process::implementation::dump()
+{
+    nlohmann::json j = {{"process", "control"},
+                        {"replica", settings.replica.name},
+                        {"region", settings.replica.region},
+                        {"availability_zone", settings.replica.availability_zone},
+                        {"revision", catalog.state().revision()},
+                        {"register_keys", registers.state().size()},
+                        {"reachable_peers", links.reachable()},
+                        {"catalog", dump_of(catalog, clock.now())},
+                        {"register", dump_of(registers, clock.now())},
+                        {"metrics", counted.dump()}};
+    return j;
+}
+
+quorum::incarnation_id control_process::implementation::founding_incarnation(const quorum::replica_name& name)
+{
+    return hash64(name.str()) | 1U;
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/control/control_process.cpp
@@ -0,0 +1,137 @@
+#include "control_implementation.hpp"
+
+#include "shell/run_guarded.hpp"
+
+#include <fmt/format.h>
+
+namespace flaxtiller::shell
+{
+
+http_server::limits control_process::implementation::limits_of(const control_settings& settings)
+{
+    http_server::limits limits;
+    limits.most_body_bytes = static_cast<std::size_t>(settings.most_request_bytes);
+    limits.request_timeout_ms = settings.request_timeout_ms;
+    return limits;
+}
+
+control_process::control_process(control_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+control_process::~control_process() = default;
+
+findings control_process::open()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    self.open_machine(self.catalog, catalog_log, found);
+    self.open_machine(self.registers, register_log, found);
+    return found;
+}
+
+findings control_process::found_logs()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    const time_point now = self.clock.now();
+    const std::error_code failed =
+        self.catalog.found(now) ? make_error_code(errc::storage_foreign) : self.registers.found(now);
+    if (failed)
+    {
+        found.error(static_cast<errc>(failed.value()), "/data_folder",
+                    "isn't empty; a log is founded once, on one replica");
+    }
+    return found;
+}
+
+int control_process::run()
+{
+    implementation& self = *m_implementation;
+    findings found;
+    if (self.operators.listen(self.settings.operators))
+    {
+        found.error(errc::address_in_use, "/listen/operators", self.settings.operators.str());
+    }
+    std::string why;
+    if (!self.links.listen(self.settings.link, why))
+    {
+        found.error(errc::address_in_use, "/listen/link", self.settings.link.str() + ": " + why);
+    }
+    if (found.has_errors())
+    {
+        fmt::print(stderr, "{}", found.to_text());
+        return 1;
+    }
+    self.links.want(self.settings.replicas);
+    self.links.start();
+    self.on_signal();
+    log(log_level::info, "started",
+        {{"operators", self.settings.operators.str()}, {"revision", self.catalog.state().revision()}});
+    net::post(self.strand,
+              [&self]
+              {
+                  self.tick();
+              });
+    run_guarded(self.io);
+    flush_log();
+    return 0;
+}
+
+findings control_process::serve(const address& at, gateway_handler handler)
+{
+    implementation& self = *m_implementation;
+    findings found;
+    self.gateway = std::make_unique<http_server>(
+        self.io, implementation::limits_of(self.settings),
+        [this, &self, handler = std::move(handler)](const http_request& request, http_server::respond respond)
+        {
+            net::post(self.strand,
+                      [this, handler, request, respond]
+                      {
+                          handler(*this, request, respond);
+                      });
+        });
+    if (self.gateway->listen(at))
+    {
+        found.error(errc::address_in_use, "/listen", at.str());
+    }
+    return found;
+}
+
+void control_process::submit(const change& wanted,
+                             std::function<void(std::error_code, const change_result&)> done)
+{
+    m_implementation->submit(wanted, std::move(done));
+}
+
+const configuration* control_process::current() const
+{
+    const implementation& self = *m_implementation;
+    return self.catalog.may_answer(self.clock.now()) ? &self.catalog.state().current() : nullptr;
+}
+
+bool control_process::leads() const
+{
+    const quorum::replica* node = m_implementation->catalog.node();
+    return node != nullptr && node->role() == quorum::role::leader;
+}
+
+std::string control_process::leader() const
+{
+    const quorum::replica* node = m_implementation->catalog.node();
+    return node == nullptr ? std::string() : node->leader().str();
+}
+
+void control_process::heartbeat(const registration& said)
+{
+    m_implementation->hub.on_heartbeat(said, m_implementation->clock.now());
+}
+
+void control_process::leave(const backend_server_name& id)
+{
+    m_implementation->hub.on_leave(id, m_implementation->clock.now());
+}
+
+} // namespace flaxtiller::shell
--- a/src/shell/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http_server.hpp"
-#include "settings.hpp"
+#include "shell/http_server.hpp"
+#include "shell/settings.hpp"
 
 #include <flaxtiller/catalog/change.hpp>
 #include <flaxtiller/catalog/configuration.hpp>
--- /dev/null
+++ b/src/entry/entry_callers.cpp
@@ -0,0 +1,233 @@
+#include "entry_implementation.hpp"
+
+#include "shell/http_status.hpp"
+#include "shell/json_reply.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <mutex>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+/// Beyond this, the configuration counts as stale: the balancer is told, answers go on and say its age.
+constexpr duration stale_after = duration::from_ms(3000);
+
+int status_of(const query_answer& answer)
+{
+    switch (answer.refusal)
+    {
+    case errc::ok:
+        break;
+    case errc::unknown_service:
+    case errc::unknown_shard:
+        return http_not_found;
+    case errc::key_reused:
+        return http_conflict;
+    case errc::key_expired:
+        return http_gone;
+    case errc::overloaded:
+        return http_too_many;
+    default:
+        return http_unavailable;
+    }
+    if (answer.outcome == outcome::run)
+    {
+        return http_ok;
+    }
+    return answer.outcome == outcome::not_run ? http_unavailable : http_gateway_timeout;
+}
+
+} // namespace
+
+void entry_process::implementation::on_caller(const http_request& request, http_server::respond respond)
+{
+    if (request.target == "/health")
+    {
+        respond(health());
+        return;
+    }
+    if (request.target != "/query" || request.method != "POST")
+    {
+        respond(error_reply(http_not_found, errc::message_malformed, "only POST /query and GET /health"));
+        return;
+    }
+    on_query(request, std::move(respond));
+}
+
+http_reply entry_process::implementation::health() const
+{
+    const std::int64_t at = confirmed_at_us.load(std::memory_order_relaxed);
+    const char* state = "serving";
+    if (draining)
+    {
+        state = "leaving";
+    }
+    else if (at == 0)
+    {
+        state = "starting";
+    }
+    else if (clock.now() - time_point(duration::from_us(at)) > stale_after)
+    {
+        state = "stale";
+    }
+    const bool serving = std::string_view(state) == "serving";
+    return json_reply(serving ? http_ok : http_unavailable, {{"state", state}});
+}
+
+void entry_process::implementation::on_query(const http_request& request, http_server::respond respond)
+{
+    counted.add(metrics::counter::queries);
+    findings found;
+    const nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
+    if (document.is_discarded())
+    {
+        found.error(errc::document_malformed, "", "the body must be JSON");
+    }
+    query_request wanted = document.is_discarded() ? query_request{} : parse_query_request(document, found);
+    if (found.has_errors())
+    {
+        counted.add(metrics::counter::malformed_requests);
+        respond(json_reply(http_bad_request, {{"outcome", "not_run"}, {"findings", found}}));
+        return;
+    }
+    if (confirmed_at_us.load(std::memory_order_acquire) == 0)
+    {
+        query_answer told;
+        told.refusal = errc::not_ready;
+        told.outcome = wanted.repeatable ? outcome::not_run : outcome::unknown;
+        told.retry_after = duration::from_ms(200);
+        answer(told, respond);
+        return;
+    }
+    const auto now_in_force = table.load();
+    const auto lane = now_in_force->lanes.find(wanted.service);
+    if (lane == now_in_force->lanes.end())
+    {
+        query_answer told;
+        told.refusal = errc::unknown_service;
+        told.outcome = wanted.repeatable ? outcome::not_run : outcome::unknown;
+        answer(told, respond);
+        return;
+    }
+    lane->second->ask(std::move(wanted),
+                      [this, respond = std::move(respond)](const query_answer& told)
+                      {
+                          answer(told, respond);
+                      });
+}
+
+void entry_process::implementation::answer(const query_answer& told, const http_server::respond& respond)
+{
+    count(told);
+    nlohmann::json body = told;
+    const time_point confirmed(duration::from_us(confirmed_at_us.load(std::memory_order_relaxed)));
+    body["configuration_age_ms"] = (clock.now() - confirmed).ms();
+    http_reply reply = json_reply(status_of(told), body);
+    if (told.retry_after > duration{})
+    {
+        const auto seconds = static_cast<std::int64_t>(told.retry_after.ms() / 1000.0) + 1;
+        reply.headers.set("Retry-After", std::to_string(seconds));
+    }
+    respond(std::move(reply));
+}
+
+void entry_process::implementation::count(const query_answer& told)
+{
+    using counter = metrics::counter;
+    counter which = counter::answers_unknown;
+    if (told.refusal != errc::ok || told.outcome == outcome::not_run)
+    {
+        which = counter::answers_refused;
+    }
+    else if (told.outcome == outcome::run)
+    {
+        which = told.is_whole() ? counter::answers_whole : counter::answers_partial;
+    }
+    counted.add(which);
+}
+
+void entry_process::implementation::on_operator(const http_request& request, http_server::respond respond)
+{
+    if (request.target == "/health")
+    {
+        respond(health());
+    }
+    else if (request.target == "/metrics")
+    {
+        respond(json_reply(http_ok, counted.dump()));
+    }
+    else if (request.target == "/dump")
+    {
+        dump(std::move(respond));
+    }
+    else
+    {
+        respond(error_reply(http_not_found, errc::message_malformed, "only /health, /metrics and /dump"));
+    }
+}
+
+void entry_process::implementation::dump(http_server::respond respond)
+{
+    struct gathered
+    {
+        std::mutex mutex;
+        nlohmann::json services = nlohmann::json::object();
+        std::size_t left = 0;
+    };
+    const auto now_in_force = table.load();
+    auto all = std::make_shared<gathered>();
+    all->left = now_in_force->lanes.size() + 1;
+    const auto done = [this, all, respond]
+    {
+        const std::scoped_lock lock(all->mutex);
+        if (--all->left > 0)
+        {
+            return;
+        }
+        net::post(strand,
+                  [this, all, respond]
+                  {
+                      respond(json_reply(http_ok, dump_with(all->services)));
+                  });
+    };
+    for (const auto& [name, lane] : now_in_force->lanes)
+    {
+        lane->dump(
+            [all, done, name = name.str()](nlohmann::json state)
+            {
+                {
+                    const std::scoped_lock lock(all->mutex);
+                    all->services[name] = std::move(state);
+                }
+                done();
+            });
+    }
+    done();
+}
+
+nlohmann::json entry_process::implementation::dump_with(const nlohmann::json& services)
+{
+    const auto age = subscriber.age(clock.now());
+    nlohmann::json j = {{"process", "entry"},
+                        {"instance", settings.instance.name},
+                        {"region", settings.instance.region},
+                        {"availability_zone", settings.instance.availability_zone},
+                        {"run", run_id},
+                        {"draining", draining.load()},
+                        {"revision", subscriber.revision()},
+                        {"reachable_peers", reachable},
+                        {"services", services},
+                        {"registered_backend_servers", registered.present().size()},
+                        {"metrics", counted.dump()}};
+    if (age)
+    {
+        j["configuration_age_ms"] = age->ms();
+    }
+    return j;
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/entry/entry_configuration.cpp
@@ -0,0 +1,204 @@
+#include "entry_implementation.hpp"
+
+#include <flaxtiller/dispatch/owner_choice.hpp>
+
+#include <algorithm>
+
+namespace flaxtiller::shell
+{
+
+void entry_process::implementation::on_update(const distribution::revision_update& update)
+{
+    if (!subscriber.on_update(update))
+    {
+        report();
+        return;
+    }
+    put_in_force();
+    log(log_level::info, "revision_in_force", {{"revision", subscriber.revision()}});
+    report();
+    note_confirmed();
+}
+
+void entry_process::implementation::on_confirmation(const distribution::revision_confirmation& word)
+{
+    subscriber.on_confirmation(word, clock.now());
+    note_confirmed();
+    if (word.instances != entries && word.instances > 0)
+    {
+        entries = word.instances;
+        log(log_level::info, "entries", {{"count", entries}});
+        update_routed();
+    }
+}
+
+void entry_process::implementation::note_confirmed()
+{
+    const auto age = subscriber.age(clock.now());
+    if (!subscriber.is_confirmed() || !age)
+    {
+        return;
+    }
+    const bool first = confirmed_at_us.load(std::memory_order_relaxed) == 0;
+    confirmed_at_us.store((clock.now() - *age).since_start().us(), std::memory_order_release);
+    if (first)
+    {
+        log(log_level::info, "serving", {{"revision", subscriber.revision()}});
+        if (routed)
+        {
+            routed->open();
+        }
+    }
+}
+
+void entry_process::implementation::put_in_force()
+{
+    update_routed();
+    if (settings.callers.port == 0)
+    {
+        return;
+    }
+    auto placed = std::make_shared<const placement>(place(subscriber.revision(), *subscriber.current()));
+    auto next = std::make_shared<entry_routing>();
+    next->placed = placed;
+    const auto before = table.load();
+    for (const auto& [name, service] : placed->services)
+    {
+        const auto known = before->lanes.find(name);
+        const bool fresh = known == before->lanes.end();
+        auto lane = fresh ? std::make_shared<service_lane>(lanes, name) : known->second;
+        if (fresh)
+        {
+            tell_peers(*lane);
+        }
+        next->lanes.emplace(name, std::move(lane));
+    }
+    configure_pools(*placed, before->placed.get());
+    for (const auto& [name, lane] : before->lanes)
+    {
+        lane->post(placement_changed{placed});
+    }
+    for (const auto& [name, lane] : next->lanes)
+    {
+        if (before->lanes.count(name) == 0)
+        {
+            lane->post(placement_changed{placed});
+            tell_list(*lane);
+        }
+    }
+    table.store(next);
+    want_peers();
+}
+
+void entry_process::implementation::tell_peers(service_lane& lane)
+{
+    for (const std::string& name : reachable)
+    {
+        lane.post(peer_reachable{instance_name(name), true});
+    }
+}
+
+void entry_process::implementation::tell_list(service_lane& lane)
+{
+    for (const auto& [server, leaving] : listed_leaving)
+    {
+        lane.post(listed{server, leaving});
+    }
+}
+
+void entry_process::implementation::want_peers()
+{
+    std::vector<named_address> peers = control;
+    for (const entry_peer& item : far_entries)
+    {
+        if (const auto at = parse_address(item.address))
+        {
+            peers.push_back({item.name.str(), *at});
+        }
+    }
+    const auto now_in_force = table.load();
+    const std::map<instance_name, instance> none;
+    for (const auto& [name, item] : now_in_force->placed ? now_in_force->placed->instances : none)
+    {
+        const auto at = parse_address(item.address);
+        if (at && name.str() != settings.instance.name)
+        {
+            peers.push_back({name.str(), *at});
+        }
+    }
+    links.want(peers);
+}
+
+void entry_process::implementation::configure_pools(const placement& placed, const placement* before)
+{
+    std::set<backend_server_name> kept;
+    for (const auto& [name, service] : placed.services)
+    {
+        const auto instances = static_cast<int>(placed.instances.size());
+        const int candidates = dispatch::candidate_count(service, std::max(instances, 1));
+        bool owned = false;
+        for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
+        {
+            if (shard % dispatch::shards_per_owner == 0)
+            {
+                owned = first_owner(name, static_cast<int>(shard), placed);
+            }
+            for (const backend_server& server : service.shards[shard])
+            {
+                const auto at = parse_address(server.address);
+                const dispatch::connection_share share = dispatch::share_of(server, candidates);
+                kept.insert(server.name);
+                // Connections are kept ready where this instance is the one that will use them.
+                pools.configure(server.name, at.value_or(address{}), share.connections,
+                                owned ? share.connections : 0);
+            }
+        }
+    }
+    if (before == nullptr)
+    {
+        return;
+    }
+    for (const auto& [name, service] : before->services)
+    {
+        for (const auto& replicas : service.shards)
+        {
+            for (const backend_server& server : replicas)
+            {
+                if (kept.count(server.name) == 0)
+                {
+                    pools.remove(server.name);
+                }
+            }
+        }
+    }
+}
+
+bool entry_process::implementation::first_owner(const service_name& service, int shard,
+                                                const placement& placed) const
+{
+    const int group = shard / dispatch::shards_per_owner;
+    for (const instance_name& candidate : dispatch::owner_candidates(service, group, placed))
+    {
+        const bool self = candidate == lanes.self;
+        if (self || reachable.count(candidate.str()) > 0)
+        {
+            return self;
+        }
+    }
+    return true;
+}
+
+void entry_process::implementation::report()
+{
+    const registration_digest known{registered.digest()};
+    for (const named_address& replica : control)
+    {
+        links.send(replica.name, subscriber.report());
+        if (routed)
+        {
+            links.send(replica.name, known);
+        }
+    }
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/entry/entry_implementation.hpp
@@ -0,0 +1,239 @@
+#pragma once
+
+#include "entry_process.hpp"
+
+#include "shell/log.hpp"
+#include "shell/peer_links.hpp"
+#include "shell/pools_by_server.hpp"
+#include "shell/register_client.hpp"
+#include "shell/routed_front.hpp"
+#include "shell/service_lane.hpp"
+#include "shell/system.hpp"
+#include "shell/trace_writer.hpp"
+
+#include <flaxtiller/core/rcu_cell.hpp>
+#include <flaxtiller/distribution/subscriber.hpp>
+#include <flaxtiller/registration/registry.hpp>
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace flaxtiller::shell
+{
+
+namespace net = boost::asio;
+
+/// @brief What a request reads, by read-copy-update: the placement in force and the lane of each service.
+struct entry_routing
+{
+    std::shared_ptr<const placement> placed;
+    std::map<service_name, std::shared_ptr<service_lane>> lanes;
+};
+
+/// @brief The parts of an entry process and how they hang together. Its members are defined by job:
+/// entry_callers.cpp, entry_links.cpp, entry_configuration.cpp, entry_platform_list.cpp, entry_process.cpp.
+struct entry_process::implementation
+{
+    static std::vector<std::string> names_of(const std::vector<named_address>& items);
+    static http_server::limits limits_of(const entry_settings& settings);
+    static service_coordinator::options options_of(const entry_settings& settings);
+
+    explicit implementation(entry_settings wanted)
+        : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
+          report_timer(strand), pools_timer(strand), drain_timer(strand),
+          signals(io, SIGTERM, SIGINT, SIGHUP),
+          links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
+                      settings.instance.region, settings.link.str()},
+                counted, settings.links,
+                {[this](const hello& from, const link_message& message)
+                 {
+                     on_message(from, message);
+                 },
+                 [this](const std::string& name, bool up)
+                 {
+                     on_reachable(name, up);
+                 }}),
+          registers(io, links, names_of(settings.control)), pools(io, counted),
+          trace(settings.trace_file), lanes{io,
+                                            pools,
+                                            links,
+                                            registers,
+                                            counted,
+                                            trace,
+                                            instance_name(settings.instance.name),
+                                            run_id,
+                                            options_of(settings)},
+          table(std::make_shared<const entry_routing>()), control(settings.control),
+          routed(settings.routed.port == 0 ? nullptr
+                                           : std::make_unique<routed_front>(
+                                                 io, counted, settings.routing, settings.routed_names,
+                                                 [this](const std::string& to, const link_message& message)
+                                                 {
+                                                     links.send(to, message);
+                                                 })),
+          callers(io, limits_of(settings),
+                  [this](const http_request& request, http_server::respond respond)
+                  {
+                      on_caller(request, std::move(respond));
+                  }),
+          operators(io, limits_of(settings),
+                    [this](const http_request& request, http_server::respond respond)
+                    {
+                        on_operator(request, std::move(respond));
+                    })
+    {
+    }
+
+    entry_settings settings;
+    const std::uint64_t run_id;
+    net::io_context io;
+    net::strand<net::io_context::executor_type> strand;
+    net::steady_timer link_timer;
+    net::steady_timer report_timer;
+    net::steady_timer pools_timer;
+    net::steady_timer drain_timer;
+    net::signal_set signals;
+    monotonic_clock clock;
+    metrics counted;
+    peer_links links;
+    register_client registers;
+    pools_by_server<backend_pool> pools;
+    trace_writer trace;
+    lane_context lanes;
+    rcu_cell<entry_routing> table;
+    distribution::subscriber subscriber;
+    /// Microseconds of the monotonic clock at which a leader last confirmed the revision; 0 for never.
+    std::atomic<std::int64_t> confirmed_at_us{0};
+    std::atomic<bool> draining{false};
+    time_point drain_until{};
+    /// What is in flight is cut then.
+    time_point drain_end{};
+    bool closing = false;
+    /// New connections may come until then: the balancer needs to notice.
+    time_point drained_at_least{};
+    std::set<std::string> reachable;
+    /// The control replicas: those of the settings, and those that a replica named since.
+    std::vector<named_address> control;
+    std::unique_ptr<routed_front> routed;
+    registry registered;
+    /// Entry instances that share the backend servers, as the leader counts them.
+    int entries = 1;
+    /// Entries of other regions that this one keeps links to.
+    std::vector<entry_peer> far_entries;
+    std::map<backend_server_name, bool> listed_leaving;
+    std::thread platform_poller;
+    std::atomic<bool> stopping{false};
+    http_server callers;
+    http_server operators;
+    std::unique_ptr<http_server> gateway;
+
+    // ------------------------------------------------------------------ callers
+
+    void on_caller(const http_request& request, http_server::respond respond);
+
+    http_reply health() const;
+
+    void on_query(const http_request& request, http_server::respond respond);
+
+    void answer(const query_answer& told, const http_server::respond& respond);
+
+    void count(const query_answer& told);
+
+    // ------------------------------------------------------------------ operators
+
+    void on_operator(const http_request& request, http_server::respond respond);
+
+    void dump(http_server::respond respond);
+
+    nlohmann::json dump_with(const nlohmann::json& services);
+
+    // ------------------------------------------------------------------ links
+
+    void on_message(const hello& from, const link_message& message);
+
+    /// @return whether it was a message between entries on a routed request
+    bool on_routed(const hello& from, const link_message& message);
+
+    void on_surroundings(const hello& from, const link_message& message);
+
+    void on_registrations(const hello& from, const registration_update& update);
+
+    /// A replica's word on where the others are; those of the settings stay, in case it is wrong.
+    void on_control_members(const control_members& told);
+
+    void update_routed();
+
+    /// Of each other region this one links to a few entries, other ones than its neighbours do, so that links
+    /// don't grow with the square of the instances.
+    void on_entry_list(const entry_list& list);
+
+    void post_to_lane(const service_name& service, coordinator_event event);
+
+    void on_reachable(const std::string& name, bool up);
+
+    // ------------------------------------------------------------------ configuration
+
+    void on_update(const distribution::revision_update& update);
+
+    void on_confirmation(const distribution::revision_confirmation& word);
+
+    void note_confirmed();
+
+    void put_in_force();
+
+    void tell_peers(service_lane& lane);
+
+    void tell_list(service_lane& lane);
+
+    void want_peers();
+
+    void configure_pools(const placement& placed, const placement* before);
+
+    bool first_owner(const service_name& service, int shard, const placement& placed) const;
+
+    void report();
+
+    // ------------------------------------------------------------------ the platform's list
+
+    void poll_platform();
+
+    void on_list(const nlohmann::json& list);
+
+    // ------------------------------------------------------------------ life
+
+    template <typename Work>
+    void repeat(net::steady_timer& timer, duration every, Work work)
+    {
+        timer.expires_after(std::chrono::microseconds(every.us()));
+        timer.async_wait(
+            [this, &timer, every, work](const boost::system::error_code& stopped)
+            {
+                if (!stopped)
+                {
+                    work();
+                    repeat(timer, every, work);
+                }
+            });
+    }
+
+    void on_signal();
+
+    void drain();
+
+    void check_drained(int quiet_checks);
+};
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/entry/entry_links.cpp
@@ -0,0 +1,241 @@
+#include "entry_implementation.hpp"
+
+#include <flaxtiller/core/hash.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+/// Links to entries of each other region: enough that one may fail and another be passed over.
+constexpr std::size_t far_entries_per_region = 3;
+
+} // namespace
+
+void entry_process::implementation::on_message(const hello& from, const link_message& message)
+{
+    if (const auto* asked = std::get_if<ask_message>(&message))
+    {
+        post_to_lane(asked->service, peer_asked{instance_name(from.name), asked->subqueries});
+    }
+    else if (const auto* answered = std::get_if<answer_message>(&message))
+    {
+        post_to_lane(answered->service, peer_answered{instance_name(from.name), answered->results});
+    }
+    else if (const auto* abandoned = std::get_if<abandon_message>(&message))
+    {
+        post_to_lane(abandoned->service, peer_abandoned{instance_name(from.name), abandoned->numbers});
+    }
+    else if (const auto* returned = std::get_if<register_return>(&message))
+    {
+        registers.on_return(from.name, *returned);
+    }
+    else if (const auto* update = std::get_if<distribution::revision_update>(&message))
+    {
+        net::post(strand,
+                  [this, update = *update]
+                  {
+                      on_update(update);
+                  });
+    }
+    else if (const auto* word = std::get_if<distribution::revision_confirmation>(&message))
+    {
+        net::post(strand,
+                  [this, word = *word]
+                  {
+                      on_confirmation(word);
+                  });
+    }
+    else if (!on_routed(from, message))
+    {
+        net::post(strand,
+                  [this, from, message]
+                  {
+                      on_surroundings(from, message);
+                  });
+    }
+}
+
+bool entry_process::implementation::on_routed(const hello& from, const link_message& message)
+{
+    if (!routed)
+    {
+        return false;
+    }
+    if (const auto* asked = std::get_if<routed_ask>(&message))
+    {
+        routed->on_ask(from.name, *asked);
+        return true;
+    }
+    if (const auto* returned = std::get_if<routed_return>(&message))
+    {
+        routed->on_return(from.name, *returned);
+        return true;
+    }
+    if (const auto* abandoned = std::get_if<routed_abandon>(&message))
+    {
+        routed->on_abandon(from.name, *abandoned);
+        return true;
+    }
+    return false;
+}
+
+void entry_process::implementation::on_surroundings(const hello& from, const link_message& message)
+{
+    if (const auto* update = std::get_if<registration_update>(&message))
+    {
+        on_registrations(from, *update);
+    }
+    else if (const auto* told = std::get_if<control_members>(&message))
+    {
+        on_control_members(*told);
+    }
+    else if (const auto* list = std::get_if<entry_list>(&message))
+    {
+        on_entry_list(*list);
+    }
+}
+
+void entry_process::implementation::on_registrations(const hello& from, const registration_update& update)
+{
+    const time_point now = clock.now();
+    bool changed = false;
+    for (const registration& said : update.items)
+    {
+        changed = registered.merge(said, now) || changed;
+    }
+    if (update.whole)
+    {
+        changed = registered.keep_only(update.items, now) || changed;
+    }
+    if (!changed)
+    {
+        return;
+    }
+    for (const registration& item : registered.take_changes())
+    {
+        log(log_level::info, "registration",
+            {{"backend_server", item.id.str()},
+             {"service", item.service.str()},
+             {"state", nlohmann::json(item.state).get<std::string>()},
+             {"sequence", item.sequence},
+             {"from", from.name}});
+    }
+    update_routed();
+}
+
+void entry_process::implementation::on_control_members(const control_members& told)
+{
+    std::vector<named_address> next = settings.control;
+    for (const std::string& name : told.names)
+    {
+        const auto at = parse_address(name);
+        const bool known = std::any_of(next.begin(), next.end(),
+                                       [&](const named_address& item)
+                                       {
+                                           return item.name == name;
+                                       });
+        if (at && !known)
+        {
+            next.push_back({name, *at});
+        }
+    }
+    if (next == control)
+    {
+        return;
+    }
+    control = std::move(next);
+    log(log_level::info, "control_replicas", {{"count", control.size()}});
+    want_peers();
+}
+
+void entry_process::implementation::update_routed()
+{
+    if (routed)
+    {
+        routed_front::surroundings around;
+        around.entries = entries;
+        around.region = settings.instance.region;
+        around.region_of_zone = settings.region_of_zone;
+        for (const entry_peer& peer : far_entries)
+        {
+            if (reachable.count(peer.name.str()) > 0)
+            {
+                around.peers.push_back(peer);
+            }
+        }
+        routed->update(subscriber.revision(), subscriber.current(), registered.present(), around);
+    }
+}
+
+void entry_process::implementation::on_entry_list(const entry_list& list)
+{
+    std::map<std::string, std::map<std::uint64_t, entry_peer>> by_region;
+    for (const entry_peer& item : list.items)
+    {
+        if (item.region != settings.instance.region)
+        {
+            by_region[item.region].emplace(hash64(settings.instance.name + '/' + item.name.str()), item);
+        }
+    }
+    std::vector<entry_peer> next;
+    for (const auto& [region, ranked] : by_region)
+    {
+        std::size_t taken = 0;
+        for (const auto& [rank, item] : ranked)
+        {
+            if (taken++ < far_entries_per_region)
+            {
+                next.push_back(item);
+            }
+        }
+    }
+    if (next == far_entries)
+    {
+        return;
+    }
+    far_entries = std::move(next);
+    log(log_level::info, "far_entries", {{"linked", far_entries.size()}, {"listed", list.items.size()}});
+    want_peers();
+    update_routed();
+}
+
+void entry_process::implementation::post_to_lane(const service_name& service, coordinator_event event)
+{
+    const auto now_in_force = table.load();
+    const auto lane = now_in_force->lanes.find(service);
+    if (lane != now_in_force->lanes.end())
+    {
+        lane->second->post(std::move(event));
+    }
+}
+
+void entry_process::implementation::on_reachable(const std::string& name, bool up)
+{
+    net::post(strand,
+              [this, name, up]
+              {
+                  up ? (void)reachable.insert(name) : (void)reachable.erase(name);
+                  const bool far = std::any_of(far_entries.begin(), far_entries.end(),
+                                               [&](const entry_peer& item)
+                                               {
+                                                   return item.name.str() == name;
+                                               });
+                  if (far)
+                  {
+                      update_routed();
+                  }
+                  const auto now_in_force = table.load();
+                  for (const auto& [service, lane] : now_in_force->lanes)
+                  {
+                      lane->post(peer_reachable{instance_name(name), up});
+                  }
+              });
+}
+
+} // namespace flaxtiller::shell
--- a/src/shell/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "http_server.hpp"
-#include "service_lane.hpp"
-#include "settings.hpp"
+#include "shell/http_server.hpp"
+#include "shell/service_lane.hpp"
+#include "shell/settings.hpp"
 
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
--- /dev/null
+++ b/src/routing/router_answers.cpp
@@ -0,0 +1,169 @@
+// When and how a request is answered.
+
+#include <flaxtiller/routing/router.hpp>
+
+#include <flaxtiller/routing/top_records.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flaxtiller
+{
+
+/// What another entry asked for is of use to it whatever its share.
+double router::least_share_of(const open_request& opened) const
+{
+    return opened.request->is_asked() ? 0.0 : opened.by->least_share;
+}
+
+bool router::enough_in(const open_request& opened) const
+{
+    const auto wanted = least_share_of(opened) * static_cast<double>(opened.parts.size());
+    return opened.in > 0 && static_cast<double>(opened.in) >= wanted;
+}
+
+void router::settle(request_number number, open_request& opened, time_point now)
+{
+    if (opened.by->fans_out())
+    {
+        settle_fan_out(number, opened, now);
+    }
+    else
+    {
+        settle_single(number, opened);
+    }
+}
+
+void router::settle_single(request_number number, open_request& opened)
+{
+    const part& asked = opened.parts.front();
+    // Also a failure is the backend server's word: it is passed on where no success came.
+    if (asked.answer)
+    {
+        routed_outcome told;
+        told.end = routed_end::passed_on;
+        told.answer = asked.answer;
+        finish(number, opened, std::move(told));
+        return;
+    }
+    fail(number, opened, opened.reason == missing_reason::late);
+}
+
+void router::settle_fan_out(request_number number, open_request& opened, time_point now)
+{
+    const auto all = static_cast<int>(opened.parts.size());
+    const bool complete = opened.in + opened.missing == all;
+    if (enough_in(opened) && (complete || opened.past_objective))
+    {
+        merge(number, opened);
+        return;
+    }
+    const auto most_in = static_cast<double>(all - opened.missing);
+    const bool hopeless = most_in < least_share_of(opened) * static_cast<double>(all) || most_in == 0.0;
+    if (hopeless || complete)
+    {
+        fail(number, opened, now >= opened.deadline);
+    }
+}
+
+void router::merge(request_number number, open_request& opened)
+{
+    routed_outcome told;
+    told.end = routed_end::merged;
+    std::vector<std::string_view> bodies;
+    for (const part& asked : opened.parts)
+    {
+        if (asked.is_in())
+        {
+            bodies.emplace_back(asked.answer->body);
+            told.signatures.push_back(asked.answer->signature);
+        }
+    }
+    for (const group& asked : opened.groups)
+    {
+        if (!asked.outcome.signatures.empty())
+        {
+            bodies.emplace_back(asked.outcome.merged);
+            told.signatures.insert(told.signatures.end(), asked.outcome.signatures.begin(),
+                                   asked.outcome.signatures.end());
+            told.elsewhere.push_back(asked.peer);
+        }
+    }
+    told.missing = static_cast<int>(opened.parts.size() - told.signatures.size());
+    told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
+    finish(number, opened, std::move(told));
+}
+
+void router::fail(request_number number, open_request& opened, bool late)
+{
+    const bool running = std::any_of(opened.parts.begin(), opened.parts.end(),
+                                     [](const part& asked)
+                                     {
+                                         return !asked.over;
+                                     });
+    routed_outcome told;
+    told.end = routed_end::refused;
+    if (opened.may_have_run || (running && opened.attempts > 0) || !opened.groups.empty())
+    {
+        told.end = late ? routed_end::late : routed_end::failed;
+    }
+    told.retry_after = std::max(opened.retry_after, m_options.least_retry);
+    finish(number, opened, std::move(told));
+}
+
+std::vector<service_name> router::missing_services(const open_request& opened)
+{
+    std::vector<service_name> missing;
+    if (!opened.by->fans_out())
+    {
+        return missing;
+    }
+    std::vector<bool> known_elsewhere(opened.parts.size(), false);
+    for (const group& asked : opened.groups)
+    {
+        if (asked.outcome.signatures.empty())
+        {
+            continue;
+        }
+        missing.insert(missing.end(), asked.outcome.missing_services.begin(),
+                       asked.outcome.missing_services.end());
+        for (const std::size_t at : asked.parts)
+        {
+            known_elsewhere[at] = true;
+        }
+    }
+    for (std::size_t at = 0; at < opened.parts.size(); ++at)
+    {
+        if (!known_elsewhere[at] && !opened.parts[at].is_in())
+        {
+            missing.push_back(opened.parts[at].service);
+        }
+    }
+    return missing;
+}
+
+void router::finish(request_number number, open_request& opened, routed_outcome outcome)
+{
+    outcome.route = opened.by->name;
+    outcome.revision = m_view.placed->revision;
+    outcome.missing_services = missing_services(opened);
+    outcome.reason = opened.reason;
+    outcome.attempts = opened.attempts;
+    for (const group& asked : opened.groups)
+    {
+        m_asks.erase(asked.number);
+    }
+    m_timers.erase({opened.timer_at, number});
+    for (const part& asked : opened.parts)
+    {
+        if (!asked.over && asked.subquery != 0)
+        {
+            m_origins.erase(asked.subquery);
+            m_lanes.at(asked.at).scheduler.detach(asked.subquery);
+        }
+    }
+    m_open.erase(number);
+    m_actions.emplace_back(answer_request{number, std::move(outcome)});
+}
+
+} // namespace flaxtiller
