Members can be changed while the two logs have different leaders

Each log elects for itself; after a freeze the catalogue's leader and the register's can differ, and then every replica refused the call, since it did both logs' changes or neither. Ruled out: elections (both logs had a leader with a lease all along, as the dumps show). Now the catalogue's leader does its part and asks the register's leader for the other. Test: test_wiped_replica_is_replaced_while_the_logs_have_different_leaders, failed after 33 s before, passes now.

--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -225,27 +225,50 @@
     void on_members(const http_request& request, const http_server::respond& respond);
 
     template <typename Machine>
-    std::error_code change_members(Machine& machine, const char* log_name, const std::string& action,
-                                   const quorum::replica_name& name)
+    static bool leads(Machine& machine)
     {
+        const quorum::replica* node = machine.node();
+        return node != nullptr && node->role() == quorum::role::leader;
+    }
+
+    /// Makes the change if this replica leads the log, and asks the leader for it if not.
+    /// @return nothing once the change is in this replica's log
+    template <typename Machine>
+    std::error_code change_members(Machine& machine, const char* log_name, member_request wanted)
+    {
+        const quorum::replica_name name(wanted.name);
         quorum::replica* node = machine.node();
-        if (node == nullptr || node->role() != quorum::role::leader)
-        {
-            return errc::not_leader;
-        }
-        if (action == "remove")
+        if (node == nullptr)
         {
-            return node->remove_member(name, clock.now());
+            return errc::storage_failed;
         }
         const auto& known = announced[log_name];
         const auto holds = known.find(name);
-        if (holds == known.end())
+        const bool removes = wanted.action == "remove";
+        if (!removes && holds == known.end())
         {
             return errc::unreachable;
         }
-        return node->add_member(name, holds->second.incarnation, clock.now());
+        if (leads(machine))
+        {
+            return removes ? node->remove_member(name, clock.now())
+                           : node->add_member(name, holds->second.incarnation, clock.now());
+        }
+        const auto member = node->members().members.find(name);
+        const bool is_member = member != node->members().members.end();
+        const bool done =
+            removes ? !is_member : is_member && member->second.incarnation == holds->second.incarnation;
+        if (done)
+        {
+            return {};
+        }
+        wanted.log = log_name;
+        links.send(node->leader().str(), wanted);
+        return errc::not_committed;
     }
 
+    void on_member_request(const hello& from, const member_request& wanted);
+
     // ------------------------------------------------------------------ inspection
 
     nlohmann::json dump();
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -61,6 +61,10 @@
     {
         hub.on_digest(from.name, *digest, now);
     }
+    else if (const auto* wanted = std::get_if<member_request>(&message))
+    {
+        on_member_request(from, *wanted);
+    }
 }
 
 void control_process::implementation::on_report(const hello& from,
@@ -123,4 +127,23 @@
     pump_soon();
 }
 
+void control_process::implementation::on_member_request(const hello& from, const member_request& wanted)
+{
+    const bool for_catalog = wanted.log == catalog_log;
+    if (!(for_catalog ? leads(catalog) : leads(registers)))
+    {
+        // The asker tries again, with whom it then takes for the leader.
+        return;
+    }
+    const std::error_code refused = for_catalog ? change_members(catalog, catalog_log, wanted)
+                                                : change_members(registers, register_log, wanted);
+    log(log_level::info, "members_changed",
+        {{"log", wanted.log},
+         {"action", wanted.action},
+         {"replica", wanted.name},
+         {"asked_by", from.name},
+         {"result", refused ? refused.message() : "accepted"}});
+    pump_soon();
+}
+
 } // namespace flaxtiller::shell
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -269,17 +269,17 @@
                             "wants {\"action\": add, replace or remove, \"name\": a replica}"));
         return;
     }
-    const quorum::replica_name replica(name);
-    const std::error_code first = change_members(catalog, catalog_log, action, replica);
-    const std::error_code second = change_members(registers, register_log, action, replica);
-    pump_soon();
-    const std::error_code refused = first ? first : second;
-    if (refused == make_error_code(errc::not_leader))
+    if (!leads(catalog))
     {
         respond(not_leader());
         return;
     }
-    if (refused)
+    // Each log has a leader of its own: what this replica doesn't lead, its leader is asked for.
+    const member_request wanted{{}, action, name};
+    const std::error_code first = change_members(catalog, catalog_log, wanted);
+    const std::error_code second = change_members(registers, register_log, wanted);
+    pump_soon();
+    if (const std::error_code refused = first ? first : second)
     {
         respond(error_reply(http_unavailable, static_cast<errc>(refused.value()), "try again"));
         return;
--- a/src/shell/link_message.cpp
+++ b/src/shell/link_message.cpp
@@ -23,6 +23,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_ask, number, request)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_return, number, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_request, log, action, name)
 
 static void to_json(nlohmann::json& j, const ask_message& value)
 {
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -142,12 +142,21 @@
     ask_number number = 0;
 };
 
+/// @brief An operator's change of one log's members, passed on to that log's leader.
+struct member_request
+{
+    std::string log;
+    /// `add`, `replace` or `remove`.
+    std::string action;
+    std::string name;
+};
+
 using link_message =
     std::variant<hello, heartbeat, quorum_envelope, ask_message, answer_message, abandon_message,
                  register_call, register_return, distribution::revision_update, distribution::revision_report,
                  distribution::revision_confirmation, incarnation_notice, registration_update,
                  registration_heard, registration_digest, control_members, entry_list, routed_ask,
-                 routed_return, routed_abandon>;
+                 routed_return, routed_abandon, member_request>;
 
 /// @return the message as CBOR
 std::string encode(const link_message& message);
--- a/tests/faults/test_control.py
+++ b/tests/faults/test_control.py
@@ -31,6 +31,38 @@
         self.assertEqual((again["status"], again["revision"]), ("accepted", 1))
         self.assertEqual(cluster.apply("b", 1, patch(2), "patch")["revision"], 2)
 
+    def test_wiped_replica_is_replaced_while_the_logs_have_different_leaders(self):
+        """Chaos seeds 77 and 90210: each log elects for itself, and then no replica led both, so that `members`
+        was refused by all."""
+        cluster = self.controls()
+        cluster.apply("a", 0, patch(1), "patch")
+
+        def leaders():
+            found = {}
+            for name in cluster.control_names:
+                dump = call(cluster.ports[name]["operators"], "GET", "/dump")[1] or {}
+                for log in ("catalog", "register"):
+                    if dump.get(log, {}).get("lease"):
+                        found[log] = name
+            return found
+
+        for _ in range(30):
+            led = eventually("both logs are led", lambda: len(leaders()) == 2 and leaders())
+            if led["catalog"] != led["register"]:
+                break
+            frozen = cluster.by_name[led["catalog"]]
+            frozen.freeze()
+            time.sleep(1.5)
+            frozen.thaw()
+            time.sleep(1.0)
+        self.assertNotEqual(led["catalog"], led["register"])
+        wiped = [name for name in cluster.control_names if name not in led.values()][0]
+        cluster.by_name[wiped].kill()
+        shutil.rmtree(os.path.join(cluster.folder, wiped))
+        cluster.by_name[wiped].start()
+        cluster.members("replace", wiped)
+        cluster.await_voter(wiped)
+
     def test_changes_race_while_leaders_are_killed(self):
         cluster = self.controls()
         accepted = []
