--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -40,6 +40,33 @@
                 return sets
         return []
 
+    def test_every_final_answer_is_explained_by_its_lines(self):
+        with Platform() as platform:
+            backends = self.serve(platform)
+            first = platform.machines[0]
+            backends["s0"][0].crash()
+            for backend in backends["s2"]:
+                backend.crash()
+            told = {}
+            for i in range(40):
+                path = ("/all/x", "/one/x", "/nowhere/x")[i % 3]
+                told["x-%d" % i] = platform.request(first, path, "x-%d" % i)[:2]
+            first.processes["entry"].signal(15)
+            first.processes["entry"].handle.wait(30)
+            with open(first.processes["entry"].log) as file:
+                lines = [line for line in file if " request=x-" in line]
+            ends = {200: ("merged", "passed_on"), 404: ("no_route",), 502: ("failed",), 503: ("refused",),
+                    504: ("late",)}
+            for request, (status, headers) in told.items():
+                mine = [dict(field.split("=", 1) for field in line.split() if "=" in field)
+                        for line in lines if " request=%s " % request in line]
+                answers = [fields for fields in mine if "end" in fields and "route" in fields]
+                self.assertEqual(len(answers), 1, request)
+                self.assertIn(answers[0]["end"], ends[status], request)
+                self.assertEqual(answers[0]["missing"], headers.get("X-Missing-Parts", "0"), request)
+                if answers[0]["missing"] != "0":
+                    self.assertEqual(answers[0]["missing_services"], "s2", request)
+
     def test_calm_day(self):
         with Platform() as platform:
             backends = self.serve(platform)
