Answers between entries carry the missing services; near backend servers first; calmer links

Ruled out: the retry budget (attempts were as before). Every message between entries now has a round-trip test; the new one failed on this.

--- a/include/flaxtiller/core/duration.hpp
+++ b/include/flaxtiller/core/duration.hpp
@@ -26,7 +26,7 @@
         return duration(microseconds);
     }
 
-    /// @return the span in milliseconds
+    /// @return the span in milliseconds, with its fraction
     constexpr double ms() const noexcept
     {
         return static_cast<double>(m_us) / 1000.0;
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -37,6 +37,10 @@
     /// @param candidates how many instances may own the service; bounds the connections of each
     void configure(const placed_service& placed, int candidates, time_point now);
 
+    /// @brief Tells which availability zones are near: of two backend servers about as fast, a near one is
+    /// preferred. Holds from the next @ref configure on.
+    void set_near(std::set<std::string> zones);
+
     /// @brief Changes how many extra attempts may pile up.
     void limit_budget(double burst);
 
@@ -212,6 +216,7 @@
     scheduler_options m_options;
     token_budget m_budget;
     int m_candidates = 1;
+    std::set<std::string> m_near_zones;
     std::deque<server_state> m_servers;
     std::map<backend_server_name, server_index> m_server_index;
     std::vector<shard_state> m_shards;
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -18,6 +18,8 @@
 struct server_state
 {
     backend_server definition;
+    /// It stands in a near availability zone.
+    bool near = false;
     /// The shards that it holds.
     std::vector<int> shards;
     /// Attempts that hold one of its slots, those being cancelled included.
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -7,7 +7,7 @@
 {
 
 /// An entry is named to the others for this long after its last report.
-constexpr duration listed_entry_age = duration::from_ms(3000);
+constexpr duration listed_entry_age = duration::from_ms(4000);
 /// An instance counts as sharing the backend servers for this long after its last report.
 constexpr duration instance_age = duration::from_ms(10000);
 
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -66,6 +66,7 @@
             const server_index index = take_server_index(definition.name);
             server_state& server = m_servers[index];
             server.definition = definition;
+            server.near = m_near_zones.count(definition.availability_zone) > 0;
             server.latency.track(m_options.late_quantile, m_options.late_gain);
             server.retired = false;
             server.shards.push_back(static_cast<int>(shard));
@@ -78,6 +79,11 @@
     }
 }
 
+void scheduler::set_near(std::set<std::string> zones)
+{
+    m_near_zones = std::move(zones);
+}
+
 void scheduler::limit_budget(double burst)
 {
     m_budget.limit(burst);
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -108,7 +108,7 @@
     {
         return false;
     }
-    return a.in_use < b.in_use;
+    return a.near != b.near ? a.near : a.in_use < b.in_use;
 }
 
 bool scheduler::has_room_ahead(const server_state& server, time_point now) const
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -54,10 +54,15 @@
 
 void to_json(nlohmann::json& j, const routed_outcome& value)
 {
-    j = {
-        {"end", value.end},           {"merged", value.merged},    {"signatures", value.signatures},
-        {"missing", value.missing},   {"reason", value.reason},    {"retry_after_us", value.retry_after.us()},
-        {"attempts", value.attempts}, {"took_us", value.took.us()}};
+    j = {{"end", value.end},
+         {"merged", value.merged},
+         {"signatures", value.signatures},
+         {"missing", value.missing},
+         {"missing_services", value.missing_services},
+         {"reason", value.reason},
+         {"retry_after_us", value.retry_after.us()},
+         {"attempts", value.attempts},
+         {"took_us", value.took.us()}};
 }
 
 void from_json(const nlohmann::json& j, routed_outcome& value)
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -45,12 +45,21 @@
     const double own_slack = std::max(1.0, m_options.retry_slack * m_options.retry_share / m_view.entries);
     m_second_runs.limit(
         std::max(1.0, m_options.retry_slack * (1.0 - m_options.retry_share) / m_view.entries));
+    std::set<std::string> near_zones;
+    for (const auto& [zone, region] : m_view.region_of_zone)
+    {
+        if (region == m_view.region)
+        {
+            near_zones.insert(zone);
+        }
+    }
     const placed_service none{{}, {{}}};
     for (auto& [at, item] : m_lanes)
     {
         const auto found = m_view.placed->services.find(item.service);
         const placed_service& placed = found == m_view.placed->services.end() ? none : found->second;
         item.scheduler.limit_budget(own_slack);
+        item.scheduler.set_near(near_zones);
         item.scheduler.configure(placed, m_view.entries, now);
     }
     for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
--- /dev/null
+++ b/tests/src/unit-link-message.cpp
@@ -0,0 +1,104 @@
+#include "shell/link_message.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace flaxtiller;
+using namespace flaxtiller::shell;
+
+namespace
+{
+
+/// @return the message as its receiver has it
+template <typename Message>
+Message received(const Message& sent)
+{
+    const auto decoded = decode(encode(sent));
+    REQUIRE(decoded);
+    REQUIRE(std::holds_alternative<Message>(*decoded));
+    return std::get<Message>(*decoded);
+}
+
+} // namespace
+
+TEST_CASE("messages on routed requests arrive as they were sent", "[link]")
+{
+    SECTION("what is asked, with bytes that aren't text")
+    {
+        routed_ask asked;
+        asked.number = 7;
+        asked.request.id = "r";
+        asked.request.method = "GET";
+        asked.request.host = "h";
+        asked.request.target = "/a/?b";
+        asked.request.headers = {{"X-A", "1"}, {"X-A", "2"}};
+        asked.request.body = std::string("\x00\xff\x80", 3);
+        asked.request.patience = duration::from_ms(1.5);
+        asked.request.asked_revision = 3;
+        asked.request.asked_services = {service_name("s1"), service_name("s2")};
+        asked.request.answer_within = duration::from_ms(0.5);
+        const routed_ask got = received(asked);
+        CHECK(got.number == 7);
+        CHECK(got.request == asked.request);
+    }
+    SECTION("what came of it")
+    {
+        routed_return returned;
+        returned.number = 7;
+        returned.outcome.end = routed_end::merged;
+        returned.outcome.merged = std::string("\xfe\x00\x01", 3);
+        returned.outcome.signatures = {"a", "b"};
+        returned.outcome.missing = 1;
+        returned.outcome.missing_services = {service_name("s3")};
+        returned.outcome.reason = missing_reason::late;
+        returned.outcome.retry_after = duration::from_ms(20);
+        returned.outcome.attempts = 4;
+        returned.outcome.took = duration::from_ms(31);
+        const routed_outcome got = received(returned).outcome;
+        CHECK(got.end == returned.outcome.end);
+        CHECK(got.merged == returned.outcome.merged);
+        CHECK(got.signatures == returned.outcome.signatures);
+        CHECK(got.missing == 1);
+        CHECK(got.missing_services == returned.outcome.missing_services);
+        CHECK(got.reason == missing_reason::late);
+        CHECK(got.retry_after == returned.outcome.retry_after);
+        CHECK(got.attempts == 4);
+        CHECK(got.took == returned.outcome.took);
+    }
+    SECTION("that nobody waits any more")
+    {
+        CHECK(received(routed_abandon{9}).number == 9);
+    }
+}
+
+TEST_CASE("messages on surroundings arrive as they were sent", "[link]")
+{
+    SECTION("backend servers")
+    {
+        registration_update update;
+        update.whole = true;
+        registration said;
+        said.id = backend_server_name("i-1");
+        said.service = service_name("s");
+        said.address = "10.0.0.1:80";
+        said.availability_zone = "z";
+        said.software = "v1";
+        said.slots = 4;
+        said.state = registration_state::draining;
+        said.warmup_left = duration::from_ms(300);
+        said.sequence = 12;
+        update.items = {said};
+        const registration_update got = received(update);
+        CHECK(got.whole);
+        CHECK(got.items == update.items);
+        CHECK(received(registration_heard{{{said.id, 5}}}).items.at(0).second == 5);
+        CHECK(received(registration_digest{~std::uint64_t{0}}).digest == ~std::uint64_t{0});
+    }
+    SECTION("processes")
+    {
+        CHECK(received(control_members{{"a:1", "b:2"}}).names.size() == 2);
+        const entry_list list{{{instance_name("e"), "r", "10.0.0.1:7"}}};
+        CHECK(received(list).items == list.items);
+        CHECK(received(member_request{"catalog", "add", "c"}).action == "add");
+        CHECK(received(hello{link_protocol_version, "entry", "e", 5, "r", "a:1"}).region == "r");
+    }
+}
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -36,6 +36,10 @@
                 server.slots = 2;
                 server.connection_limit = 30;
                 server.availability_zone = i < near_services ? "near-zone" : "far-zone";
+                if (k + 1 == replicas && !last_replica_zone.empty())
+                {
+                    server.availability_zone = last_replica_zone;
+                }
                 item.shards[0].push_back(server);
             }
             placed->services.emplace(item.definition.name, item);
@@ -153,6 +157,8 @@
 
     std::string region = "near";
     int near_services = 0;
+    /// Where the last replica of each service stands, if elsewhere than the others.
+    std::string last_replica_zone;
     std::vector<entry_peer> peers;
     time_point now{duration::from_ms(1000)};
     std::vector<start_routed_attempt> started;
@@ -310,6 +316,20 @@
 {
     router_driver driver;
 
+    SECTION("goes to a near backend server as long as that isn't slower")
+    {
+        driver.last_replica_zone = "near-zone";
+        driver.serve({{"one", single(true)}}, 1, 3);
+        for (int i = 0; i < 2; ++i)
+        {
+            driver.ask("/one/x");
+            CHECK(driver.started.back().server.str() == "s0-2");
+        }
+        // Its slots are in use.
+        driver.ask("/one/x");
+        CHECK(driver.started.back().server.str() != "s0-2");
+    }
+
     SECTION("the backend server's answer is passed on")
     {
         driver.serve({{"one", single(true)}}, 1);
