--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -108,7 +108,12 @@
     {
         return false;
     }
-    return a.near != b.near ? a.near : a.in_use < b.in_use;
+    const bool near_is_slower = a.near ? latency_a > latency_b : latency_b > latency_a;
+    if (a.near != b.near && !near_is_slower)
+    {
+        return a.near;
+    }
+    return a.in_use < b.in_use;
 }
 
 bool scheduler::has_room_ahead(const server_state& server, time_point now) const
