--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -163,7 +163,8 @@
     };
 
     // Choice of a backend server.
-    bool eligible(const server_state& server, const work& item) const;
+    bool eligible(const server_state& server, const work& item, time_point now) const;
+    bool may_have_come_back(const server_state& server, const work& item, time_point now) const;
     bool usable(const server_state& server, time_point now) const;
     connection_share own_share(const server_state& server) const;
     int slots_of(const server_state& server) const;
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -50,6 +50,10 @@
     int eject_after = 3;
     duration eject_first = duration::from_ms(500);
     duration eject_most = duration::from_ms(30000);
+    /// A backend server that said it is leaving is asked again after this long, since it may have come back:
+    /// longer than a drain takes, unless all that hold the shard said so.
+    duration ask_leaving = duration::from_ms(30000);
+    duration ask_leaving_alone = duration::from_ms(2000);
     /// A backend server without an observation for this long is tried as if it were as fast as the others.
     duration observation_age = duration::from_ms(5000);
     /// A backend server counts as slower only beyond this ratio.
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -39,6 +39,7 @@
     bool listed_leaving = false;
     /// It said itself, in its last answer, that it is leaving.
     bool said_leaving = false;
+    time_point said_leaving_at{};
     /// No longer in the placement; kept until its last attempt ended.
     bool retired = false;
     /// The versions it said it holds; nothing before its first answer.
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -69,10 +69,12 @@
     if (result.status == attempt_status::leaving)
     {
         server.said_leaving = true;
+        server.said_leaving_at = now;
     }
     if (result.status == attempt_status::answered)
     {
         server.said_leaving = result.leaving;
+        server.said_leaving_at = now;
         server.failures_in_row = 0;
         server.ejections_in_row = 0;
     }
@@ -220,7 +222,7 @@
                                           [&](server_index index)
                                           {
                                               return !was_tried(index, item) &&
-                                                     eligible(m_servers[index], item) &&
+                                                     eligible(m_servers[index], item, now) &&
                                                      m_servers[index].ejected_until <= now;
                                           });
     if (untried_left)
@@ -275,7 +277,7 @@
     {
         const server_state& server = m_servers[index];
         any_staying = any_staying || !server.is_leaving();
-        if (!eligible(server, item))
+        if (!eligible(server, item, now))
         {
             continue;
         }
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -21,9 +21,26 @@
     return shard >= 0 && static_cast<std::size_t>(shard) < m_shards.size();
 }
 
-bool scheduler::eligible(const server_state& server, const work& item) const
+/// Its own word is all that says it leaves, and that is some time ago. Sooner where nobody else is left.
+bool scheduler::may_have_come_back(const server_state& server, const work& item, time_point now) const
 {
-    if (server.is_leaving())
+    const bool others_say_so = server.definition.leaving || server.listed_leaving || server.retired;
+    if (others_say_so || !server.said_leaving || server.in_use > 0)
+    {
+        return false;
+    }
+    const auto& replicas = m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas;
+    const bool alone = std::all_of(replicas.begin(), replicas.end(),
+                                   [&](server_index index)
+                                   {
+                                       return m_servers[index].is_leaving();
+                                   });
+    return now - server.said_leaving_at >= (alone ? m_options.ask_leaving_alone : m_options.ask_leaving);
+}
+
+bool scheduler::eligible(const server_state& server, const work& item, time_point now) const
+{
+    if (server.is_leaving() && !may_have_come_back(server, item, now))
     {
         return false;
     }
@@ -135,7 +152,7 @@
     for (const server_index index : m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas)
     {
         const server_state& server = m_servers[index];
-        const bool fits = eligible(server, item) && has_room_ahead(server, now);
+        const bool fits = eligible(server, item, now) && has_room_ahead(server, now);
         if (fits && (!best || prefer(index, *best, now)))
         {
             best = index;
@@ -155,7 +172,7 @@
     for (const server_index index : m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas)
     {
         const server_state& server = m_servers[index];
-        if (!eligible(server, item) || !has_slot(server, now))
+        if (!eligible(server, item, now) || !has_slot(server, now))
         {
             continue;
         }
@@ -175,7 +192,7 @@
                        [&](server_index index)
                        {
                            const server_state& other = m_servers[index];
-                           if (index == candidate || !eligible(other, item) || !usable(other, now))
+                           if (index == candidate || !eligible(other, item, now) || !usable(other, now))
                            {
                                return false;
                            }
@@ -316,7 +333,7 @@
             work& item = m_work.at(id);
             const bool tried = was_tried(index, item);
             const bool fits = !ahead || item.wanted.repeatable;
-            if (fits && eligible(server, item) && !tried && !better_to_wait(index, item, now))
+            if (fits && eligible(server, item, now) && !tried && !better_to_wait(index, item, now))
             {
                 if (first == nullptr || key < first->queue_key)
                 {
--- a/tests/src/unit-scheduler.cpp
+++ b/tests/src/unit-scheduler.cpp
@@ -316,6 +316,46 @@
     }
 }
 
+TEST_CASE("a backend server that said it is leaving may have come back", "[dispatch]")
+{
+    scheduler_driver driver(make_service(1, 2));
+    const auto say_leaving = [&]
+    {
+        const std::string where = driver.running.begin()->second.server.str();
+        driver.fail(driver.running.begin()->first, attempt_status::leaving);
+        return where;
+    };
+    driver.submit();
+    const std::string left = say_leaving();
+
+    SECTION("while another one serves the shard it is left alone for long")
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            CHECK(driver.running_on(left) == 0);
+            driver.answer(driver.running.begin()->first);
+            driver.pass(1000);
+            driver.submit();
+        }
+    }
+    SECTION("where all said so, one is asked again after two seconds, one attempt at a time")
+    {
+        say_leaving();
+        driver.submit();
+        CHECK(driver.running.empty());
+        driver.pass(2001);
+        driver.submit();
+        driver.submit();
+        driver.submit();
+        CHECK(driver.running_on("0a") == 1);
+        CHECK(driver.running_on("0b") == 1);
+        driver.answer(driver.running.begin()->first);
+        driver.submit();
+        driver.submit();
+        CHECK(driver.running.size() == 3);
+    }
+}
+
 TEST_CASE("leaving backend servers", "[dispatch]")
 {
     placed_service placed = make_service(1, 2);
