--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -18,15 +18,13 @@
 struct server_state
 {
     backend_server definition;
-    /// It stands in a near availability zone.
-    bool near = false;
     /// The shards that it holds.
     std::vector<int> shards;
     /// Attempts that hold one of its slots, those being cancelled included.
     int in_use = 0;
+    int recent_samples = 0;
     /// A moving average of latencies, for the choice between backend servers.
     duration recent_latency{};
-    int recent_samples = 0;
     /// Its own latencies; only kept where they decide what is late.
     latency_estimator latency{server_memory};
     time_point observed_at{};
@@ -35,13 +33,16 @@
     time_point shed_at = time_point() - duration::from_ms(3600000);
     /// It said that it is full until then.
     time_point busy_until{};
+    /// When it last said whether it is leaving.
+    time_point said_leaving_at{};
     /// The platform's list says that it is leaving.
     bool listed_leaving = false;
     /// It said itself, in its last answer, that it is leaving.
     bool said_leaving = false;
-    time_point said_leaving_at{};
     /// No longer in the placement; kept until its last attempt ended.
     bool retired = false;
+    /// It stands in a near availability zone.
+    bool near = false;
     /// The versions it said it holds; nothing before its first answer.
     std::optional<std::vector<index_version>> versions;
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -221,6 +221,16 @@
               [this, name, up]
               {
                   up ? (void)reachable.insert(name) : (void)reachable.erase(name);
+                  const bool is_control = std::any_of(control.begin(), control.end(),
+                                                      [&](const named_address& item)
+                                                      {
+                                                          return item.name == name;
+                                                      });
+                  if (up && is_control)
+                  {
+                      // Its answer confirms the configuration, without which a starting entry serves nobody.
+                      report();
+                  }
                   const bool far = std::any_of(far_entries.begin(), far_entries.end(),
                                                [&](const entry_peer& item)
                                                {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -7,7 +7,7 @@
 {
 
 router::router(router_options options)
-    : m_options(std::move(options)),
+    : m_options(options),
       m_second_runs(m_options.retry_ratio * (1.0 - m_options.retry_share), m_options.retry_slack)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
