--- a/tests/stand_in/backend.cpp
+++ b/tests/stand_in/backend.cpp
@@ -134,7 +134,9 @@
 
 void backend::on_subquery(const http_request& request, const respond& reply)
 {
-    work item{request, reply, header(request, "x-request-id"), pick_version(request), nullptr, now_ms()};
+    work item{
+        request,          reply, header(request, "x-request-id"), pick_version(request), nullptr, now_ms(),
+        m_behaviour.shard};
     const bool full = m_running.size() >= static_cast<std::size_t>(m_behaviour.slots);
     int refusal = 0;
     if (m_behaviour.leaving)
@@ -206,7 +208,7 @@
     {
         reply.headers.set("X-Index-Version", item.version);
         const nlohmann::json body = {{"server", m_name},
-                                     {"shard", m_behaviour.shard},
+                                     {"shard", item.shard},
                                      {"version", item.version},
                                      {"echo", item.request.body}};
         reply.body = body.dump();
--- a/tests/stand_in/backend.hpp
+++ b/tests/stand_in/backend.hpp
@@ -36,6 +36,8 @@
         std::string version;
         std::unique_ptr<boost::asio::steady_timer> timer;
         double arrived_ms = 0;
+        /// The shard that it held when the work arrived, and that it runs the work on.
+        int shard = 0;
     };
 
     struct run
