--- a/include/flaxtiller/routing/target_choice.hpp
+++ b/include/flaxtiller/routing/target_choice.hpp
@@ -16,9 +16,6 @@
     /// @return the service for the next request; the route must have a target with a weight above zero
     service_name next(const route& by);
 
-    /// @brief Forgets routes that are no longer in use.
-    void clear();
-
   private:
     struct turn
     {
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -15,6 +15,15 @@
 /// Links to entries of each other region: enough that one may fail and another be passed over.
 constexpr std::size_t far_entries_per_region = 3;
 
+bool holds(const std::vector<named_address>& list, const std::string& name)
+{
+    return std::any_of(list.begin(), list.end(),
+                       [&](const named_address& item)
+                       {
+                           return item.name == name;
+                       });
+}
+
 } // namespace
 
 void entry_process::implementation::on_message(const hello& from, const link_message& message)
@@ -135,12 +144,7 @@
     for (const std::string& name : told.names)
     {
         const auto at = parse_address(name);
-        const bool known = std::any_of(next.begin(), next.end(),
-                                       [&](const named_address& item)
-                                       {
-                                           return item.name == name;
-                                       });
-        if (at && !known)
+        if (at && !holds(next, name))
         {
             next.push_back({name, *at});
         }
@@ -221,12 +225,7 @@
               [this, name, up]
               {
                   up ? (void)reachable.insert(name) : (void)reachable.erase(name);
-                  const bool is_control = std::any_of(control.begin(), control.end(),
-                                                      [&](const named_address& item)
-                                                      {
-                                                          return item.name == name;
-                                                      });
-                  if (up && is_control)
+                  if (up && holds(control, name))
                   {
                       // Its answer confirms the configuration, without which a starting entry serves nobody.
                       report();
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -24,9 +24,4 @@
     return here.targets[static_cast<std::size_t>(richest - here.credit.begin())].service;
 }
 
-void target_choice::clear()
-{
-    m_turns.clear();
-}
-
 } // namespace flaxtiller
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -13,22 +13,6 @@
 /// A digest that differs for this long isn't just a change on its way.
 constexpr duration differs_bound = duration::from_ms(1500);
 
-const char* name_of(registration_state state)
-{
-    switch (state)
-    {
-    case registration_state::ready:
-        return "ready";
-    case registration_state::draining:
-        return "draining";
-    case registration_state::gone:
-        return "gone";
-    case registration_state::lost:
-        break;
-    }
-    return "lost";
-}
-
 } // namespace
 
 void registration_hub::on_heartbeat(const registration& said, time_point now)
@@ -110,7 +94,7 @@
             {{"backend_server", item.id.str()},
              {"service", item.service.str()},
              {"address", item.address},
-             {"state", name_of(item.state)},
+             {"state", nlohmann::json(item.state).get<std::string>()},
              {"sequence", item.sequence}});
     }
     for (const std::string& peer : m_links.reachable())
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -106,10 +106,16 @@
     return limits;
 }
 
-/// @return the declared configuration with the registered backend servers of declared services beside its own
+/// @return what placement reads of the declared configuration, with the registered backend servers of
+/// declared services beside its own. Routes aren't copied: there may be hundreds, and backend servers change
+/// often.
 configuration with_registered(const configuration& declared, const std::vector<registration>& registered)
 {
-    configuration merged = declared;
+    configuration merged;
+    merged.services = declared.services;
+    merged.backend_servers = declared.backend_servers;
+    merged.placement_rules = declared.placement_rules;
+    merged.instances = declared.instances;
     for (const registration& item : registered)
     {
         const auto service = merged.services.find(item.service);
