--- a/include/flaxtiller/catalog/configuration.hpp
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -46,6 +46,13 @@
 /// @return @a base with the patch applied
 configuration apply_patch(const configuration& base, const nlohmann::json& patch, findings& found);
 
+/// @brief Works out the digest of a patched configuration from the items that the patch touches.
+/// @param base_digest the digest of @a base
+/// @return the digest of @a patched, as @ref configuration::digest would work it out from all items
+/// @complexity O(items in the patch)
+std::uint64_t digest_after(const configuration& base, std::uint64_t base_digest, const configuration& patched,
+                           const nlohmann::json& patch);
+
 /// @brief Checks what spans several items: selectors that match nothing, shards without a backend server.
 findings validate(const configuration& value);
 
--- a/include/flaxtiller/catalog/placement.hpp
+++ b/include/flaxtiller/catalog/placement.hpp
@@ -31,7 +31,7 @@
 };
 
 /// @brief Works out which backend servers hold which shard.
-/// @complexity O(services · rules + rules · backend servers)
+/// @complexity O(rules · matches) where each selector asks for some single value, else O(rules · items)
 placement place(std::int64_t revision, const configuration& value);
 
 } // namespace flaxtiller
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -41,8 +41,8 @@
     /// preferred. Holds from the next @ref configure on.
     void set_near(std::set<std::string> zones);
 
-    /// @brief Changes how many extra attempts may pile up.
-    void limit_budget(double burst);
+    /// @brief Changes how many extra attempts may pile up, and how many come with time, whatever is finished.
+    void limit_budget(double burst, double per_ms = 0.0);
 
     /// @brief A subquery to run.
     void submit(const subquery& wanted, time_point now);
@@ -134,6 +134,8 @@
         /// Whether @ref started_at is an estimate: it waits at the backend server for a slot.
         bool ahead = false;
         bool cancelling = false;
+        /// Whether it counts in its backend server's late attempts.
+        bool is_late = false;
         time_point cancelled_at;
     };
 
@@ -171,6 +173,8 @@
     bool has_slot(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
     duration late_after(const server_state& server) const;
+    bool is_stuck(const server_state& server) const noexcept;
+    bool pay(time_point now);
     bool prefer(server_index candidate, server_index over, time_point now) const;
     bool was_tried(server_index index, const work& item) const;
     bool has_room_ahead(const server_state& server, time_point now) const;
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -40,6 +40,8 @@
     bool late_by_server = false;
     /// Whether a new try after a refusal is paid from the budget of extra attempts, too.
     bool refusals_cost = false;
+    /// Whether a backend server all of whose attempts are late comes last: it pauses as a whole.
+    bool avoid_stuck = false;
     /// A cancel that isn't confirmed within this long has failed.
     duration cancel_bound = duration::from_ms(10);
     /// Cancels that must fail in a row before late attempts are no longer replaced on that backend server.
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -22,6 +22,8 @@
     std::vector<int> shards;
     /// Attempts that hold one of its slots, those being cancelled included.
     int in_use = 0;
+    /// Those of them that are late.
+    int late_in_use = 0;
     int recent_samples = 0;
     /// A moving average of latencies, for the choice between backend servers.
     duration recent_latency{};
--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -28,6 +28,8 @@
     bool repeatable = true;
     /// Backend servers that it may be sent to; 0 for as many as the scheduler allows.
     int most_attempts = 0;
+    /// Whether another instance may have run it already: its first attempt is paid for like a further one.
+    bool again = false;
     /// What is sent; not looked at.
     std::shared_ptr<const std::string> body;
 
--- a/include/flaxtiller/dispatch/token_budget.hpp
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <flaxtiller/core/time_point.hpp>
+
 #include <algorithm>
 
 namespace flaxtiller::dispatch
 {
 
-/// @brief A budget that fills with finished work and pays for attempts beyond the first.
+/// @brief A budget that fills with finished work, and perhaps with time, and pays for attempts beyond the first.
 class token_budget
 {
   public:
@@ -33,13 +35,21 @@
         return true;
     }
 
-    /// @brief Changes the most tokens kept.
-    void limit(double burst) noexcept
+    /// @brief Changes the most tokens kept, and how many come with time.
+    void limit(double burst, double per_ms) noexcept
     {
         m_burst = burst;
+        m_per_ms = per_ms;
         m_tokens = std::min(m_tokens, burst);
     }
 
+    /// @brief Takes in what came with time since the last call.
+    void advance(time_point now) noexcept
+    {
+        m_tokens = std::min(m_burst, m_tokens + std::max((now - m_advanced_to).ms(), 0.0) * m_per_ms);
+        m_advanced_to = now;
+    }
+
     /// @return the tokens at hand
     double tokens() const noexcept
     {
@@ -50,6 +60,8 @@
     double m_share;
     double m_burst;
     double m_tokens;
+    double m_per_ms = 0.0;
+    time_point m_advanced_to{};
 };
 
 } // namespace flaxtiller::dispatch
--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -30,6 +30,8 @@
     {
         std::int64_t in_force = 0;
         bool needs_whole = false;
+        /// Whether it follows this publisher.
+        bool wants_updates = true;
         time_point heard_at{};
         std::int64_t sent = 0;
         time_point sent_at{};
--- a/include/flaxtiller/distribution/revision_update.hpp
+++ b/include/flaxtiller/distribution/revision_update.hpp
@@ -29,11 +29,13 @@
     std::uint64_t digest = 0;
     /// Set by an instance that couldn't apply a patch and needs the whole document.
     bool needs_whole = false;
+    /// Whether the receiver shall send it updates; it follows one replica at a time.
+    bool wants_updates = true;
 
     bool operator==(const revision_report&) const = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_report, revision, digest, needs_whole)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_report, revision, digest, needs_whole, wants_updates)
 
 /// @brief A leader's word, under its lease, on what the present revision is.
 struct revision_confirmation
--- a/include/flaxtiller/routing/entry_peer.hpp
+++ b/include/flaxtiller/routing/entry_peer.hpp
@@ -12,10 +12,11 @@
 {
     instance_name name;
     std::string region;
+    std::string availability_zone;
     /// IP number and port of its link.
     std::string address;
 
-    bool operator==(const entry_peer&) const = default;
+    auto operator<=>(const entry_peer&) const = default;
 };
 
 } // namespace flaxtiller
--- /dev/null
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/routing/shard_plan.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace flaxtiller
+{
+
+/// @brief Decides which entry runs each group of a fan-out now: the first one of the @ref shard_plan that can be
+/// reached and didn't fail lately. Deterministic.
+class group_choice
+{
+  public:
+    /// How long an entry that failed or was silent gets no groups.
+    static constexpr duration pass_over = duration::from_ms(1000);
+
+    /// @brief Shards that another entry shall run.
+    struct group
+    {
+        instance_name peer;
+        /// Positions in the route's fan-out.
+        std::vector<std::size_t> shards;
+    };
+
+    /// @brief Other routes, backend servers or peers.
+    void configure(const routing_view& view);
+
+    /// @return what other entries shall run of a fan-out by this route; all other shards are run here
+    std::vector<group> groups_of(const route& by, time_point now);
+
+    /// @return whom to ask after @a failed: another entry that may run the shards, or this one's own name if it
+    /// is the next; nothing if there is none
+    std::optional<instance_name> another(const route& by, std::size_t first_shard, const instance_name& failed,
+                                         time_point now) const;
+
+    /// @brief An entry failed to answer in time.
+    void failed(const instance_name& peer, time_point now);
+
+    /// @brief An entry answered.
+    void answered(const instance_name& peer);
+
+    /// @return the plan in force
+    const shard_plan& plan() const noexcept
+    {
+        return m_plan;
+    }
+
+  private:
+    bool may_ask(const instance_name& peer, time_point now) const;
+    std::optional<instance_name> first_of(const shard_plan::group& item, time_point now);
+
+    instance_name m_self;
+    std::set<instance_name> m_unreachable;
+    mutable shard_plan m_plan;
+    std::map<instance_name, time_point> m_passed_over_until;
+    std::size_t m_turn = 0;
+};
+
+} // namespace flaxtiller
--- a/include/flaxtiller/routing/route_table.hpp
+++ b/include/flaxtiller/routing/route_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace flaxtiller
 {
@@ -26,10 +27,14 @@
     /// @complexity O(slashes in @a target)
     std::shared_ptr<const route> find(std::string_view host, std::string_view target) const;
 
+    /// @return the routes whose requests go to all of several services
+    const std::vector<std::shared_ptr<const route>>& fan_outs() const noexcept;
+
   private:
     using by_prefix = std::unordered_map<std::string, std::shared_ptr<const route>>;
 
     std::unordered_map<std::string, by_prefix> m_hosts;
+    std::vector<std::shared_ptr<const route>> m_fan_outs;
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -34,6 +34,8 @@
 struct routed_outcome
 {
     routed_end end = routed_end::refused;
+    /// Whether it is what is in so far; the final one replaces it.
+    bool is_progress = false;
     std::shared_ptr<const backend_answer> answer;
     /// Of a merged answer: the body, the signatures of the parts, and how many parts are missing.
     std::string merged;
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -32,6 +32,10 @@
     std::vector<service_name> asked_services;
     /// Set with it: when a fan-out shall answer with what is in.
     duration answer_within{};
+    /// Set with it: when to tell the asker what is in so far.
+    duration progress_within{};
+    /// Set with it: another entry may have run it already, so that all of it counts as repeated.
+    bool asked_again = false;
 
     bool operator==(const routed_request&) const = default;
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
 #include <flaxtiller/dispatch/scheduler.hpp>
-#include <flaxtiller/dispatch/token_budget.hpp>
-#include <flaxtiller/routing/region_choice.hpp>
+#include <flaxtiller/routing/group_choice.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/router_options.hpp>
 #include <flaxtiller/routing/routing_view.hpp>
@@ -46,10 +45,13 @@
     void attempt_ended(routed_attempt_number attempt, const dispatch::attempt_result& result,
                        std::shared_ptr<const backend_answer> answer, time_point now);
 
-    /// @brief Another entry answered what it was asked by @ref ask_entry.
+    /// @brief Another entry answered what it was asked by @ref ask_entry, in full or so far.
     void entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
                         time_point now);
 
+    /// @brief The link to another entry broke: what it was asked is asked elsewhere at once.
+    void entry_lost(const instance_name& peer, time_point now);
+
     /// @brief Time has passed.
     void on_time(time_point now);
 
@@ -66,6 +68,9 @@
     /// @return requests that aren't answered yet
     std::size_t open_requests() const noexcept;
 
+    /// @return how many instances share the connections to the service's backend servers
+    int sharers_of(const service_name& service) const;
+
     /// @return the scheduler of a service, or nothing
     const dispatch::scheduler* scheduler_of(const service_name& service) const;
 
@@ -94,24 +99,44 @@
         }
     };
 
-    /// Shards that another entry runs.
-    struct group
+    /// What one entry was asked of a group.
+    struct ask
     {
         ask_number number = 0;
         instance_name peer;
-        std::vector<std::size_t> parts;
         time_point sent_at;
+        bool heard = false;
         bool over = false;
+    };
+
+    /// Shards that other entries run: one, and a second one where the first is silent.
+    struct group
+    {
+        std::vector<std::size_t> parts;
+        std::vector<ask> asks;
+        bool over = false;
+        /// The best that came so far.
         routed_outcome outcome;
+        instance_name answered_by;
+
+        bool is_silent() const
+        {
+            return !over && !asks.back().heard;
+        }
     };
 
     struct open_request
     {
         std::shared_ptr<const routed_request> request;
         std::shared_ptr<const route> by;
+        time_point arrived_at;
         time_point deadline;
         /// When a fan-out answers with what is in.
         time_point answer_at;
+        /// When groups of which nothing was heard are asked elsewhere.
+        time_point group_late_at = time_point::never();
+        /// When the entry that asked is told what is in so far.
+        time_point progress_at = time_point::never();
         /// When it is looked at next.
         time_point timer_at;
         std::vector<part> parts;
@@ -129,17 +154,28 @@
     std::vector<service_name> services_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
-    void run_here(request_number number, const std::vector<std::size_t>& wanted, time_point now);
-    void run_group_here(request_number number, group& lost, time_point now);
-    void drop_group(request_number number, group& lost, missing_reason reason, time_point now);
-    void run_silent_groups_here(request_number number, time_point now);
+    void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer, bool again,
+                 time_point now);
+    void run_here(request_number number, const std::vector<std::size_t>& wanted, bool again, time_point now);
+    bool run_group_here(request_number number, group& lost, bool again, time_point now);
+    void replace_ask(request_number number, group& asked, bool again, time_point now);
+    bool move_group(request_number number, group& lost, bool again, time_point now);
+    void drop_ask(request_number number, group& asked, const ask& failed, const routed_outcome& outcome,
+                  time_point now);
+    void move_silent_groups(request_number number, time_point now);
+    void take_outcome(open_request& opened, group& asked, const instance_name& peer, const routed_outcome& outcome);
+    void end_group(open_request& opened, group& asked);
+    void tell_progress(request_number number, open_request& opened, time_point now);
     duration way_to(const instance_name& peer) const;
     void note_way(const instance_name& peer, duration way);
-    bool may_run_twice(const open_request& opened) const;
+    bool can_pay_again(const open_request& opened, const group& wanted) const;
+    int attempts_of(const open_request& opened, const part& wanted, bool again) const;
+    routed_outcome merged_so_far(const open_request& opened) const;
+    double allowance_of(const service_name& service) const;
     double least_share_of(const open_request& opened) const;
     duration time_to_answer(const route& by, const routed_request& request) const;
-    void set_timer(request_number number, open_request& opened, time_point at);
-    void submit(open_request& opened, part& wanted, time_point now);
+    void set_timer(request_number number, open_request& opened);
+    void submit(open_request& opened, part& wanted, bool again, time_point now);
     void collect(lane_index at, time_point now);
     void take(lane_index at, const dispatch::start_attempt& action);
     void take(lane_index at, const dispatch::cancel_attempt& action);
@@ -159,11 +195,10 @@
     router_options m_options;
     routing_view m_view;
     target_choice m_targets;
-    region_choice m_regions;
-    /// What the way to and from each other entry costs, a moving average.
-    std::map<instance_name, duration> m_ways;
-    /// Pays for fan-outs that are run here after all, although another entry may have run them.
-    dispatch::token_budget m_second_runs;
+    group_choice m_groups;
+    /// The regions of the other entries, and what the way to and from a region's entries costs, a moving average.
+    std::map<instance_name, std::string> m_region_of;
+    std::map<std::string, duration> m_ways;
     std::map<lane_index, lane> m_lanes;
     std::map<service_name, lane_index> m_lane_of;
     lane_index m_next_lane = 1;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -30,6 +30,7 @@
     bool part = false;
     /// 1 for the first attempt on the service for this request.
     int ordinal = 1;
+    bool repeatable = true;
     time_point deadline;
     std::shared_ptr<const routed_request> sent;
 };
@@ -60,9 +61,20 @@
     duration patience{};
     /// When it shall answer with what is in.
     duration answer_within{};
+    /// When it shall tell what is in so far; its silence then means that it failed.
+    duration progress_within{};
+    /// Whether another entry may have run it already.
+    bool again = false;
     std::shared_ptr<const routed_request> sent;
 };
 
+/// @brief Tell the entry that asked what is in so far; the final answer follows.
+struct tell_progress_to_entry
+{
+    request_number request = 0;
+    routed_outcome outcome;
+};
+
 /// @brief Tell that entry that nobody waits for it any more.
 struct abandon_at_entry
 {
@@ -71,6 +83,7 @@
 };
 
 using router_action =
-    std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry, abandon_at_entry>;
+    std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry, abandon_at_entry,
+                 tell_progress_to_entry>;
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -22,19 +22,29 @@
     /// When a caller that was refused for want of a backend server or of room shall come back, at least.
     duration least_retry = duration::from_ms(100);
 
-    /// What the way to and from another entry is taken to cost before it was measured: two regions apart.
-    duration first_way_elsewhere = duration::from_ms(30);
-    /// A fan-out that another entry runs is run here, too, if no answer came this long after it was due:
-    /// more than a busy entry's delay, less than what is left to most deadlines.
+    /// What the way to and from another entry is taken to cost before it was measured: two regions apart, and
+    /// within one region on a busy instance.
+    duration first_way_far = duration::from_ms(30);
+    duration first_way_near = duration::from_ms(8);
+    /// An entry that runs shards for another one tells what is in after this share of the time that it has: late
+    /// enough that most have all by then, early enough to try another entry within the objective.
+    double progress_share = 0.4;
+    /// Where nothing was heard this long after that was due, the shards are run elsewhere: a busy entry's delay.
+    duration progress_grace = duration::from_ms(12);
+    /// Past the objective, that is looked at once more after this long: less than what is left to most deadlines.
     duration elsewhere_grace = duration::from_ms(40);
 
     /// What operators allow over all instances in a window of time, for each service: so many attempts beyond
     /// the first for each request, and so many more.
     double retry_ratio = 0.1;
     double retry_slack = 20.0;
-    /// Of that, this share is spent by what one instance sees. The rest is for what it can't: requests that
-    /// other instances run on its behalf twice, and the instances' uneven shares.
-    double retry_share = 0.8;
+    /// The span of time for which the slack is.
+    duration retry_window = duration::from_ms(10000);
+    /// Of that, this share is spent. The rest is for views that differ and instances that come and go.
+    double retry_share = 0.9;
+    /// Where shards have owners, this share of the allowance is theirs; the rest is for entries that run shards
+    /// because no owner can.
+    double owners_share = 0.7;
 
     bool operator==(const router_options&) const = default;
 };
--- a/include/flaxtiller/routing/routing_view.hpp
+++ b/include/flaxtiller/routing/routing_view.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,11 +20,14 @@
     std::shared_ptr<const route_table> routes;
     /// Entry instances that share the backend servers' connections; at least 1.
     int entries = 1;
-    /// Where this instance stands, and where the availability zones are.
+    /// This instance, where it stands, and where the availability zones are.
+    instance_name self;
     std::string region;
+    std::string zone;
     std::map<std::string, std::string> region_of_zone;
-    /// Other entries that can be reached now.
+    /// Other entries, and those of them that can't be reached now.
     std::vector<entry_peer> peers;
+    std::set<instance_name> unreachable;
 };
 
 } // namespace flaxtiller
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -106,10 +106,7 @@
     {
         publisher.on_revision(state.revision(), std::make_shared<const configuration>(state.current()));
     }
-    if (!catalog.may_answer(now))
-    {
-        return;
-    }
+    // What is committed may be told by any replica; only a leader says that it is the present revision.
     for (const auto& update : publisher.take_updates(now))
     {
         links.send(update.to.str(), update.update);
@@ -146,7 +143,10 @@
         announced[register_log].erase(quorum::replica_name(name));
         return;
     }
-    hub.on_reachable(name);
+    if (replica_names().count(name) > 0)
+    {
+        hub.on_reachable(name);
+    }
     if (forms_itself())
     {
         const std::set<std::string> names = replica_names();
@@ -169,7 +169,9 @@
         keep_members(catalog, catalog_log, now);
         keep_members(registers, register_log, now);
     }
-    hub.tick(replica_names(), catalog.may_answer(now), now);
+    std::set<std::string> others = replica_names();
+    others.erase(settings.replica.name);
+    hub.tick(others, catalog.may_answer(now), now);
     if (catalog.may_answer(now))
     {
         tell_entries(now);
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -54,7 +54,7 @@
         : settings(std::move(wanted)), strand(net::make_strand(io)), timer(strand),
           signals(strand, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "control", settings.replica.name, draw64(),
-                      settings.replica.region, settings.link.str()},
+                      settings.replica.region, settings.replica.availability_zone, settings.link.str()},
                 counted, settings.links,
                 {[this](const hello& from, const link_message& message)
                  {
@@ -110,7 +110,8 @@
     std::map<std::string, std::map<quorum::replica_name, quorum::announcement>> announced;
     /// Entries by name, and what each of them was last told of the others.
     std::map<std::string, entry_peer> entries;
-    std::map<std::string, std::vector<entry_peer>> told_entries;
+    std::map<std::string, std::shared_ptr<const std::vector<entry_peer>>> told_entries;
+    time_point tell_entries_at{};
     /// The replicas of the last member set that was linked to.
     std::set<std::string> linked;
     bool pump_posted = false;
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -1,5 +1,8 @@
 #include "control_implementation.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace flaxtiller::shell
 {
 
@@ -10,6 +13,35 @@
 constexpr duration listed_entry_age = duration::from_ms(4000);
 /// An instance counts as sharing the backend servers for this long after its last report.
 constexpr duration instance_age = duration::from_ms(10000);
+/// Entries are told of one another this often at most, so that many that start together make few messages.
+constexpr duration tell_entries_every = duration::from_ms(300);
+
+/// @return what to tell an entry that knows @a before; all of it where it knows nothing
+entry_list change_of(const std::vector<entry_peer>* before, const std::vector<entry_peer>& now)
+{
+    entry_list change;
+    if (before == nullptr)
+    {
+        change.whole = true;
+        change.items = now;
+        return change;
+    }
+    // Both are sorted by name.
+    std::set_difference(now.begin(), now.end(), before->begin(), before->end(), std::back_inserter(change.items));
+    for (const entry_peer& item : *before)
+    {
+        const auto same = std::lower_bound(now.begin(), now.end(), item,
+                                           [](const entry_peer& a, const entry_peer& b)
+                                           {
+                                               return a.name < b.name;
+                                           });
+        if (same == now.end() || same->name != item.name)
+        {
+            change.gone.push_back(item.name);
+        }
+    }
+    return change;
+}
 
 } // namespace
 
@@ -71,34 +103,46 @@
                                                 const distribution::revision_report& report, time_point now)
 {
     publisher.on_report(instance_name(from.name), report, now);
-    entries[from.name] = {instance_name(from.name), from.region, from.address};
+    entries[from.name] = {instance_name(from.name), from.region, from.zone, from.address};
     if (catalog.may_answer(now))
     {
         // Said under the lease: no other replica can have accepted a later revision.
         links.send(from.name, distribution::revision_confirmation{catalog.state().revision(),
                                                                   publisher.heard_since(now - instance_age)});
-        publish();
     }
+    publish();
 }
 
 void control_process::implementation::tell_entries(time_point now)
 {
-    entry_list list;
+    if (now < tell_entries_at)
+    {
+        return;
+    }
+    tell_entries_at = now + tell_entries_every;
+    std::vector<entry_peer> present;
     for (const auto& [name, known] : publisher.instances())
     {
         const auto entry = entries.find(name.str());
         if (entry != entries.end() && now - known.heard_at < listed_entry_age)
         {
-            list.items.push_back(entry->second);
+            present.push_back(entry->second);
         }
     }
-    for (const entry_peer& item : list.items)
+    const auto shared = std::make_shared<const std::vector<entry_peer>>(std::move(present));
+    // Most were told the same before, so that one message serves them.
+    std::map<const std::vector<entry_peer>*, entry_list> changes;
+    for (const entry_peer& item : *shared)
     {
-        std::vector<entry_peer>& told = told_entries[item.name.str()];
-        if (told != list.items)
+        auto& told = told_entries[item.name.str()];
+        const auto known = changes.find(told.get());
+        const entry_list& change =
+            known != changes.end() ? known->second
+                                   : changes.emplace(told.get(), change_of(told.get(), *shared)).first->second;
+        if (change.whole || !change.items.empty() || !change.gone.empty())
         {
-            told = list.items;
-            links.send(item.name.str(), list);
+            links.send(item.name.str(), change);
+            told = shared;
         }
     }
 }
--- a/src/dispatch/latency_estimator.cpp
+++ b/src/dispatch/latency_estimator.cpp
@@ -19,6 +19,17 @@
 /// Where everything still at risk was stopped, it is assumed to last as long again.
 constexpr double unknown_rest_ratio = 1.0;
 
+template <typename Axis>
+std::array<double, bin_count + 1> edges_of(const Axis& axis)
+{
+    std::array<double, bin_count + 1> edge{};
+    for (int bin = 0; bin < bin_count; ++bin)
+    {
+        edge[static_cast<std::size_t>(bin) + 1] = axis.bin(bin).upper();
+    }
+    return edge;
+}
+
 } // namespace
 
 latency_estimator::bins latency_estimator::make_bins()
@@ -70,7 +81,8 @@
 {
     constexpr double half = 0.5;
     std::array<double, bin_count + 1> survival{};
-    std::array<double, bin_count + 1> edge{};
+    // The same for all; each takes an exponential to work out.
+    static const std::array<double, bin_count + 1> edge = edges_of(m_answered.axis(0));
     double at_risk = m_weight;
     int last = 0;
     survival[0] = 1.0;
@@ -79,7 +91,6 @@
         const auto index = static_cast<std::size_t>(bin);
         const double answered = m_answered.at(bin);
         const double stopped = m_stopped.at(bin);
-        edge[index + 1] = m_answered.axis(0).bin(bin).upper();
         const double ended = at_risk > 0.0 ? std::min(answered / at_risk, 1.0) : 0.0;
         survival[index + 1] = survival[index] * (1.0 - ended);
         at_risk -= answered + stopped;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -84,9 +84,15 @@
     m_near_zones = std::move(zones);
 }
 
-void scheduler::limit_budget(double burst)
+void scheduler::limit_budget(double burst, double per_ms)
 {
-    m_budget.limit(burst);
+    m_budget.limit(burst, per_ms);
+}
+
+bool scheduler::pay(time_point now)
+{
+    m_budget.advance(now);
+    return m_budget.spend();
 }
 
 void scheduler::set_leaving(const backend_server_name& server, bool leaving, time_point now)
@@ -177,14 +183,19 @@
         return;
     }
     attempt& late = found->second;
-    const server_state& server = m_servers[late.server];
+    server_state& server = m_servers[late.server];
+    const duration limit = late_after(server);
+    if (now - late.started_at >= limit && !late.is_late)
+    {
+        late.is_late = true;
+        ++server.late_in_use;
+    }
     const auto work_found = m_work.find(late.subquery);
     if (work_found == m_work.end())
     {
         return;
     }
     work& item = work_found->second;
-    const duration limit = late_after(server);
     if (now - late.started_at < limit)
     {
         // The limit grew since the timer was set.
@@ -203,7 +214,7 @@
     }
     const auto elsewhere = free_server(item, now, late.server);
     const bool may_replace = now >= server.replace_paused_until;
-    if ((!elsewhere && !may_replace) || !m_budget.spend())
+    if ((!elsewhere && !may_replace) || !pay(now))
     {
         arm_late(id, item, now + limit);
         return;
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -27,6 +27,7 @@
     m_attempts.erase(found);
     server_state& server = m_servers[ended.server];
     --server.in_use;
+    server.late_in_use -= ended.is_late ? 1 : 0;
     const bool held_slot = !ended.ahead && !was_not_run(result.status);
     if (held_slot)
     {
@@ -199,7 +200,7 @@
     {
         return false;
     }
-    if ((!not_run || m_options.refusals_cost) && !m_budget.spend())
+    if ((!not_run || m_options.refusals_cost) && !pay(now))
     {
         return false;
     }
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -111,10 +111,19 @@
     return std::find(item.tried.begin(), item.tried.end(), index) != item.tried.end();
 }
 
+bool scheduler::is_stuck(const server_state& server) const noexcept
+{
+    return m_options.avoid_stuck && server.in_use > 0 && server.late_in_use == server.in_use;
+}
+
 bool scheduler::prefer(server_index candidate, server_index over, time_point now) const
 {
     const server_state& a = m_servers[candidate];
     const server_state& b = m_servers[over];
+    if (is_stuck(a) != is_stuck(b))
+    {
+        return is_stuck(b);
+    }
     const duration latency_a = expected_latency(a, now);
     const duration latency_b = expected_latency(b, now);
     if (latency_a * m_options.slower_ratio < latency_b)
@@ -192,7 +201,7 @@
                        [&](server_index index)
                        {
                            const server_state& other = m_servers[index];
-                           if (index == candidate || !eligible(other, item, now) || !usable(other, now))
+                           if (index == candidate || !eligible(other, item, now) || !usable(other, now) || is_stuck(other))
                            {
                                return false;
                            }
@@ -216,7 +225,11 @@
         return;
     }
     duration retry_after{};
-    const missing_reason blocked = why_not_runnable(item, now, retry_after);
+    missing_reason blocked = why_not_runnable(item, now, retry_after);
+    if (blocked == missing_reason::none && wanted.again && !pay(now))
+    {
+        blocked = missing_reason::overloaded;
+    }
     if (blocked != missing_reason::none)
     {
         item.retry_after = retry_after;
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -27,6 +27,7 @@
     standing& known = m_instances[from];
     known.in_force = report.revision;
     known.needs_whole = report.needs_whole;
+    known.wants_updates = report.wants_updates;
     known.heard_at = now;
     const kept* same = find(report.revision);
     const bool differs = same != nullptr && report.revision == revision() && report.digest != m_digest;
@@ -45,7 +46,7 @@
     {
         const bool behind = known.in_force < revision();
         const bool under_way = known.sent == revision() && now - known.sent_at < resend_after;
-        if (!behind || under_way)
+        if (!behind || under_way || !known.wants_updates)
         {
             continue;
         }
--- a/src/distribution/subscriber.cpp
+++ b/src/distribution/subscriber.cpp
@@ -17,7 +17,9 @@
     findings found;
     configuration next = update.base == 0 ? parse_configuration(update.body, found)
                                           : apply_patch(*m_current, update.body, found);
-    if (found.has_errors() || next.digest() != update.digest)
+    const bool whole = update.base == 0;
+    if (found.has_errors() || update.digest != (whole ? next.digest()
+                                                      : digest_after(*m_current, m_digest, next, update.body)))
     {
         m_needs_whole = true;
         return false;
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -7,6 +7,17 @@
 namespace flaxtiller::shell
 {
 
+namespace
+{
+
+/// A replica that lags behind the leader's word for this long isn't followed: longer than a commit takes to reach
+/// it, shorter than operators wait.
+constexpr duration follow_lag_bound = duration::from_ms(900);
+/// Unanswered reports after which another replica may lead.
+constexpr double reports_until_leader_lost = 2.5;
+
+} // namespace
+
 void entry_process::implementation::on_update(const distribution::revision_update& update)
 {
     if (!subscriber.on_update(update))
@@ -20,15 +31,21 @@
     note_confirmed();
 }
 
-void entry_process::implementation::on_confirmation(const distribution::revision_confirmation& word)
+void entry_process::implementation::on_confirmation(const hello& from,
+                                                    const distribution::revision_confirmation& word)
 {
-    subscriber.on_confirmation(word, clock.now());
+    const time_point now = clock.now();
+    leader = from.name;
+    leader_heard_at = now;
+    subscriber.on_confirmation(word, now);
+    const bool behind = subscriber.revision() < word.revision;
+    behind_since = behind ? std::min(behind_since, now) : time_point::never();
     note_confirmed();
     if (word.instances != entries && word.instances > 0)
     {
         entries = word.instances;
         log(log_level::info, "entries", {{"count", entries}});
-        update_routed();
+        update_routed_soon();
     }
 }
 
@@ -53,6 +70,7 @@
 
 void entry_process::implementation::put_in_force()
 {
+    routes = std::make_shared<const route_table>(subscriber.current()->routes);
     update_routed();
     if (settings.callers.port == 0)
     {
@@ -109,11 +127,13 @@
 void entry_process::implementation::want_peers()
 {
     std::vector<named_address> peers = control;
-    for (const entry_peer& item : far_entries)
+    for (const instance_name& name : linked_entries)
     {
-        if (const auto at = parse_address(item.address))
+        const auto listed = listed_entries.find(name);
+        const auto at = listed == listed_entries.end() ? std::nullopt : parse_address(listed->second.address);
+        if (at)
         {
-            peers.push_back({item.name.str(), *at});
+            peers.push_back({name.str(), *at});
         }
     }
     const auto now_in_force = table.load();
@@ -188,13 +208,60 @@
     return true;
 }
 
+std::string entry_process::implementation::choose_followed(time_point now)
+{
+    if (now - behind_since > follow_lag_bound)
+    {
+        // It should have had the revision by now. The leader has it.
+        not_followed = followed;
+        behind_since = now;
+    }
+    std::string best;
+    int best_rank = 0;
+    for (const std::string& name : reachable)
+    {
+        const auto identity = name == not_followed ? std::nullopt : links.identity(name);
+        if (!identity || identity->role != "control")
+        {
+            continue;
+        }
+        const bool same_zone = identity->zone == settings.instance.availability_zone;
+        const bool same_region = identity->region == settings.instance.region;
+        constexpr int in_zone = 3;
+        constexpr int in_region = 2;
+        const int rank = same_zone ? in_zone : same_region ? in_region : 1;
+        if (rank > best_rank)
+        {
+            best = name;
+            best_rank = rank;
+        }
+    }
+    return best.empty() ? leader : best;
+}
+
 void entry_process::implementation::report()
 {
+    const time_point now = clock.now();
+    const std::string next = choose_followed(now);
+    if (next != followed)
+    {
+        log(log_level::info, "control_followed",
+            {{"replica", next}, {"before", followed}, {"revision", subscriber.revision()}});
+        followed = next;
+    }
+    const bool leader_known = now - leader_heard_at < settings.report_every * reports_until_leader_lost;
     const registration_digest known{registered.digest()};
     for (const named_address& replica : control)
     {
-        links.send(replica.name, subscriber.report());
-        if (routed)
+        const bool follows = replica.name == followed;
+        if (!follows && leader_known && replica.name != leader)
+        {
+            continue;
+        }
+        distribution::revision_report word = subscriber.report();
+        word.wants_updates = follows;
+        links.send(replica.name, word);
+        if (routed && follows)
         {
             links.send(replica.name, known);
         }
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -53,10 +53,10 @@
 
     explicit implementation(entry_settings wanted)
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
-          report_timer(strand), pools_timer(strand), drain_timer(strand),
+          report_timer(strand), pools_timer(strand), drain_timer(strand), view_timer(strand),
           signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
-                      settings.instance.region, settings.link.str()},
+                      settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links,
                 {[this](const hello& from, const link_message& message)
                  {
@@ -105,6 +105,7 @@
     net::steady_timer report_timer;
     net::steady_timer pools_timer;
     net::steady_timer drain_timer;
+    net::steady_timer view_timer;
     net::signal_set signals;
     monotonic_clock clock;
     metrics counted;
@@ -131,8 +132,20 @@
     registry registered;
     /// Entry instances that share the backend servers, as the leader counts them.
     int entries = 1;
-    /// Entries of other regions that this one keeps links to.
-    std::vector<entry_peer> far_entries;
+    /// The other entries, by name, as a leader listed them.
+    std::map<instance_name, entry_peer> listed_entries;
+    /// Those that this one keeps links to.
+    std::set<instance_name> linked_entries;
+    /// The routes of the revision in force.
+    std::shared_ptr<const route_table> routes = std::make_shared<const route_table>();
+    bool view_due = false;
+    /// The replica that last said under its lease what the present revision is, and when.
+    std::string leader;
+    time_point leader_heard_at{};
+    /// The replica whose updates this entry follows, and since when it has been behind the leader's word.
+    std::string followed;
+    time_point behind_since = time_point::never();
+    std::string not_followed;
     std::map<backend_server_name, bool> listed_leaving;
     std::thread platform_poller;
     std::atomic<bool> stopping{false};
@@ -174,11 +187,22 @@
     /// A replica's word on where the others are; those of the settings stay, in case it is wrong.
     void on_control_members(const control_members& told);
 
+    /// Soon puts what changed in this entry's surroundings in force; changes that come together share it.
+    void update_routed_soon();
+
     void update_routed();
 
+    /// Links to the owners of the shards that callers ask for, and to a few entries of each other region.
+    void link_to_entries(const routing_view& view);
+
+    void on_entry_list(const entry_list& list);
+
     /// Of each other region this one links to a few entries, other ones than its neighbours do, so that links
     /// don't grow with the square of the instances.
-    void on_entry_list(const entry_list& list);
+    std::set<instance_name> far_entries() const;
+
+    /// Which replica's updates to follow: a near one, unless it lags.
+    std::string choose_followed(time_point now);
 
     void post_to_lane(const service_name& service, coordinator_event event);
 
@@ -188,7 +212,7 @@
 
     void on_update(const distribution::revision_update& update);
 
-    void on_confirmation(const distribution::revision_confirmation& word);
+    void on_confirmation(const hello& from, const distribution::revision_confirmation& word);
 
     void note_confirmed();
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace flaxtiller::shell
 {
@@ -12,6 +13,9 @@
 namespace
 {
 
+/// Changes of the surroundings that come within this share one update; the fastest that operators and backend
+/// servers wait for is seconds.
+constexpr duration gather = duration::from_ms(100);
 /// Links to entries of each other region: enough that one may fail and another be passed over.
 constexpr std::size_t far_entries_per_region = 3;
 
@@ -55,9 +59,9 @@
     else if (const auto* word = std::get_if<distribution::revision_confirmation>(&message))
     {
         net::post(strand,
-                  [this, word = *word]
+                  [this, from, word = *word]
                   {
-                      on_confirmation(word);
+                      on_confirmation(from, word);
                   });
     }
     else if (!on_routed(from, message))
@@ -135,7 +139,7 @@
              {"sequence", item.sequence},
              {"from", from.name}});
     }
-    update_routed();
+    update_routed_soon();
 }
 
 void entry_process::implementation::on_control_members(const control_members& told)
@@ -158,55 +162,109 @@
     want_peers();
 }
 
-void entry_process::implementation::update_routed()
+void entry_process::implementation::update_routed_soon()
 {
-    if (routed)
+    if (!routed || view_due)
     {
-        routed_front::surroundings around;
-        around.entries = entries;
-        around.region = settings.instance.region;
-        around.region_of_zone = settings.region_of_zone;
-        for (const entry_peer& peer : far_entries)
+        return;
+    }
+    view_due = true;
+    view_timer.expires_after(std::chrono::microseconds(gather.us()));
+    view_timer.async_wait(
+        [this](const boost::system::error_code& stopped)
         {
-            if (reachable.count(peer.name.str()) > 0)
+            if (!stopped)
             {
-                around.peers.push_back(peer);
+                update_routed();
             }
+        });
+}
+
+void entry_process::implementation::update_routed()
+{
+    view_due = false;
+    if (!routed)
+    {
+        return;
+    }
+    routed_front::surroundings around;
+    around.entries = entries;
+    around.self = instance_name(settings.instance.name);
+    around.region = settings.instance.region;
+    around.zone = settings.instance.availability_zone;
+    around.region_of_zone = settings.region_of_zone;
+    for (const auto& [name, peer] : listed_entries)
+    {
+        around.peers.push_back(peer);
+        if (reachable.count(name.str()) == 0)
+        {
+            around.unreachable.insert(name);
         }
-        routed->update(subscriber.revision(), subscriber.current(), registered.present(), around);
     }
+    const configuration& value = *subscriber.current();
+    const routing_view view =
+        routed_front::view_of(subscriber.revision(), value, routes, registered.present(), around);
+    link_to_entries(view);
+    routed->update(view, value.limits);
 }
 
-void entry_process::implementation::on_entry_list(const entry_list& list)
+std::set<instance_name> entry_process::implementation::far_entries() const
 {
-    std::map<std::string, std::map<std::uint64_t, entry_peer>> by_region;
-    for (const entry_peer& item : list.items)
+    std::map<std::string, std::map<std::uint64_t, instance_name>> by_region;
+    for (const auto& [name, item] : listed_entries)
     {
         if (item.region != settings.instance.region)
         {
-            by_region[item.region].emplace(hash64(settings.instance.name + '/' + item.name.str()), item);
+            by_region[item.region].emplace(hash64(settings.instance.name + '/' + name.str()), name);
         }
     }
-    std::vector<entry_peer> next;
+    std::set<instance_name> chosen;
     for (const auto& [region, ranked] : by_region)
     {
         std::size_t taken = 0;
-        for (const auto& [rank, item] : ranked)
+        for (const auto& [rank, name] : ranked)
         {
             if (taken++ < far_entries_per_region)
             {
-                next.push_back(item);
+                chosen.insert(name);
             }
         }
     }
-    if (next == far_entries)
+    return chosen;
+}
+
+void entry_process::implementation::link_to_entries(const routing_view& view)
+{
+    std::set<instance_name> next = far_entries();
+    next.merge(shard_plan(view).first_owners());
+    if (next == linked_entries)
     {
         return;
     }
-    far_entries = std::move(next);
-    log(log_level::info, "far_entries", {{"linked", far_entries.size()}, {"listed", list.items.size()}});
+    linked_entries = std::move(next);
+    log(log_level::info, "entries_linked",
+        {{"linked", linked_entries.size()}, {"listed", listed_entries.size()}});
     want_peers();
-    update_routed();
+}
+
+void entry_process::implementation::on_entry_list(const entry_list& list)
+{
+    if (list.whole)
+    {
+        listed_entries.clear();
+    }
+    for (const entry_peer& item : list.items)
+    {
+        if (item.name.str() != settings.instance.name)
+        {
+            listed_entries.insert_or_assign(item.name, item);
+        }
+    }
+    for (const instance_name& name : list.gone)
+    {
+        listed_entries.erase(name);
+    }
+    update_routed_soon();
 }
 
 void entry_process::implementation::post_to_lane(const service_name& service, coordinator_event event)
@@ -230,14 +288,13 @@
                       // Its answer confirms the configuration, without which a starting entry serves nobody.
                       report();
                   }
-                  const bool far = std::any_of(far_entries.begin(), far_entries.end(),
-                                               [&](const entry_peer& item)
-                                               {
-                                                   return item.name.str() == name;
-                                               });
-                  if (far)
+                  if (routed && linked_entries.count(instance_name(name)) > 0)
                   {
-                      update_routed();
+                      if (!up)
+                      {
+                          routed->on_entry_lost(name);
+                      }
+                      update_routed_soon();
                   }
                   const auto now_in_force = table.load();
                   for (const auto& [service, lane] : now_in_force->lanes)
--- /dev/null
+++ b/src/routing/group_choice.cpp
@@ -0,0 +1,84 @@
+#include <flaxtiller/routing/group_choice.hpp>
+
+#include <algorithm>
+
+namespace flaxtiller
+{
+
+void group_choice::configure(const routing_view& view)
+{
+    m_self = view.self;
+    m_unreachable = view.unreachable;
+    m_plan = shard_plan(view);
+}
+
+bool group_choice::may_ask(const instance_name& peer, time_point now) const
+{
+    const auto passed_over = m_passed_over_until.find(peer);
+    return m_unreachable.count(peer) == 0 &&
+           (passed_over == m_passed_over_until.end() || passed_over->second <= now);
+}
+
+std::optional<instance_name> group_choice::first_of(const shard_plan::group& item, time_point now)
+{
+    const std::size_t from = item.in_turn ? m_turn++ : 0;
+    for (std::size_t i = 0; i < item.runners.size(); ++i)
+    {
+        const instance_name& peer = item.runners[(from + i) % item.runners.size()];
+        if (peer == m_self || may_ask(peer, now))
+        {
+            return peer;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<group_choice::group> group_choice::groups_of(const route& by, time_point now)
+{
+    std::vector<group> groups;
+    for (const shard_plan::group& item : m_plan.groups_of(by))
+    {
+        const auto peer = first_of(item, now);
+        if (peer && *peer != m_self)
+        {
+            groups.push_back({*peer, item.shards});
+        }
+    }
+    return groups;
+}
+
+std::optional<instance_name> group_choice::another(const route& by, std::size_t first_shard,
+                                                   const instance_name& failed, time_point now) const
+{
+    for (const shard_plan::group& item : m_plan.groups_of(by))
+    {
+        if (item.shards.empty() || item.shards.front() != first_shard)
+        {
+            continue;
+        }
+        if (item.in_turn)
+        {
+            // None of them is nearer to it than this one is.
+            return m_self;
+        }
+        const auto found = std::find_if(item.runners.begin(), item.runners.end(),
+                                        [&](const instance_name& peer)
+                                        {
+                                            return peer != failed && (peer == m_self || may_ask(peer, now));
+                                        });
+        return found == item.runners.end() ? std::nullopt : std::optional(*found);
+    }
+    return std::nullopt;
+}
+
+void group_choice::failed(const instance_name& peer, time_point now)
+{
+    m_passed_over_until[peer] = now + pass_over;
+}
+
+void group_choice::answered(const instance_name& peer)
+{
+    m_passed_over_until.erase(peer);
+}
+
+} // namespace flaxtiller
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace flaxtiller
 {
@@ -28,10 +29,20 @@
 {
     for (const auto& [name, item] : routes)
     {
-        m_hosts[host_key(item.host)].emplace(item.path_prefix, std::make_shared<const route>(item));
+        auto shared = std::make_shared<const route>(item);
+        if (shared->fans_out())
+        {
+            m_fan_outs.push_back(shared);
+        }
+        m_hosts[host_key(item.host)].emplace(item.path_prefix, std::move(shared));
     }
 }
 
+const std::vector<std::shared_ptr<const route>>& route_table::fan_outs() const noexcept
+{
+    return m_fan_outs;
+}
+
 std::shared_ptr<const route> route_table::find(std::string_view host, std::string_view target) const
 {
     const auto prefixes = m_hosts.find(host_key(host));
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -14,13 +14,17 @@
 
 void to_json(nlohmann::json& j, const entry_peer& value)
 {
-    j = {{"name", value.name}, {"region", value.region}, {"address", value.address}};
+    j = {{"name", value.name},
+         {"region", value.region},
+         {"zone", value.availability_zone},
+         {"address", value.address}};
 }
 
 void from_json(const nlohmann::json& j, entry_peer& value)
 {
     value.name = j.at("name").get<instance_name>();
     value.region = j.at("region").get<std::string>();
+    value.availability_zone = j.at("zone").get<std::string>();
     value.address = j.at("address").get<std::string>();
 }
 
@@ -35,7 +39,9 @@
          {"patience_us", value.patience.us()},
          {"revision", value.asked_revision},
          {"services", value.asked_services},
-         {"answer_within_us", value.answer_within.us()}};
+         {"answer_within_us", value.answer_within.us()},
+         {"progress_within_us", value.progress_within.us()},
+         {"again", value.asked_again}};
 }
 
 void from_json(const nlohmann::json& j, routed_request& value)
@@ -50,11 +56,14 @@
     value.asked_revision = j.at("revision").get<std::int64_t>();
     value.asked_services = j.at("services").get<std::vector<service_name>>();
     value.answer_within = duration::from_us(j.at("answer_within_us").get<std::int64_t>());
+    value.progress_within = duration::from_us(j.at("progress_within_us").get<std::int64_t>());
+    value.asked_again = j.at("again").get<bool>();
 }
 
 void to_json(nlohmann::json& j, const routed_outcome& value)
 {
     j = {{"end", value.end},
+         {"progress", value.is_progress},
          {"merged", value.merged},
          {"signatures", value.signatures},
          {"missing", value.missing},
@@ -68,6 +77,7 @@
 void from_json(const nlohmann::json& j, routed_outcome& value)
 {
     value.end = j.at("end").get<routed_end>();
+    value.is_progress = j.at("progress").get<bool>();
     value.merged = j.at("merged").get<std::string>();
     value.signatures = j.at("signatures").get<std::vector<std::string>>();
     value.missing = j.at("missing").get<int>();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -6,14 +6,24 @@
 namespace flaxtiller
 {
 
-router::router(router_options options)
-    : m_options(options),
-      m_second_runs(m_options.retry_ratio * (1.0 - m_options.retry_share), m_options.retry_slack)
+namespace
+{
+
+/// Connections are shared by the first two owners of each availability zone and as many whose view differs.
+constexpr int sharers_per_zone = 2;
+constexpr int spare_sharers = 2;
+/// Half of the slack may be spent at once, and half comes with time: no window sees more than all of it.
+constexpr double at_once = 0.5;
+
+} // namespace
+
+router::router(router_options options) : m_options(options)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
     m_options.scheduling.late_by_server = true;
     m_options.scheduling.cancel_losers = false;
+    m_options.scheduling.avoid_stuck = true;
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -36,15 +46,16 @@
 void router::configure(routing_view view, time_point now)
 {
     m_view = std::move(view);
-    m_regions.configure(m_view);
+    m_groups.configure(m_view);
+    m_region_of.clear();
+    for (const entry_peer& peer : m_view.peers)
+    {
+        m_region_of.emplace(peer.name, peer.region);
+    }
     for (const auto& [name, placed] : m_view.placed->services)
     {
         lane_of(name);
     }
-    // At least one, or an instance among many could never try again.
-    const double own_slack = std::max(1.0, m_options.retry_slack * m_options.retry_share / m_view.entries);
-    m_second_runs.limit(
-        std::max(1.0, m_options.retry_slack * (1.0 - m_options.retry_share) / m_view.entries));
     std::set<std::string> near_zones;
     for (const auto& [zone, region] : m_view.region_of_zone)
     {
@@ -58,9 +69,10 @@
     {
         const auto found = m_view.placed->services.find(item.service);
         const placed_service& placed = found == m_view.placed->services.end() ? none : found->second;
-        item.scheduler.limit_budget(own_slack);
+        const double slack = m_options.retry_slack * m_options.retry_share * allowance_of(item.service);
+        item.scheduler.limit_budget(slack * at_once, slack * (1.0 - at_once) / m_options.retry_window.ms());
         item.scheduler.set_near(near_zones);
-        item.scheduler.configure(placed, m_view.entries, now);
+        item.scheduler.configure(placed, sharers_of(item.service), now);
     }
     for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
     {
@@ -69,6 +81,32 @@
     drop_unused_lanes();
 }
 
+int router::sharers_of(const service_name& service) const
+{
+    const shard_plan& plan = m_groups.plan();
+    if (!plan.is_owned(service))
+    {
+        return m_view.entries;
+    }
+    return static_cast<int>(plan.zones_of(service)) * sharers_per_zone + spare_sharers;
+}
+
+/// This instance's share of what operators allow beyond the first attempts over all instances.
+double router::allowance_of(const service_name& service) const
+{
+    const shard_plan& plan = m_groups.plan();
+    if (!plan.is_owned(service))
+    {
+        return 1.0 / m_view.entries;
+    }
+    if (plan.owns(service))
+    {
+        const auto owners = static_cast<double>(plan.zones_of(service)) * sharers_per_zone;
+        return m_options.owners_share / std::max(owners, 1.0);
+    }
+    return (1.0 - m_options.owners_share) / m_view.entries;
+}
+
 void router::drop_unused_lanes()
 {
     for (auto at = m_lanes.begin(); at != m_lanes.end();)
@@ -155,16 +193,21 @@
     }
     open_request& opened = m_open[number];
     opened.by = by;
+    opened.arrived_at = now;
     const duration patience = std::max(request->patience - m_options.way_back, duration{});
     opened.deadline = now + std::min(patience, by->timeout);
     opened.answer_at = std::min(now + time_to_answer(*by, *request), opened.deadline);
     opened.request = std::move(request);
-    set_timer(number, opened, opened.answer_at);
+    if (opened.request->is_asked() && opened.request->progress_within > duration{})
+    {
+        opened.progress_at = now + opened.request->progress_within;
+    }
     for (const service_name& service : services_of(*by, *opened.request))
     {
         opened.parts.push_back({service, 0, 0, false, 0, nullptr});
     }
     ask_elsewhere(number, opened, now);
+    set_timer(number, opened);
     std::vector<bool> here(opened.parts.size(), true);
     for (const group& asked : opened.groups)
     {
@@ -181,10 +224,10 @@
             wanted.push_back(at);
         }
     }
-    run_here(number, wanted, now);
+    run_here(number, wanted, opened.request->asked_again, now);
 }
 
-void router::run_here(request_number number, const std::vector<std::size_t>& wanted, time_point now)
+void router::run_here(request_number number, const std::vector<std::size_t>& wanted, bool again, time_point now)
 {
     open_request& opened = m_open.at(number);
     std::vector<lane_index> lanes;
@@ -198,7 +241,7 @@
     }
     for (const std::size_t at : wanted)
     {
-        submit(opened, opened.parts[at], now);
+        submit(opened, opened.parts[at], again, now);
     }
     // Collected only after all are submitted: an early end of one part must not answer before.
     for (const lane_index at : lanes)
@@ -207,11 +250,13 @@
     }
 }
 
-void router::set_timer(request_number number, open_request& opened, time_point at)
+/// Sets the timer for whatever is due first.
+void router::set_timer(request_number number, open_request& opened)
 {
     m_timers.erase({opened.timer_at, number});
-    opened.timer_at = at;
-    m_timers.emplace(at, number);
+    opened.timer_at = std::min({opened.past_objective ? opened.deadline : opened.answer_at, opened.progress_at,
+                                opened.group_late_at, opened.deadline});
+    m_timers.emplace(opened.timer_at, number);
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -284,8 +329,8 @@
     ++opened.attempts;
     const int ordinal = ++part_of(opened, action.subquery).attempts;
     m_actions.emplace_back(start_routed_attempt{number, request, action.server, m_lanes.at(at).service,
-                                                opened.by->fans_out(), ordinal, opened.deadline,
-                                                opened.request});
+                                                opened.by->fans_out(), ordinal, opened.by->repeatable,
+                                                opened.deadline, opened.request});
 }
 
 void router::take(lane_index at, const dispatch::cancel_attempt& action)
@@ -348,7 +393,8 @@
 void router::on_timer(request_number number, time_point now)
 {
     open_request& opened = m_open.at(number);
-    if (opened.by->fans_out() && enough_in(opened))
+    opened.past_objective = opened.past_objective || now >= opened.answer_at;
+    if (opened.past_objective && opened.by->fans_out() && enough_in(opened))
     {
         merge(number, opened);
         return;
@@ -358,16 +404,23 @@
         fail(number, opened, true);
         return;
     }
-    if (opened.past_objective)
+    if (now >= opened.progress_at)
     {
-        set_timer(number, opened, opened.deadline);
-        run_silent_groups_here(number, now);
-        return;
+        opened.progress_at = time_point::never();
+        tell_progress(number, opened, now);
+    }
+    const bool groups_late = now >= opened.group_late_at;
+    if (groups_late)
+    {
+        // Looked at twice: when the first word was due, and past the objective.
+        const time_point second_look = opened.answer_at + m_options.elsewhere_grace;
+        opened.group_late_at = now < opened.answer_at ? second_look : time_point::never();
+    }
+    set_timer(number, opened);
+    if (groups_late)
+    {
+        move_silent_groups(number, now);
     }
-    opened.past_objective = true;
-    const bool waits = !opened.groups.empty();
-    set_timer(number, opened,
-              waits ? std::min(now + m_options.elsewhere_grace, opened.deadline) : opened.deadline);
 }
 
 time_point router::next_time() const noexcept
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -67,6 +67,11 @@
 }
 
 void router::merge(request_number number, open_request& opened)
+{
+    finish(number, opened, merged_so_far(opened));
+}
+
+routed_outcome router::merged_so_far(const open_request& opened) const
 {
     routed_outcome told;
     told.end = routed_end::merged;
@@ -86,12 +91,24 @@
             bodies.emplace_back(asked.outcome.merged);
             told.signatures.insert(told.signatures.end(), asked.outcome.signatures.begin(),
                                    asked.outcome.signatures.end());
-            told.elsewhere.push_back(asked.peer);
+            told.elsewhere.push_back(asked.answered_by);
         }
     }
     told.missing = static_cast<int>(opened.parts.size() - told.signatures.size());
     told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
-    finish(number, opened, std::move(told));
+    return told;
+}
+
+/// The entry that asked sees by this that its request is being run, and has the parts if the rest comes late.
+void router::tell_progress(request_number number, open_request& opened, time_point now)
+{
+    routed_outcome told = merged_so_far(opened);
+    told.is_progress = true;
+    told.route = opened.by->name;
+    told.revision = m_view.placed->revision;
+    told.attempts = opened.attempts;
+    told.took = now - opened.arrived_at;
+    m_actions.emplace_back(tell_progress_to_entry{number, std::move(told)});
 }
 
 void router::fail(request_number number, open_request& opened, bool late)
@@ -103,7 +120,12 @@
                                      });
     routed_outcome told;
     told.end = routed_end::refused;
-    if (opened.may_have_run || (running && opened.attempts > 0) || !opened.groups.empty())
+    const bool asked_elsewhere = std::any_of(opened.groups.begin(), opened.groups.end(),
+                                             [](const group& asked)
+                                             {
+                                                 return !asked.over;
+                                             });
+    if (opened.may_have_run || (running && opened.attempts > 0) || asked_elsewhere)
     {
         told.end = late ? routed_end::late : routed_end::failed;
     }
@@ -151,7 +173,10 @@
     outcome.attempts = opened.attempts;
     for (const group& asked : opened.groups)
     {
-        m_asks.erase(asked.number);
+        for (const ask& sent : asked.asks)
+        {
+            m_asks.erase(sent.number);
+        }
     }
     m_timers.erase({opened.timer_at, number});
     for (const part& asked : opened.parts)
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -1,4 +1,4 @@
-// What other entries run on this one's behalf.
+// What other entries run on this one's behalf, and what this one runs on theirs.
 
 #include <flaxtiller/routing/router.hpp>
 
@@ -8,126 +8,131 @@
 namespace flaxtiller
 {
 
+// ---------------------------------------------------------------------------------------------------------
+// asking
+// ---------------------------------------------------------------------------------------------------------
+
 void router::ask_elsewhere(request_number number, open_request& opened, time_point now)
 {
     if (!opened.by->fans_out() || opened.request->is_asked())
     {
         return;
     }
-    for (const region_choice::group& chosen : m_regions.groups_of(*opened.by, now))
+    for (const group_choice::group& chosen : m_groups.groups_of(*opened.by, now))
     {
-        ask_entry ask{m_next_ask++,
-                      chosen.peer,
-                      m_view.placed->revision,
-                      {},
-                      opened.deadline - now,
-                      std::max(opened.answer_at - now - way_to(chosen.peer), duration::from_ms(1)),
-                      opened.request};
-        for (const std::size_t at : chosen.shards)
-        {
-            ask.services.push_back(opened.parts[at].service);
-        }
-        m_asks.emplace(ask.number, number);
-        opened.groups.push_back({ask.number, chosen.peer, chosen.shards, now, false, {}});
-        m_actions.emplace_back(std::move(ask));
+        group& wanted = opened.groups.emplace_back();
+        wanted.parts = chosen.shards;
+        ask_one(number, opened, wanted, chosen.peer, false, now);
     }
 }
 
+void router::ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
+                     bool again, time_point now)
+{
+    ask_entry sent;
+    sent.number = m_next_ask++;
+    sent.peer = peer;
+    sent.revision = m_view.placed->revision;
+    sent.patience = opened.deadline - now;
+    const duration way = way_to(peer);
+    sent.answer_within = std::max(opened.answer_at - now - way, duration::from_ms(1));
+    sent.progress_within = sent.answer_within * m_options.progress_share;
+    sent.again = again;
+    sent.sent = opened.request;
+    for (const std::size_t at : wanted.parts)
+    {
+        sent.services.push_back(opened.parts[at].service);
+    }
+    const time_point word_due = now + sent.progress_within + way + m_options.progress_grace;
+    opened.group_late_at = std::min(opened.group_late_at, word_due);
+    m_asks.emplace(sent.number, number);
+    wanted.asks.push_back({sent.number, peer, now, false, false});
+    m_actions.emplace_back(std::move(sent));
+}
+
 duration router::way_to(const instance_name& peer) const
 {
-    const auto known = m_ways.find(peer);
-    return known == m_ways.end() ? m_options.first_way_elsewhere : known->second;
+    const auto region = m_region_of.find(peer);
+    const std::string& where = region == m_region_of.end() ? m_view.region : region->second;
+    const auto known = m_ways.find(where);
+    if (known != m_ways.end())
+    {
+        return known->second;
+    }
+    return where == m_view.region ? m_options.first_way_near : m_options.first_way_far;
 }
 
 void router::note_way(const instance_name& peer, duration way)
 {
     // A few answers suffice, and one that was held up doesn't count for much.
     constexpr double weight = 0.2;
-    const auto known = m_ways.emplace(peer, way).first;
+    const auto region = m_region_of.find(peer);
+    if (region == m_region_of.end())
+    {
+        return;
+    }
+    const auto known = m_ways.emplace(region->second, way).first;
     known->second = known->second + (way - known->second) * weight;
 }
 
-/// Whether running it here as well can't bring any shard to more backend servers than the route allows.
-bool router::may_run_twice(const open_request& opened) const
+// ---------------------------------------------------------------------------------------------------------
+// asking again
+// ---------------------------------------------------------------------------------------------------------
+
+/// How many backend servers a part may go to here. Where another entry may have run it and there are more
+/// replicas than the route allows, that entry's attempts are left out of account by one.
+int router::attempts_of(const open_request& opened, const part& wanted, bool again) const
+{
+    const int most = opened.by->most_attempts;
+    const auto placed = m_view.placed->services.find(wanted.service);
+    const bool fits = placed == m_view.placed->services.end() ||
+                      static_cast<int>(placed->second.shards.at(0).size()) <= most;
+    return !again || fits ? most : std::max(1, most - 1);
+}
+
+bool router::can_pay_again(const open_request& opened, const group& wanted) const
 {
-    return std::all_of(opened.parts.begin(), opened.parts.end(),
-                       [&](const part& item)
+    return std::all_of(wanted.parts.begin(), wanted.parts.end(),
+                       [&](std::size_t at)
                        {
-                           const auto placed = m_view.placed->services.find(item.service);
-                           return placed == m_view.placed->services.end() ||
-                                  static_cast<int>(placed->second.shards.at(0).size()) <=
-                                      opened.by->most_attempts;
+                           const dispatch::scheduler* scheduler = scheduler_of(opened.parts[at].service);
+                           return scheduler != nullptr && scheduler->budget() >= 1.0;
                        });
 }
 
-void router::entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
-                            time_point now)
+/// @return whether it could be run here
+bool router::run_group_here(request_number number, group& lost, bool again, time_point now)
 {
-    const auto asked = m_asks.find(number);
-    if (asked == m_asks.end())
-    {
-        return;
-    }
-    const request_number request = asked->second;
-    m_asks.erase(asked);
-    open_request& opened = m_open.at(request);
-    const auto found = std::find_if(opened.groups.begin(), opened.groups.end(),
-                                    [&](const group& item)
-                                    {
-                                        return item.number == number;
-                                    });
-    if (outcome.end != routed_end::merged)
+    if (again && !can_pay_again(m_open.at(number), lost))
     {
-        m_regions.failed(peer, now);
-        const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
-        opened.may_have_run = opened.may_have_run || !not_run;
-        if (not_run || (may_run_twice(opened) && m_second_runs.spend()))
-        {
-            run_group_here(request, *found, now);
-            return;
-        }
-        drop_group(request, *found, outcome.reason, now);
-        return;
+        return false;
     }
-    m_second_runs.earn();
-    note_way(peer, now - found->sent_at - outcome.took);
-    found->over = true;
-    found->outcome = outcome;
-    opened.may_have_run = true;
-    opened.in += static_cast<int>(outcome.signatures.size());
-    opened.missing += static_cast<int>(found->parts.size() - outcome.signatures.size());
-    opened.attempts += outcome.attempts;
-    for (const std::size_t at : found->parts)
+    lost.over = true;
+    for (const ask& sent : lost.asks)
     {
-        opened.parts[at].over = true;
+        m_asks.erase(sent.number);
     }
-    settle(request, opened, now);
-}
-
-void router::run_group_here(request_number number, group& lost, time_point now)
-{
-    lost.over = true;
-    m_asks.erase(lost.number);
     const std::vector<std::size_t> wanted = lost.parts;
-    run_here(number, wanted, now);
+    run_here(number, wanted, again, now);
+    return true;
 }
 
-void router::drop_group(request_number number, group& lost, missing_reason reason, time_point now)
+/// Has a group run by another entry, or here.
+/// @return whether there is anyone to run it
+bool router::move_group(request_number number, group& lost, bool again, time_point now)
 {
     open_request& opened = m_open.at(number);
-    lost.over = true;
-    opened.missing += static_cast<int>(lost.parts.size());
-    opened.reason = reason;
-    for (const std::size_t at : lost.parts)
+    const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
+    constexpr std::size_t most_asks = 2;
+    if (!next || *next == m_view.self || lost.asks.size() >= most_asks)
     {
-        opened.parts[at].over = true;
+        return run_group_here(number, lost, again, now);
     }
-    settle(number, opened, now);
+    ask_one(number, opened, lost, *next, again, now);
+    return true;
 }
 
-/// Past the objective, what an entry that is silent should have run is run here, as far as the budget goes;
-/// else its answer may still come until the deadline.
-void router::run_silent_groups_here(request_number number, time_point now)
+void router::move_silent_groups(request_number number, time_point now)
 {
     const std::size_t count = m_open.at(number).groups.size();
     for (std::size_t i = 0; i < count; ++i)
@@ -138,25 +143,164 @@
             return;
         }
         group& asked = found->second.groups[i];
-        if (asked.over)
+        if (asked.is_silent())
         {
-            continue;
+            m_groups.failed(asked.asks.back().peer, now);
+            // Where nobody can, its answer may still come until the deadline.
+            (void)move_group(number, asked, true, now);
         }
-        m_regions.failed(asked.peer, now);
-        if (may_run_twice(found->second) && m_second_runs.spend())
+    }
+}
+
+void router::entry_lost(const instance_name& peer, time_point now)
+{
+    m_groups.failed(peer, now);
+    std::vector<std::pair<request_number, std::size_t>> hit;
+    for (const auto& [number, opened] : m_open)
+    {
+        for (std::size_t i = 0; i < opened.groups.size(); ++i)
         {
-            run_group_here(number, asked, now);
+            const group& asked = opened.groups[i];
+            if (!asked.over && asked.asks.back().peer == peer)
+            {
+                hit.emplace_back(number, i);
+            }
+        }
+    }
+    for (const auto& [number, at] : hit)
+    {
+        const auto found = m_open.find(number);
+        if (found != m_open.end() && !found->second.groups[at].over)
+        {
+            replace_ask(number, found->second.groups[at], true, now);
         }
     }
 }
 
-void router::submit(open_request& opened, part& wanted, time_point now)
+/// The last entry that was asked won't answer any more. Where it told some parts already, these are kept.
+void router::replace_ask(request_number number, group& asked, bool again, time_point now)
+{
+    if (asked.outcome.signatures.empty() && move_group(number, asked, again, now))
+    {
+        return;
+    }
+    open_request& opened = m_open.at(number);
+    end_group(opened, asked);
+    settle(number, opened, now);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// what others answer
+// ---------------------------------------------------------------------------------------------------------
+
+void router::take_outcome(open_request& opened, group& asked, const instance_name& peer,
+                          const routed_outcome& outcome)
+{
+    const bool better = outcome.signatures.size() > asked.outcome.signatures.size();
+    if (!better && !asked.answered_by.empty())
+    {
+        return;
+    }
+    opened.in += static_cast<int>(outcome.signatures.size()) -
+                 static_cast<int>(asked.outcome.signatures.size());
+    asked.outcome = outcome;
+    asked.answered_by = peer;
+}
+
+void router::end_group(open_request& opened, group& asked)
+{
+    asked.over = true;
+    opened.missing += static_cast<int>(asked.parts.size() - asked.outcome.signatures.size());
+    for (const std::size_t at : asked.parts)
+    {
+        opened.parts[at].over = true;
+    }
+}
+
+void router::entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
+                            time_point now)
+{
+    const auto known = m_asks.find(number);
+    if (known == m_asks.end())
+    {
+        return;
+    }
+    const request_number request = known->second;
+    open_request& opened = m_open.at(request);
+    const auto holds = [&](const ask& sent)
+    {
+        return sent.number == number;
+    };
+    const auto asked = std::find_if(opened.groups.begin(), opened.groups.end(),
+                                    [&](const group& item)
+                                    {
+                                        return std::any_of(item.asks.begin(), item.asks.end(), holds);
+                                    });
+    ask& sent = *std::find_if(asked->asks.begin(), asked->asks.end(), holds);
+    sent.heard = true;
+    sent.over = !outcome.is_progress;
+    opened.may_have_run = opened.may_have_run || outcome.attempts > 0;
+    if (sent.over)
+    {
+        m_asks.erase(known);
+    }
+    if (outcome.end != routed_end::merged)
+    {
+        drop_ask(request, *asked, sent, outcome, now);
+        return;
+    }
+    note_way(peer, now - sent.sent_at - outcome.took);
+    m_groups.answered(peer);
+    take_outcome(opened, *asked, peer, outcome);
+    const bool all_over = std::all_of(asked->asks.begin(), asked->asks.end(),
+                                      [](const ask& item)
+                                      {
+                                          return item.over;
+                                      });
+    if (sent.over)
+    {
+        opened.attempts += outcome.attempts;
+    }
+    if (all_over || asked->outcome.signatures.size() == asked->parts.size())
+    {
+        end_group(opened, *asked);
+    }
+    settle(request, opened, now);
+}
+
+/// An entry failed what it was asked.
+void router::drop_ask(request_number number, group& asked, const ask& failed, const routed_outcome& outcome,
+                      time_point now)
+{
+    m_groups.failed(failed.peer, now);
+    const bool not_run = outcome.end == routed_end::refused || outcome.end == routed_end::no_route;
+    open_request& opened = m_open.at(number);
+    opened.may_have_run = opened.may_have_run || !not_run;
+    opened.reason = outcome.reason;
+    const bool others_run = std::any_of(asked.asks.begin(), asked.asks.end(),
+                                        [](const ask& item)
+                                        {
+                                            return !item.over;
+                                        });
+    const bool first = asked.asks.size() == 1;
+    if (!others_run)
+    {
+        replace_ask(number, asked, !(not_run && first), now);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// running and stopping
+// ---------------------------------------------------------------------------------------------------------
+
+void router::submit(open_request& opened, part& wanted, bool again, time_point now)
 {
     dispatch::subquery asked;
     asked.id = wanted.subquery;
     asked.deadline = opened.deadline;
     asked.repeatable = opened.by->repeatable;
-    asked.most_attempts = opened.by->most_attempts;
+    asked.most_attempts = attempts_of(opened, wanted, again);
+    asked.again = again;
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
@@ -172,10 +316,12 @@
     m_open.erase(found);
     for (const group& asked : opened.groups)
     {
-        if (!asked.over)
+        for (const ask& sent : asked.asks)
         {
-            m_asks.erase(asked.number);
-            m_actions.emplace_back(abandon_at_entry{asked.number, asked.peer});
+            if (m_asks.erase(sent.number) > 0)
+            {
+                m_actions.emplace_back(abandon_at_entry{sent.number, sent.peer});
+            }
         }
     }
     for (const part& asked : opened.parts)
--- a/src/shell/connection_pool.cpp
+++ b/src/shell/connection_pool.cpp
@@ -57,6 +57,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     time_point reusable_until = time_point::never();
+    time_point rests_since{};
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -126,13 +127,14 @@
         return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    net::awaitable<connection_ptr> take()
+    net::awaitable<connection_ptr> take(duration most_rest)
     {
         while (!idle.empty())
         {
             connection_ptr reused = std::move(idle.back());
             idle.pop_back();
-            if (clock.now() < reused->reusable_until && is_quiet(*reused))
+            const time_point now = clock.now();
+            if (now < reused->reusable_until && now - reused->rests_since <= most_rest && is_quiet(*reused))
             {
                 co_return reused;
             }
@@ -166,6 +168,7 @@
     {
         if (reusable && open <= most)
         {
+            used->rests_since = clock.now();
             idle.push_back(std::move(used));
             return;
         }
@@ -202,7 +205,7 @@
         {
             under_way.emplace(token, nullptr);
         }
-        connection_ptr used = co_await take();
+        connection_ptr used = co_await take(wanted.most_rest);
         if (used && closed.count(token) == 0)
         {
             if (token != 0)
--- a/src/shell/link_message.cpp
+++ b/src/shell/link_message.cpp
@@ -8,7 +8,7 @@
 namespace flaxtiller::shell
 {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, protocol_version, role, name, run, region, address)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, protocol_version, role, name, run, region, zone, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quorum_envelope, log, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(incarnation_notice, log, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_message, service, results)
@@ -19,7 +19,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(registration_heard, items)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(registration_digest, digest)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(control_members, names)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_list, items)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_list, whole, items, gone)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_ask, number, request)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_return, number, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number)
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -18,7 +18,7 @@
 {
 
 /// @brief The version of the protocol between our processes; a peer with another one is refused.
-inline constexpr int link_protocol_version = 2;
+inline constexpr int link_protocol_version = 3;
 
 /// @brief The first message on each link, in both directions.
 struct hello
@@ -29,6 +29,7 @@
     /// Drawn at each start of a process.
     std::uint64_t run = 0;
     std::string region;
+    std::string zone;
     /// IP number and port at which it takes links.
     std::string address;
 };
@@ -116,10 +117,13 @@
     std::vector<std::string> names;
 };
 
-/// @brief The entry instances that can be reached, from a control leader.
+/// @brief The entry instances that can be reached, from a control leader: all of them, or what changed since its
+/// last word to this receiver.
 struct entry_list
 {
+    bool whole = false;
     std::vector<entry_peer> items;
+    std::vector<instance_name> gone;
 };
 
 /// @brief Shards of a fan-out that the receiver shall run, with the sender's number for it.
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -215,6 +215,18 @@
     }
 }
 
+std::optional<hello> peer_links::identity(const std::string& name) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_peers.find(name);
+    if (found == m_peers.end() || found->second.links.empty())
+    {
+        return std::nullopt;
+    }
+    const auto made = m_links.find(*found->second.links.rbegin());
+    return made == m_links.end() ? std::nullopt : std::optional(made->second.from);
+}
+
 std::set<std::string> peer_links::reachable() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,9 @@
     /// @brief Makes missing links, sends heartbeats, notices silence. Call at least twice a heartbeat.
     void tick();
 
+    /// @return what a peer said of itself when its link was made, or nothing
+    std::optional<hello> identity(const std::string& name) const;
+
     /// @return names of the peers that can be reached
     std::set<std::string> reachable() const;
 
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -2,6 +2,9 @@
 
 #include "log.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace flaxtiller::shell
 {
 
@@ -12,6 +15,10 @@
 constexpr duration tell_every = duration::from_ms(1000);
 /// A digest that differs for this long isn't just a change on its way.
 constexpr duration differs_bound = duration::from_ms(1500);
+/// Backend servers that come share a message if they come within this; one that leaves is told of at once.
+constexpr duration gather = duration::from_ms(100);
+/// A process that hasn't sent its digest for this long follows another replica.
+constexpr duration follower_age = duration::from_ms(3500);
 
 } // namespace
 
@@ -19,7 +26,7 @@
 {
     if (m_registry.on_heartbeat(said, now))
     {
-        spread();
+        note_changes(true, now);
     }
 }
 
@@ -27,7 +34,7 @@
 {
     if (m_registry.on_leave(id, now))
     {
-        spread();
+        note_changes(true, now);
     }
 }
 
@@ -41,7 +48,7 @@
     if (changed)
     {
         log(log_level::debug, "registrations_merged", {{"from", from}, {"items", update.items.size()}});
-        spread();
+        note_changes(false, now);
     }
 }
 
@@ -57,6 +64,13 @@
 
 void registration_hub::on_digest(const std::string& from, const registration_digest& said, time_point now)
 {
+    m_followers[from] = now;
+    const bool knows_nothing = said.digest == registry().digest();
+    if (knows_nothing && !m_registry.empty())
+    {
+        send_all(from, now);
+        return;
+    }
     if (said.digest == m_registry.digest())
     {
         m_differs_since.erase(from);
@@ -85,10 +99,9 @@
     m_links.send(to, registration_update{is_settled(now), m_registry.all()});
 }
 
-void registration_hub::spread()
+void registration_hub::note_changes(bool own, time_point now)
 {
-    const registration_update update{false, m_registry.take_changes()};
-    for (const registration& item : update.items)
+    for (const registration& item : m_registry.take_changes())
     {
         log(log_level::info, "registration",
             {{"backend_server", item.id.str()},
@@ -96,15 +109,55 @@
              {"address", item.address},
              {"state", nlohmann::json(item.state).get<std::string>()},
              {"sequence", item.sequence}});
+        const bool leaves = item.state != registration_state::ready;
+        m_spread_at = std::min(m_spread_at, leaves ? now : now + gather);
+        m_all_changes.push_back(item);
+        if (own)
+        {
+            m_own_changes.push_back(item);
+        }
+    }
+    if (now >= m_spread_at)
+    {
+        spread(now);
     }
-    for (const std::string& peer : m_links.reachable())
+}
+
+/// Replicas are told what was heard here, and followers all; each replica tells its own followers. One that
+/// can't reach some replica tells every process itself.
+void registration_hub::spread(time_point now)
+{
+    m_spread_at = time_point::never();
+    const registration_update own{false, std::exchange(m_own_changes, {})};
+    const registration_update all{false, std::exchange(m_all_changes, {})};
+    const std::set<std::string> reachable = m_links.reachable();
+    const bool cut_off =
+        !std::includes(reachable.begin(), reachable.end(), m_replicas.begin(), m_replicas.end());
+    for (const std::string& peer : reachable)
     {
-        m_links.send(peer, update);
+        if (m_replicas.count(peer) > 0)
+        {
+            if (!own.items.empty())
+            {
+                m_links.send(peer, own);
+            }
+            continue;
+        }
+        const auto follows = m_followers.find(peer);
+        if (cut_off || (follows != m_followers.end() && now - follows->second < follower_age))
+        {
+            m_links.send(peer, all);
+        }
     }
 }
 
 void registration_hub::tick(const std::set<std::string>& replicas, bool leads, time_point now)
 {
+    m_replicas = replicas;
+    if (now >= m_spread_at)
+    {
+        spread(now);
+    }
     if (now < m_tell_at)
     {
         return;
@@ -120,7 +173,7 @@
     }
     if (leads && is_settled(now) && m_registry.expire(m_silence, now))
     {
-        spread();
+        note_changes(true, now);
     }
 }
 
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -32,10 +32,11 @@
     /// @brief What another process knows; one that differs for a while is sent all.
     void on_digest(const std::string& from, const registration_digest& said, time_point now);
 
-    /// @brief A link came up: its other end may know nothing.
+    /// @brief A link to another replica came up: its other end may know nothing.
     void on_reachable(const std::string& peer);
 
-    /// @brief Tells the other replicas who was heard, and calls the silent lost.
+    /// @brief Tells what changed, tells the other replicas who was heard, and calls the silent lost.
+    /// @param replicas all control replicas but this one
     /// @param leads whether this replica leads: only a leader, which a majority's words reach, calls one lost
     void tick(const std::set<std::string>& replicas, bool leads, time_point now);
 
@@ -45,7 +46,8 @@
     }
 
   private:
-    void spread();
+    void note_changes(bool own, time_point now);
+    void spread(time_point now);
     void send_all(const std::string& to, time_point now);
     bool is_settled(time_point now) const;
 
@@ -54,6 +56,13 @@
     time_point m_started_at;
     registry m_registry;
     time_point m_tell_at{};
+    std::set<std::string> m_replicas;
+    /// What changed by words received here, and all that changed: told to replicas, and to followers.
+    std::vector<registration> m_own_changes;
+    std::vector<registration> m_all_changes;
+    time_point m_spread_at = time_point::never();
+    /// Processes that follow this replica's word, and when they last said so.
+    std::map<std::string, time_point> m_followers;
     /// Since when a process's digest has differed.
     std::map<std::string, time_point> m_differs_since;
 };
--- a/src/shell/routed_codec.cpp
+++ b/src/shell/routed_codec.cpp
@@ -21,6 +21,10 @@
 /// What a caller that names no deadline is taken to wait; the route's time-out is what counts then.
 constexpr duration unstated_patience = duration::from_ms(3600000);
 
+/// What may run once goes on a connection that was in use a moment ago, or on a new one: a new one costs a few
+/// milliseconds, and a lost request can't be sent again.
+constexpr duration most_rest_for_once = duration::from_ms(150);
+
 constexpr int first_server_error = 500;
 
 bool is_success(int status)
@@ -147,6 +151,10 @@
     exchange.headers.add(m_names.expected_server, attempt.server.str());
     exchange.body = attempt.sent->body;
     exchange.patience = left + answer_grace;
+    if (!attempt.repeatable)
+    {
+        exchange.most_rest = most_rest_for_once;
+    }
     exchange.id_header = m_names.request_id;
     exchange.id = attempt.sent->id;
     return exchange;
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -170,31 +170,41 @@
 // configuration
 // ---------------------------------------------------------------------------------------------------------
 
-void routed_front::update(std::int64_t revision, std::shared_ptr<const configuration> value,
-                          const std::vector<registration>& registered, const surroundings& around)
+routing_view routed_front::view_of(std::int64_t revision, const configuration& value,
+                                   std::shared_ptr<const route_table> routes,
+                                   const std::vector<registration>& registered, const surroundings& around)
 {
-    m_server.bound(limits_of(value->limits));
     routing_view view;
-    view.placed = std::make_shared<const placement>(place(revision, with_registered(*value, registered)));
-    view.routes = std::make_shared<const route_table>(value->routes);
+    view.placed = std::make_shared<const placement>(place(revision, with_registered(value, registered)));
+    view.routes = std::move(routes);
     view.entries = std::max(around.entries, 1);
+    view.self = around.self;
     view.region = around.region;
+    view.zone = around.zone;
     view.region_of_zone = around.region_of_zone;
     view.peers = around.peers;
+    view.unreachable = around.unreachable;
+    return view;
+}
+
+void routed_front::update(const routing_view& view, const request_limits& limits)
+{
+    m_server.bound(limits_of(limits));
     net::dispatch(m_strand,
-                  [this, view = std::move(view)]
+                  [this, view]
                   {
-                      configure_pools(*view.placed, view.entries);
                       m_router.configure(view, m_clock.now());
+                      configure_pools(*view.placed);
                       carry_out();
                   });
 }
 
-void routed_front::configure_pools(const placement& placed, int entries)
+void routed_front::configure_pools(const placement& placed)
 {
-    std::set<backend_server_name> kept;
+    std::map<backend_server_name, pool_bounds> kept;
     for (const auto& [name, service] : placed.services)
     {
+        const int sharers = m_router.sharers_of(name);
         for (const auto& replicas : service.shards)
         {
             for (const backend_server& server : replicas)
@@ -206,13 +216,18 @@
                         {{"backend_server", server.name.str()}, {"address", server.address}});
                     continue;
                 }
-                kept.insert(server.name);
-                m_pools.configure(server.name, *at, dispatch::direct_share_of(server, entries).connections,
-                                  0);
+                const pool_bounds bounds{server.address,
+                                         dispatch::direct_share_of(server, sharers).connections};
+                const auto before = m_servers.find(server.name);
+                if (before == m_servers.end() || !(before->second == bounds))
+                {
+                    m_pools.configure(server.name, *at, bounds.connections, 0);
+                }
+                kept.emplace(server.name, bounds);
             }
         }
     }
-    for (const backend_server_name& server : m_servers)
+    for (const auto& [server, bounds] : m_servers)
     {
         if (kept.count(server) == 0)
         {
@@ -351,13 +366,33 @@
                   });
 }
 
+void routed_front::on_entry_lost(const std::string& name)
+{
+    net::dispatch(m_strand,
+                  [this, name]
+                  {
+                      m_router.entry_lost(instance_name(name), m_clock.now());
+                      carry_out();
+                  });
+}
+
 void routed_front::carry(const ask_entry& action)
 {
+    if (action.again)
+    {
+        log(log_level::info, "group_asked_again",
+            {{"request", action.sent->id},
+             {"entry", action.peer.str()},
+             {"shards", action.services.size()},
+             {"first", action.services.front().str()}});
+    }
     routed_ask asked{action.number, *action.sent};
     asked.request.patience = action.patience;
     asked.request.asked_revision = action.revision;
     asked.request.asked_services = action.services;
     asked.request.answer_within = action.answer_within;
+    asked.request.progress_within = action.progress_within;
+    asked.request.asked_again = action.again;
     m_send(action.peer.str(), asked);
 }
 
@@ -479,6 +514,15 @@
     from.respond(outcome);
 }
 
+void routed_front::carry(const tell_progress_to_entry& action)
+{
+    const auto found = m_callers.find(action.request);
+    if (found != m_callers.end())
+    {
+        found->second.respond(action.outcome);
+    }
+}
+
 void routed_front::log_answer(const caller& from, const routed_outcome& outcome, duration took) const
 {
     log(log_level::info, "answer",
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -36,27 +36,37 @@
     {
         /// Entry instances that share the backend servers.
         int entries = 1;
+        instance_name self;
         std::string region;
+        std::string zone;
         std::map<std::string, std::string> region_of_zone;
-        /// Other entries that can be reached now.
+        /// Other entries, and those of them that can't be reached now.
         std::vector<entry_peer> peers;
+        std::set<instance_name> unreachable;
     };
 
     routed_front(boost::asio::io_context& io, metrics& counted, const router_options& options,
                  routed_headers names, sender send);
 
+    /// @return what a fan-out's shards are planned by, of this configuration
+    static routing_view view_of(std::int64_t revision, const configuration& value,
+                                std::shared_ptr<const route_table> routes,
+                                const std::vector<registration>& registered, const surroundings& around);
+
     std::error_code listen(const address& at);
 
     /// @brief Puts a configuration and the registered backend servers in force. Thread-safe; calls must not
     /// overtake one another.
-    void update(std::int64_t revision, std::shared_ptr<const configuration> value,
-                const std::vector<registration>& registered, const surroundings& around);
+    void update(const routing_view& view, const request_limits& limits);
 
     /// @brief Another entry asks, answers, or no longer waits. Thread-safe.
     void on_ask(const std::string& from, const routed_ask& asked);
     void on_return(const std::string& from, const routed_return& returned);
     void on_abandon(const std::string& from, const routed_abandon& abandoned);
 
+    /// @brief The link to another entry broke. Thread-safe.
+    void on_entry_lost(const std::string& name);
+
     /// @brief From now on requests are taken; before, all are refused as not run.
     void open();
 
@@ -83,6 +93,14 @@
         ask_number asked_number = 0;
     };
 
+    struct pool_bounds
+    {
+        std::string address;
+        int connections = 0;
+
+        bool operator==(const pool_bounds&) const = default;
+    };
+
     void on_request(const http_request& request, http_server::respond respond);
     void arrive(request_number number, std::shared_ptr<const routed_request> request, caller from);
     void on_gone(request_number number);
@@ -92,9 +110,10 @@
     void carry(const start_routed_attempt& action);
     void carry(const cancel_routed_attempt& action);
     void carry(const answer_request& action);
+    void carry(const tell_progress_to_entry& action);
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void schedule();
-    void configure_pools(const placement& placed, int entries);
+    void configure_pools(const placement& placed);
     void log_answer(const caller& from, const routed_outcome& outcome, duration took) const;
     nlohmann::json dump_state() const;
 
@@ -110,7 +129,8 @@
     // On the strand only.
     router m_router;
     pools_by_server<connection_pool> m_pools;
-    std::set<backend_server_name> m_servers;
+    /// What the pools were last told, by backend server.
+    std::map<backend_server_name, pool_bounds> m_servers;
     std::unordered_map<request_number, caller> m_callers;
     /// Requests that other entries asked for, by their name and number.
     std::map<std::pair<std::string, ask_number>, request_number> m_asked;
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -178,6 +178,7 @@
     read_ms(reader, "least_retry_ms", into.least_retry, 0.0, hour_ms);
     reader.number("retry_ratio", into.retry_ratio, 0.0, 10.0);
     reader.number("retry_slack", into.retry_slack, 0.0, 1e6);
+    read_ms(reader, "retry_window_ms", into.retry_window, 1.0, hour_ms);
     reader.flag("refusals_cost", into.scheduling.refusals_cost);
     read_section(reader, "dispatch", false,
                  [&](json_reader& r)
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -96,9 +96,9 @@
     SECTION("processes")
     {
         CHECK(received(control_members{{"a:1", "b:2"}}).names.size() == 2);
-        const entry_list list{{{instance_name("e"), "r", "10.0.0.1:7"}}};
+        const entry_list list{true, {{instance_name("e"), "r", "z", "10.0.0.1:7"}}, {instance_name("f")}};
         CHECK(received(list).items == list.items);
         CHECK(received(member_request{"catalog", "add", "c"}).action == "add");
-        CHECK(received(hello{link_protocol_version, "entry", "e", 5, "r", "a:1"}).region == "r");
+        CHECK(received(hello{link_protocol_version, "entry", "e", 5, "r", "z", "a:1"}).zone == "z");
     }
 }
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -74,7 +74,7 @@
         return answers.at(number).end;
     }
 
-    request_number arrive_as_peer(const std::string& target, std::int64_t revision)
+    request_number arrive_as_peer(const std::string& target, std::int64_t revision, bool again = false)
     {
         auto request = std::make_shared<routed_request>();
         request->host = "h";
@@ -83,6 +83,8 @@
         request->asked_revision = revision;
         request->asked_services = {service_name("s1"), service_name("s2")};
         request->answer_within = duration::from_ms(50);
+        request->progress_within = duration::from_ms(20);
+        request->asked_again = again;
         const request_number number = ++m_number;
         m_router.arrive(number, request, now);
         take();
@@ -155,6 +157,25 @@
         take();
     }
 
+    void told_progress(const ask_entry& asked, std::size_t missing)
+    {
+        routed_outcome outcome;
+        outcome.end = routed_end::merged;
+        outcome.is_progress = true;
+        for (std::size_t i = missing; i < asked.services.size(); ++i)
+        {
+            outcome.signatures.push_back("by-" + asked.services[i].str());
+        }
+        m_router.entry_answered(asked.peer, asked.number, outcome, now);
+        take();
+    }
+
+    void lose(const instance_name& peer)
+    {
+        m_router.entry_lost(peer, now);
+        take();
+    }
+
     std::string region = "near";
     int near_services = 0;
     /// Where the last replica of each service stands, if elsewhere than the others.
@@ -165,6 +186,7 @@
     std::vector<routed_attempt_number> cancelled;
     std::vector<ask_entry> sent_away;
     std::vector<abandon_at_entry> abandoned;
+    std::map<request_number, routed_outcome> progress;
     std::map<request_number, routed_outcome> answers;
 
   private:
@@ -188,6 +210,10 @@
             {
                 abandoned.push_back(*abandon);
             }
+            else if (const auto* so_far = std::get_if<tell_progress_to_entry>(&action))
+            {
+                progress[so_far->request] = so_far->outcome;
+            }
             else
             {
                 const auto& told = std::get<answer_request>(action);
@@ -383,7 +409,7 @@
 TEST_CASE("a fan-out whose replicas are all in another region", "[router]")
 {
     router_driver driver;
-    driver.peers = {{instance_name("f1"), "far", ""}, {instance_name("f2"), "far", ""}};
+    driver.peers = {{instance_name("f1"), "far", "far-zone", ""}, {instance_name("f2"), "far", "far-zone", ""}};
     driver.serve({{"all", fan_out_over(4, 0.75)}, {"one", single(true)}}, 4);
 
     SECTION("is run by an entry there, in turns, and its answer is passed on")
@@ -441,10 +467,12 @@
         }
         CHECK(driver.answers.at(first).missing == 0);
     }
-    SECTION("is run here, too, if that entry is silent past the objective; its late word isn't mixed in")
+    SECTION("is run here, too, if that entry is silent when its first word is due; its late word isn't mixed in")
     {
         const request_number first = driver.ask("/all/x");
-        driver.pass(125);
+        driver.pass(55);
+        CHECK(driver.started.empty());
+        driver.pass(10);
         CHECK(driver.started.size() == 4);
         driver.returned(driver.sent_away.at(0), routed_end::merged);
         CHECK(driver.answers.empty());
@@ -452,9 +480,45 @@
         {
             driver.end(service, attempt_status::answered);
         }
+        driver.pass(16);
         CHECK(driver.answers.at(first).missing == 1);
         CHECK(driver.answers.at(first).elsewhere.empty());
     }
+    SECTION("isn't run here as long as that entry says that it runs it; the final word replaces the first one")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.pass(50);
+        driver.told_progress(driver.sent_away.at(0), 2);
+        driver.pass(28);
+        CHECK(driver.started.empty());
+        CHECK(driver.answers.empty());
+        driver.returned(driver.sent_away[0], routed_end::merged, 1);
+        driver.pass(5);
+        CHECK(driver.answers.at(first).signatures.size() == 3);
+        CHECK(driver.answers.at(first).missing == 1);
+    }
+    SECTION("is answered at the objective with what that entry told so far")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.told_progress(driver.sent_away.at(0), 1);
+        driver.pass(81);
+        CHECK(driver.answers.at(first).end == routed_end::merged);
+        CHECK(driver.answers.at(first).missing == 1);
+    }
+    SECTION("is run here at once if the link to that entry breaks")
+    {
+        driver.ask("/all/x");
+        driver.lose(driver.sent_away.at(0).peer);
+        CHECK(driver.started.size() == 4);
+    }
+    SECTION("keeps the parts that an entry told before its link broke")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.told_progress(driver.sent_away.at(0), 1);
+        driver.lose(driver.sent_away.at(0).peer);
+        CHECK(driver.started.empty());
+        CHECK(driver.answers.at(first).missing == 1);
+    }
     SECTION("may still answer late where the budget doesn't pay for a second run")
     {
         for (int i = 0; i < 40; ++i)
@@ -481,12 +545,28 @@
     {
         const request_number number = driver.arrive_as_peer("/all/x", 1);
         driver.end("s1", attempt_status::answered);
-        driver.pass(49);
+        driver.pass(21);
+        REQUIRE(driver.progress.count(number) == 1);
+        CHECK(driver.progress.at(number).signatures.size() == 1);
+        CHECK(driver.progress.at(number).is_progress);
+        driver.pass(28);
         CHECK(driver.answers.empty());
         driver.pass(2);
         CHECK(driver.answers.at(number).end == routed_end::merged);
         CHECK(driver.answers.at(number).missing == 1);
     }
+    SECTION("what another entry may have run already is paid from the budget, or isn't run")
+    {
+        int ran = 0;
+        for (int i = 0; i < 30; ++i)
+        {
+            const auto before = driver.started.size();
+            driver.arrive_as_peer("/all/x", 1, true);
+            ran += driver.started.size() > before ? 1 : 0;
+        }
+        CHECK(ran > 0);
+        CHECK(ran <= 10);
+    }
     SECTION("what another entry asked for isn't sent on, and runs only by the same revision")
     {
         CHECK(driver.ask_as_peer("/all/x", 1) == routed_end::late);
--- /dev/null
+++ b/tests/src/unit-shard-plan.cpp
@@ -0,0 +1,238 @@
+#include <flaxtiller/routing/group_choice.hpp>
+#include <flaxtiller/routing/shard_plan.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace flaxtiller;
+
+namespace
+{
+
+constexpr int slots = 2;
+
+/// Three regions of two availability zones each; the first zone of each region holds a replica of every shard.
+class plan_fixture
+{
+  public:
+    plan_fixture(int shards, int entries_per_zone, int connection_limit)
+    {
+        auto placed = std::make_shared<placement>();
+        placed->revision = 1;
+        by.name = "all";
+        by.host = "h";
+        by.path_prefix = "/all/";
+        for (int i = 0; i < shards; ++i)
+        {
+            placed_service item;
+            item.definition.name = service_name("s" + std::to_string(i));
+            item.shards.resize(1);
+            for (const char* zone : {"r1-a", "r2-a", "r3-a"})
+            {
+                backend_server server;
+                server.name = backend_server_name(item.definition.name.str() + zone);
+                server.availability_zone = zone;
+                server.slots = slots;
+                server.connection_limit = connection_limit;
+                item.shards[0].push_back(server);
+            }
+            by.fan_out.push_back(item.definition.name);
+            placed->services.emplace(item.definition.name, std::move(item));
+        }
+        m_view.placed = placed;
+        m_view.routes = std::make_shared<const route_table>(std::map<std::string, route>{{"all", by}});
+        for (const char* region : {"r1", "r2", "r3"})
+        {
+            for (const char* half : {"-a", "-b"})
+            {
+                const std::string zone = std::string(region) + half;
+                m_view.region_of_zone[zone] = region;
+                for (int i = 0; i < entries_per_zone; ++i)
+                {
+                    all.push_back({instance_name(zone + std::to_string(i)), region, zone, ""});
+                }
+            }
+        }
+        m_view.entries = static_cast<int>(all.size());
+    }
+
+    /// @return the view of one of the entries
+    routing_view view_of(const std::string& name) const
+    {
+        routing_view view = m_view;
+        for (const entry_peer& item : all)
+        {
+            if (item.name.str() == name)
+            {
+                view.self = item.name;
+                view.region = item.region;
+                view.zone = item.availability_zone;
+            }
+            else
+            {
+                view.peers.push_back(item);
+            }
+        }
+        return view;
+    }
+
+    route by;
+    std::vector<entry_peer> all;
+
+  private:
+    routing_view m_view;
+};
+
+std::size_t shards_in(const std::vector<shard_plan::group>& groups)
+{
+    std::size_t count = 0;
+    for (const auto& item : groups)
+    {
+        count += item.shards.size();
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("shards are run here while connections suffice for every entry", "[plan]")
+{
+    const plan_fixture site(20, 2, 12 * slots);
+    shard_plan plan(site.view_of("r1-a0"));
+    CHECK(plan.groups_of(site.by).empty());
+    CHECK_FALSE(plan.is_owned(service_name("s0")));
+    CHECK(plan.first_owners().empty());
+}
+
+TEST_CASE("shards have owners where connections don't suffice", "[plan]")
+{
+    const plan_fixture site(90, 15, 66);
+    shard_plan plan(site.view_of("r1-b0"));
+    const std::vector<shard_plan::group> groups = plan.groups_of(site.by);
+
+    SECTION("as many groups as shards in each, of entries beside the replicas")
+    {
+        CHECK(groups.size() == 9);
+        CHECK(shards_in(groups) == 90);
+        for (const auto& item : groups)
+        {
+            CHECK(item.shards.size() == 10);
+            REQUIRE(item.runners.size() == shard_plan::most_owners);
+            CHECK_FALSE(item.in_turn);
+            for (const instance_name& runner : item.runners)
+            {
+                CHECK(runner.str().rfind("r1-a", 0) == 0);
+            }
+        }
+    }
+    SECTION("all entries of the region plan alike, the owners themselves too")
+    {
+        for (const char* other : {"r1-a0", "r1-a7", "r1-b3"})
+        {
+            shard_plan same(site.view_of(other));
+            CHECK(same.groups_of(site.by) == groups);
+        }
+    }
+    SECTION("no entry owns two groups while there are enough entries")
+    {
+        std::set<instance_name> owners;
+        for (const auto& item : groups)
+        {
+            CHECK(owners.insert(item.runners.front()).second);
+        }
+    }
+    SECTION("another region has owners of its own")
+    {
+        shard_plan far(site.view_of("r2-b0"));
+        for (const auto& item : far.groups_of(site.by))
+        {
+            CHECK(item.runners.front().str().rfind("r2-a", 0) == 0);
+        }
+    }
+    SECTION("the first two owners of each group know that they are")
+    {
+        for (const auto& item : groups)
+        {
+            const service_name service = site.by.fan_out[item.shards.front()];
+            CHECK(shard_plan(site.view_of(item.runners[0].str())).owns(service));
+            CHECK(shard_plan(site.view_of(item.runners[1].str())).owns(service));
+        }
+        CHECK_FALSE(plan.owns(service_name("s0")));
+    }
+    SECTION("one entry less moves few groups")
+    {
+        routing_view less = site.view_of("r1-b0");
+        const instance_name gone = groups[0].runners[0];
+        std::erase_if(less.peers,
+                      [&](const entry_peer& item)
+                      {
+                          return item.name == gone;
+                      });
+        shard_plan next(less);
+        std::size_t moved = 0;
+        for (std::size_t i = 0; i < groups.size(); ++i)
+        {
+            moved += next.groups_of(site.by)[i].runners[0] != groups[i].runners[0] ? 1 : 0;
+        }
+        CHECK(moved >= 1);
+        CHECK(moved <= 4);
+    }
+    SECTION("replicas that leave hand their shards to another region's entries")
+    {
+        routing_view view = site.view_of("r1-b0");
+        auto placed = std::make_shared<placement>(*view.placed);
+        for (const char* service : {"s3", "s4", "s5"})
+        {
+            placed->services.at(service_name(service)).shards[0][0].leaving = true;
+        }
+        view.placed = placed;
+        shard_plan next(view);
+        const auto& changed = next.groups_of(site.by);
+        CHECK(shards_in(changed) == 90);
+        const auto far = std::find_if(changed.begin(), changed.end(),
+                                      [](const shard_plan::group& item)
+                                      {
+                                          return item.in_turn;
+                                      });
+        REQUIRE(far != changed.end());
+        CHECK(far->shards == std::vector<std::size_t>{3, 4, 5});
+        CHECK(far->runners.front().str().rfind("r1", 0) != 0);
+    }
+}
+
+TEST_CASE("a group goes to the first of its owners that can be asked", "[plan]")
+{
+    const plan_fixture site(90, 15, 66);
+    routing_view view = site.view_of("r1-b0");
+    group_choice choice;
+    choice.configure(view);
+    const time_point now{duration::from_ms(1000)};
+    const auto first = choice.groups_of(site.by, now).at(0);
+
+    SECTION("not to one that failed, for a while")
+    {
+        choice.failed(first.peer, now);
+        CHECK(choice.groups_of(site.by, now).at(0).peer != first.peer);
+        CHECK(choice.groups_of(site.by, now + group_choice::pass_over).at(0).peer == first.peer);
+    }
+    SECTION("nor to one that can't be reached")
+    {
+        view.unreachable = {first.peer};
+        choice.configure(view);
+        CHECK(choice.groups_of(site.by, now).at(0).peer != first.peer);
+    }
+    SECTION("after one that failed, another owner is next")
+    {
+        const auto next = choice.another(site.by, first.shards.front(), first.peer, now);
+        REQUIRE(next);
+        CHECK(*next != first.peer);
+        CHECK(next->str().rfind("r1-a", 0) == 0);
+    }
+    SECTION("an owner runs its own group itself")
+    {
+        choice.configure(site.view_of(first.peer.str()));
+        const auto groups = choice.groups_of(site.by, now);
+        CHECK(groups.size() == 8);
+    }
+}
