Owners agreed by all availability zones; far shards have owners, too; a new leader confirms unasked

Change: each instance works out whom all zones ask first, and so how many share what operators allow. Not yet measured.

--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -48,14 +48,14 @@
     /// @complexity amortized O(1); O(shards · replicas + groups · entries) once for each list of shards
     const std::vector<group>& groups_of(const route& by);
 
-    /// @return whether this instance may be asked to run the service's shard as one of its first two owners
+    /// @return whether this instance is among the entries that any availability zone asks first for the service
     bool owns(const service_name& service) const;
 
     /// @return whether the service's shard has owners, rather than being run by every entry
     bool is_owned(const service_name& service) const;
 
-    /// @return the number of availability zones that hold replicas of the service; each has owners of its own
-    std::size_t zones_of(const service_name& service) const;
+    /// @return the number of entries that any availability zone asks first for the service
+    std::size_t owners_of(const service_name& service) const;
 
     /// @return the first two owners of each group of all fan-out routes: whom to keep links to
     std::set<instance_name> first_owners();
@@ -63,22 +63,32 @@
   private:
     using shards_by_place = std::map<std::string, std::vector<std::size_t>>;
 
-    std::set<std::string> zones_with(const service_name& service) const;
+    /// From where a plan is made.
+    struct viewpoint
+    {
+        std::string zone;
+        std::string region;
+    };
+
+    void find_owners(const route& by);
+    const std::set<std::string>& zones_with(const service_name& service);
     std::string region_of(const std::string& zone) const;
     bool is_owned(const route& by) const;
     shards_by_place cover(const std::vector<std::set<std::string>>& places, const std::string& first) const;
-    std::vector<group> plan(const route& by) const;
-    void add_far_groups(const route& by, const std::vector<std::size_t>& far, std::size_t size,
-                        std::vector<group>& into) const;
+    std::vector<group> plan(const route& by, const viewpoint& from);
+    void add_far_groups(const route& by, const std::vector<std::size_t>& far, std::vector<group>& into);
+    void add_far_owned_groups(const route& by, const viewpoint& from, const std::vector<std::size_t>& far,
+                              std::size_t size, std::vector<group>& into);
     void add_owned_groups(const route& by, const std::string& zone, const std::vector<std::size_t>& shards,
-                          std::size_t size, std::vector<group>& into) const;
+                          std::size_t size, const std::string& salt, std::vector<group>& into) const;
     std::vector<instance_name> entries_in(const std::string& zone, const std::string& region) const;
 
     routing_view m_view;
     /// By the list of shards: routes often share one.
     std::map<std::vector<service_name>, std::vector<group>> m_plans;
-    std::set<service_name> m_owned;
-    std::set<service_name> m_owned_here;
+    std::map<service_name, std::set<std::string>> m_zones;
+    /// Who is asked first, by all availability zones, for each service whose shard has owners.
+    std::map<service_name, std::set<instance_name>> m_owners;
 };
 
 } // namespace flaxtiller
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -44,6 +44,7 @@
         now);
     publish();
     note_changes();
+    confirm_to_entries(now);
     link_to_members();
 }
 
@@ -133,6 +134,24 @@
     }
 }
 
+void control_process::implementation::confirm_to_entries(time_point now)
+{
+    const bool answers = catalog.may_answer(now);
+    if (answers && !answered)
+    {
+        const distribution::revision_confirmation word{catalog.state().revision(),
+                                                       publisher.heard_since(now - instance_age)};
+        for (const std::string& peer : links.reachable())
+        {
+            if (entries.count(peer) > 0)
+            {
+                links.send(peer, word);
+            }
+        }
+    }
+    answered = answers;
+}
+
 void control_process::implementation::on_reachable(const std::string& name, bool up)
 {
     told_entries.erase(name);
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -41,6 +41,9 @@
 inline constexpr const char* catalog_log = "catalog";
 inline constexpr const char* register_log = "register";
 
+/// An instance counts as sharing the backend servers for this long after its last report.
+inline constexpr duration instance_age = duration::from_ms(10000);
+
 using catalog_machine = quorum::replicated_machine<catalog_state, quorum::posix_file_system>;
 using register_machine = quorum::replicated_machine<register_state, quorum::posix_file_system>;
 
@@ -116,6 +119,7 @@
     std::set<std::string> linked;
     bool pump_posted = false;
     bool led = false;
+    bool answered = false;
     std::error_code reported_storage_error;
 
     // ------------------------------------------------------------------ decisions
@@ -168,6 +172,9 @@
 
     void note_changes();
 
+    /// Once this replica may answer, entries that wait for a leader's word get it unasked.
+    void confirm_to_entries(time_point now);
+
     template <typename Machine>
     void send_notice(Machine& machine, const char* log_name)
     {
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -11,8 +11,6 @@
 
 /// An entry is named to the others for this long after its last report.
 constexpr duration listed_entry_age = duration::from_ms(4000);
-/// An instance counts as sharing the backend servers for this long after its last report.
-constexpr duration instance_age = duration::from_ms(10000);
 /// Entries are told of one another this often at most, so that many that start together make few messages.
 constexpr duration tell_entries_every = duration::from_ms(300);
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-/// Connections are shared by the first two owners of each availability zone and as many whose view differs.
-constexpr int sharers_per_zone = 2;
+/// Connections are shared by the owners and a few more, whose view differs for a moment.
 constexpr int spare_sharers = 2;
 /// Half of the slack may be spent at once, and half comes with time: no window sees more than all of it.
 constexpr double at_once = 0.5;
@@ -88,7 +87,7 @@
     {
         return m_view.entries;
     }
-    return static_cast<int>(plan.zones_of(service)) * sharers_per_zone + spare_sharers;
+    return static_cast<int>(plan.owners_of(service)) + spare_sharers;
 }
 
 /// This instance's share of what operators allow beyond the first attempts over all instances.
@@ -101,8 +100,7 @@
     }
     if (plan.owns(service))
     {
-        const auto owners = static_cast<double>(plan.zones_of(service)) * sharers_per_zone;
-        return m_options.owners_share / std::max(owners, 1.0);
+        return m_options.owners_share / static_cast<double>(plan.owners_of(service));
     }
     return (1.0 - m_options.owners_share) / m_view.entries;
 }
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -46,20 +46,29 @@
 {
     for (const auto& by : m_view.routes->fan_outs())
     {
-        if (is_owned(*by))
+        if (m_plans.count(by->fan_out) == 0 && is_owned(*by))
         {
-            m_owned.insert(by->fan_out.begin(), by->fan_out.end());
+            find_owners(*by);
         }
-        for (const group& item : groups_of(*by))
+        groups_of(*by);
+    }
+}
+
+/// Every instance works out whom all availability zones ask, and so agrees on how many share what operators allow.
+void shard_plan::find_owners(const route& by)
+{
+    for (const service_name& service : by.fan_out)
+    {
+        m_owners[service];
+    }
+    for (const auto& [zone, region] : m_view.region_of_zone)
+    {
+        for (const group& item : plan(by, {zone, region}))
         {
-            const auto counting = std::min(counting_owners, item.runners.size());
-            const auto end = item.runners.begin() + static_cast<std::ptrdiff_t>(counting);
-            if (!item.in_turn && std::find(item.runners.begin(), end, m_view.self) != end)
+            const auto counting = static_cast<std::ptrdiff_t>(std::min(counting_owners, item.runners.size()));
+            for (const std::size_t shard : item.shards)
             {
-                for (const std::size_t shard : item.shards)
-                {
-                    m_owned_here.insert(by->fan_out[shard]);
-                }
+                m_owners[by.fan_out[shard]].insert(item.runners.begin(), item.runners.begin() + counting);
             }
         }
     }
@@ -71,9 +80,14 @@
     return found == m_view.region_of_zone.end() ? std::string() : found->second;
 }
 
-std::set<std::string> shard_plan::zones_with(const service_name& service) const
+const std::set<std::string>& shard_plan::zones_with(const service_name& service)
 {
-    std::set<std::string> zones;
+    const auto known = m_zones.find(service);
+    if (known != m_zones.end())
+    {
+        return known->second;
+    }
+    std::set<std::string>& zones = m_zones[service];
     const auto placed = m_view.placed->services.find(service);
     if (placed == m_view.placed->services.end())
     {
@@ -89,14 +103,15 @@
     return zones;
 }
 
-std::size_t shard_plan::zones_of(const service_name& service) const
+std::size_t shard_plan::owners_of(const service_name& service) const
 {
-    return zones_with(service).size();
+    const auto found = m_owners.find(service);
+    return found == m_owners.end() ? 0 : found->second.size();
 }
 
 bool shard_plan::is_owned(const service_name& service) const
 {
-    return m_owned.count(service) > 0;
+    return m_owners.count(service) > 0;
 }
 
 bool shard_plan::is_owned(const route& by) const
@@ -173,15 +188,15 @@
             names.push_back(peer.name);
         }
     }
-    if (!zone.empty() && m_view.zone == zone)
+    if (zone.empty() ? m_view.region == region : m_view.zone == zone)
     {
         names.push_back(m_view.self);
     }
     return names;
 }
 
-void shard_plan::add_far_groups(const route& by, const std::vector<std::size_t>& far, std::size_t size,
-                                std::vector<group>& into) const
+/// Far shards that any entry of their region may run: one group a region.
+void shard_plan::add_far_groups(const route& by, const std::vector<std::size_t>& far, std::vector<group>& into)
 {
     std::vector<std::set<std::string>> regions(by.fan_out.size());
     for (const std::size_t shard : far)
@@ -194,32 +209,44 @@
     for (const auto& [region, shards] : cover(regions, ""))
     {
         const std::vector<instance_name> runners = entries_in("", region);
-        if (shards.size() < least_group || runners.empty())
+        if (shards.size() >= least_group && !runners.empty())
         {
-            continue;
-        }
-        for (std::size_t from = 0; from < shards.size(); from += size)
-        {
-            const std::size_t to = std::min(from + size, shards.size());
-            const auto begin = shards.begin();
-            into.push_back({{begin + static_cast<std::ptrdiff_t>(from), begin + static_cast<std::ptrdiff_t>(to)},
-                            runners,
-                            true});
+            into.push_back({shards, runners, true});
         }
     }
 }
 
+/// Far shards that have owners: few entries beside the replicas run them for all of the asking region, so that
+/// these keep connections and know the latencies.
+void shard_plan::add_far_owned_groups(const route& by, const viewpoint& from, const std::vector<std::size_t>& far,
+                                      std::size_t size, std::vector<group>& into)
+{
+    std::vector<std::set<std::string>> zones(by.fan_out.size());
+    for (const std::size_t shard : far)
+    {
+        zones[shard] = zones_with(by.fan_out[shard]);
+    }
+    for (const auto& [zone, shards] : cover(zones, ""))
+    {
+        add_owned_groups(by, zone, shards, size, from.region + '/', into);
+    }
+}
+
 void shard_plan::add_owned_groups(const route& by, const std::string& zone,
                                   const std::vector<std::size_t>& shards, std::size_t size,
-                                  std::vector<group>& into) const
+                                  const std::string& salt, std::vector<group>& into) const
 {
     std::vector<instance_name> entries = entries_in(zone, region_of(zone));
     if (entries.empty())
     {
         entries = entries_in("", region_of(zone));
     }
+    if (entries.empty())
+    {
+        return;
+    }
     const std::size_t groups = (shards.size() + size - 1) / size;
-    const std::size_t most = entries.empty() ? 0 : (groups + entries.size() - 1) / entries.size();
+    const std::size_t most = (groups + entries.size() - 1) / entries.size();
     std::map<instance_name, std::size_t> load;
     for (std::size_t from = 0; from < shards.size(); from += size)
     {
@@ -227,7 +254,7 @@
         group item;
         item.shards.assign(shards.begin() + static_cast<std::ptrdiff_t>(from),
                            shards.begin() + static_cast<std::ptrdiff_t>(to));
-        item.runners = ranked(by.fan_out[item.shards.front()].str(), entries);
+        item.runners = ranked(salt + by.fan_out[item.shards.front()].str(), entries);
         // None owns more groups than its share.
         const auto owner = std::find_if(item.runners.begin(), item.runners.end(),
                                         [&](const instance_name& name)
@@ -244,17 +271,15 @@
     }
 }
 
-std::vector<shard_plan::group> shard_plan::plan(const route& by) const
+std::vector<shard_plan::group> shard_plan::plan(const route& by, const viewpoint& from)
 {
-    const bool owned = is_owned(by);
-    const std::size_t size = owned ? group_size(by.fan_out.size()) : by.fan_out.size();
     std::vector<std::set<std::string>> near_zones(by.fan_out.size());
     std::vector<std::size_t> far;
     for (std::size_t shard = 0; shard < by.fan_out.size(); ++shard)
     {
         for (const std::string& zone : zones_with(by.fan_out[shard]))
         {
-            if (region_of(zone) == m_view.region)
+            if (region_of(zone) == from.region)
             {
                 near_zones[shard].insert(zone);
             }
@@ -265,14 +290,17 @@
         }
     }
     std::vector<group> groups;
-    if (owned)
+    if (!is_owned(by))
     {
-        for (const auto& [zone, shards] : cover(near_zones, m_view.zone))
-        {
-            add_owned_groups(by, zone, shards, size, groups);
-        }
+        add_far_groups(by, far, groups);
+        return groups;
+    }
+    const std::size_t size = group_size(by.fan_out.size());
+    for (const auto& [zone, shards] : cover(near_zones, from.zone))
+    {
+        add_owned_groups(by, zone, shards, size, "", groups);
     }
-    add_far_groups(by, far, size, groups);
+    add_far_owned_groups(by, from, far, size, groups);
     return groups;
 }
 
@@ -281,14 +309,15 @@
     auto known = m_plans.find(by.fan_out);
     if (known == m_plans.end())
     {
-        known = m_plans.emplace(by.fan_out, plan(by)).first;
+        known = m_plans.emplace(by.fan_out, plan(by, {m_view.zone, m_view.region})).first;
     }
     return known->second;
 }
 
 bool shard_plan::owns(const service_name& service) const
 {
-    return m_owned_here.count(service) > 0;
+    const auto found = m_owners.find(service);
+    return found != m_owners.end() && found->second.count(m_view.self) > 0;
 }
 
 std::set<instance_name> shard_plan::first_owners()
