--- a/include/flaxtiller/routing/group_choice.hpp
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -15,8 +15,9 @@
 class group_choice
 {
   public:
-    /// How long an entry that failed or was silent gets no groups.
+    /// How long an entry that failed or was silent gets no groups; doubled with each further failure.
     static constexpr duration pass_over = duration::from_ms(1000);
+    static constexpr duration most_pass_over = duration::from_ms(8000);
 
     /// @brief Shards that another entry shall run.
     struct group
@@ -56,7 +57,13 @@
     instance_name m_self;
     std::set<instance_name> m_unreachable;
     mutable shard_plan m_plan;
-    std::map<instance_name, time_point> m_passed_over_until;
+    struct failures
+    {
+        time_point until;
+        duration length{};
+    };
+
+    std::map<instance_name, failures> m_passed_over;
     std::size_t m_turn = 0;
 };
 
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -34,14 +34,15 @@
 struct routed_outcome
 {
     routed_end end = routed_end::refused;
-    /// Whether it is what is in so far; the final one replaces it.
+    /// Whether it is what is in so far; a later one brings the rest.
     bool is_progress = false;
     std::shared_ptr<const backend_answer> answer;
     /// Of a merged answer: the body, the signatures of the parts, and how many parts are missing.
     std::string merged;
     std::vector<std::string> signatures;
     int missing = 0;
-    /// The services of the parts that are missing.
+    /// The parts that are missing, by their positions in the fan-out and by their services.
+    std::vector<std::size_t> missing_shards;
     std::vector<service_name> missing_services;
     missing_reason reason = missing_reason::none;
     duration retry_after{};
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -4,6 +4,7 @@
 #include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,8 +29,8 @@
     /// Set where another entry asks on its caller's behalf: the revision that it goes by. Only an entry with
     /// the same one may run the request, lest the caller sees first a newer and then an older configuration.
     std::int64_t asked_revision = 0;
-    /// Set with it: the shards of the fan-out that shall be run.
-    std::vector<service_name> asked_services;
+    /// Set with it: the shards that shall be run, by their positions in that revision's fan-out.
+    std::vector<std::size_t> asked_shards;
     /// Set with it: when a fan-out shall answer with what is in.
     duration answer_within{};
     /// Set with it: when to tell the asker what is in so far.
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -86,6 +86,10 @@
     struct part
     {
         service_name service;
+        /// Its position in the route's fan-out.
+        std::size_t shard = 0;
+        /// Whether the entry that asked has it already.
+        bool told = false;
         /// Set once it is run here.
         lane_index at = 0;
         dispatch::subquery_id subquery = 0;
@@ -107,6 +111,8 @@
         time_point sent_at;
         bool heard = false;
         bool over = false;
+        /// What it told so far.
+        routed_outcome outcome{};
     };
 
     /// Shards that other entries run: one, and a second one where the first is silent.
@@ -151,7 +157,7 @@
     };
 
     lane_index lane_of(const service_name& service);
-    std::vector<service_name> services_of(const route& by, const routed_request& request);
+    std::vector<part> parts_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer, bool again,
@@ -163,7 +169,7 @@
     void drop_ask(request_number number, group& asked, const ask& failed, const routed_outcome& outcome,
                   time_point now);
     void move_silent_groups(request_number number, time_point now);
-    void take_outcome(open_request& opened, group& asked, const instance_name& peer, const routed_outcome& outcome);
+    static void take_outcome(open_request& opened, group& asked, ask& from, const routed_outcome& outcome);
     void end_group(open_request& opened, group& asked);
     void tell_progress(request_number number, open_request& opened, time_point now);
     duration way_to(const instance_name& peer) const;
@@ -185,7 +191,7 @@
     void settle_fan_out(request_number number, open_request& opened, time_point now);
     void merge(request_number number, open_request& opened);
     void fail(request_number number, open_request& opened, bool late);
-    static std::vector<service_name> missing_services(const open_request& opened);
+    static std::vector<std::size_t> missing_shards(const open_request& opened);
     static part& part_of(open_request& opened, dispatch::subquery_id subquery);
     void finish(request_number number, open_request& opened, routed_outcome outcome);
     bool enough_in(const open_request& opened) const;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -57,7 +57,7 @@
     ask_number number = 0;
     instance_name peer;
     std::int64_t revision = 0;
-    std::vector<service_name> services;
+    std::vector<std::size_t> shards;
     duration patience{};
     /// When it shall answer with what is in.
     duration answer_within{};
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr duration tick_every = duration::from_ms(10);
-constexpr duration notice_every = duration::from_ms(500);
+constexpr duration notice_every = duration::from_ms(1000);
 
 } // namespace
 
--- a/src/routing/group_choice.cpp
+++ b/src/routing/group_choice.cpp
@@ -8,15 +8,23 @@
 void group_choice::configure(const routing_view& view)
 {
     m_self = view.self;
+    for (const instance_name& peer : m_unreachable)
+    {
+        if (view.unreachable.count(peer) == 0)
+        {
+            // It is back.
+            m_passed_over.erase(peer);
+        }
+    }
     m_unreachable = view.unreachable;
     m_plan = shard_plan(view);
 }
 
 bool group_choice::may_ask(const instance_name& peer, time_point now) const
 {
-    const auto passed_over = m_passed_over_until.find(peer);
+    const auto passed_over = m_passed_over.find(peer);
     return m_unreachable.count(peer) == 0 &&
-           (passed_over == m_passed_over_until.end() || passed_over->second <= now);
+           (passed_over == m_passed_over.end() || passed_over->second.until <= now);
 }
 
 std::optional<instance_name> group_choice::first_of(const shard_plan::group& item, time_point now)
@@ -73,12 +81,19 @@
 
 void group_choice::failed(const instance_name& peer, time_point now)
 {
-    m_passed_over_until[peer] = now + pass_over;
+    failures& known = m_passed_over[peer];
+    if (known.until > now)
+    {
+        // Other requests that were under way failed with it.
+        return;
+    }
+    known.length = std::clamp(known.length * 2.0, pass_over, most_pass_over);
+    known.until = now + known.length;
 }
 
 void group_choice::answered(const instance_name& peer)
 {
-    m_passed_over_until.erase(peer);
+    m_passed_over.erase(peer);
 }
 
 } // namespace flaxtiller
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -136,17 +136,33 @@
     m_actions.emplace_back(answer_request{number, std::move(told)});
 }
 
-std::vector<service_name> router::services_of(const route& by, const routed_request& request)
+std::vector<router::part> router::parts_of(const route& by, const routed_request& request)
 {
+    std::vector<part> parts;
+    const auto add = [&](const service_name& service, std::size_t shard)
+    {
+        part& wanted = parts.emplace_back();
+        wanted.service = service;
+        wanted.shard = shard;
+    };
+    if (!by.fans_out())
+    {
+        add(m_targets.next(by), 0);
+        return parts;
+    }
     if (request.is_asked())
     {
-        return request.asked_services;
+        for (const std::size_t shard : request.asked_shards)
+        {
+            add(by.fan_out.at(shard), shard);
+        }
+        return parts;
     }
-    if (by.fans_out())
+    for (std::size_t shard = 0; shard < by.fan_out.size(); ++shard)
     {
-        return by.fan_out;
+        add(by.fan_out[shard], shard);
     }
-    return {m_targets.next(by)};
+    return parts;
 }
 
 /// How long a fan-out may wait for parts that are missing.
@@ -184,6 +200,16 @@
         m_actions.emplace_back(answer_request{number, std::move(told)});
         return;
     }
+    const bool malformed = std::any_of(request->asked_shards.begin(), request->asked_shards.end(),
+                                       [&](std::size_t shard)
+                                       {
+                                           return shard >= by->fan_out.size();
+                                       });
+    if (malformed)
+    {
+        refuse(number, by.get(), missing_reason::wrong_version);
+        return;
+    }
     if (m_open.size() >= m_options.most_requests)
     {
         refuse(number, by.get(), missing_reason::overloaded);
@@ -200,10 +226,7 @@
     {
         opened.progress_at = now + opened.request->progress_within;
     }
-    for (const service_name& service : services_of(*by, *opened.request))
-    {
-        opened.parts.push_back({service, 0, 0, false, 0, nullptr});
-    }
+    opened.parts = parts_of(*by, *opened.request);
     ask_elsewhere(number, opened, now);
     set_timer(number, opened);
     std::vector<bool> here(opened.parts.size(), true);
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -78,7 +78,7 @@
     std::vector<std::string_view> bodies;
     for (const part& asked : opened.parts)
     {
-        if (asked.is_in())
+        if (asked.is_in() && !asked.told)
         {
             bodies.emplace_back(asked.answer->body);
             told.signatures.push_back(asked.answer->signature);
@@ -94,7 +94,8 @@
             told.elsewhere.push_back(asked.answered_by);
         }
     }
-    told.missing = static_cast<int>(opened.parts.size() - told.signatures.size());
+    told.missing_shards = missing_shards(opened);
+    told.missing = static_cast<int>(told.missing_shards.size());
     told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
     return told;
 }
@@ -108,6 +109,10 @@
     told.revision = m_view.placed->revision;
     told.attempts = opened.attempts;
     told.took = now - opened.arrived_at;
+    for (part& asked : opened.parts)
+    {
+        asked.told = asked.is_in();
+    }
     m_actions.emplace_back(tell_progress_to_entry{number, std::move(told)});
 }
 
@@ -133,9 +138,9 @@
     finish(number, opened, std::move(told));
 }
 
-std::vector<service_name> router::missing_services(const open_request& opened)
+std::vector<std::size_t> router::missing_shards(const open_request& opened)
 {
-    std::vector<service_name> missing;
+    std::vector<std::size_t> missing;
     if (!opened.by->fans_out())
     {
         return missing;
@@ -147,8 +152,7 @@
         {
             continue;
         }
-        missing.insert(missing.end(), asked.outcome.missing_services.begin(),
-                       asked.outcome.missing_services.end());
+        missing.insert(missing.end(), asked.outcome.missing_shards.begin(), asked.outcome.missing_shards.end());
         for (const std::size_t at : asked.parts)
         {
             known_elsewhere[at] = true;
@@ -158,7 +162,7 @@
     {
         if (!known_elsewhere[at] && !opened.parts[at].is_in())
         {
-            missing.push_back(opened.parts[at].service);
+            missing.push_back(opened.parts[at].shard);
         }
     }
     return missing;
@@ -168,7 +172,11 @@
 {
     outcome.route = opened.by->name;
     outcome.revision = m_view.placed->revision;
-    outcome.missing_services = missing_services(opened);
+    outcome.missing_shards = missing_shards(opened);
+    for (const std::size_t shard : outcome.missing_shards)
+    {
+        outcome.missing_services.push_back(opened.by->fan_out.at(shard));
+    }
     outcome.reason = opened.reason;
     outcome.attempts = opened.attempts;
     for (const group& asked : opened.groups)
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -2,6 +2,8 @@
 
 #include <flaxtiller/routing/router.hpp>
 
+#include <flaxtiller/routing/top_records.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -41,12 +43,15 @@
     sent.sent = opened.request;
     for (const std::size_t at : wanted.parts)
     {
-        sent.services.push_back(opened.parts[at].service);
+        sent.shards.push_back(opened.parts[at].shard);
     }
     const time_point word_due = now + sent.progress_within + way + m_options.progress_grace;
     opened.group_late_at = std::min(opened.group_late_at, word_due);
     m_asks.emplace(sent.number, number);
-    wanted.asks.push_back({sent.number, peer, now, false, false});
+    ask& begun = wanted.asks.emplace_back();
+    begun.number = sent.number;
+    begun.peer = peer;
+    begun.sent_at = now;
     m_actions.emplace_back(std::move(sent));
 }
 
@@ -193,18 +198,21 @@
 // what others answer
 // ---------------------------------------------------------------------------------------------------------
 
-void router::take_outcome(open_request& opened, group& asked, const instance_name& peer,
-                          const routed_outcome& outcome)
+/// Adds what an entry told to what it told before. Of two entries that run the same shards, the one that has more of
+/// them counts.
+void router::take_outcome(open_request& opened, group& asked, ask& from, const routed_outcome& outcome)
 {
-    const bool better = outcome.signatures.size() > asked.outcome.signatures.size();
-    if (!better && !asked.answered_by.empty())
+    routed_outcome& sum = from.outcome;
+    sum.signatures.insert(sum.signatures.end(), outcome.signatures.begin(), outcome.signatures.end());
+    sum.merged = top_records({sum.merged, outcome.merged}, static_cast<std::size_t>(opened.by->top_records));
+    sum.missing_shards = outcome.missing_shards;
+    if (sum.signatures.size() < asked.outcome.signatures.size())
     {
         return;
     }
-    opened.in += static_cast<int>(outcome.signatures.size()) -
-                 static_cast<int>(asked.outcome.signatures.size());
-    asked.outcome = outcome;
-    asked.answered_by = peer;
+    opened.in += static_cast<int>(sum.signatures.size()) - static_cast<int>(asked.outcome.signatures.size());
+    asked.outcome = sum;
+    asked.answered_by = from.peer;
 }
 
 void router::end_group(open_request& opened, group& asked)
@@ -251,7 +259,7 @@
     }
     note_way(peer, now - sent.sent_at - outcome.took);
     m_groups.answered(peer);
-    take_outcome(opened, *asked, peer, outcome);
+    take_outcome(opened, *asked, sent, outcome);
     const bool all_over = std::all_of(asked->asks.begin(), asked->asks.end(),
                                       [](const ask& item)
                                       {
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -83,6 +83,7 @@
     const auto found = m_peers.find(name);
     if (found != m_peers.end() && !found->second.links.empty())
     {
+        found->second.sent_at = m_clock.now();
         post_bytes(*found->second.links.rbegin(), bytes);
     }
 }
@@ -93,12 +94,7 @@
     std::vector<std::string> silent;
     {
         const std::scoped_lock lock(m_mutex);
-        const bool beat = now >= m_heartbeat_at;
-        if (beat)
-        {
-            m_heartbeat_at = now + m_timing.heartbeat;
-        }
-        const std::string bytes = beat ? encode(heartbeat{}) : std::string();
+        static const std::string bytes = encode(heartbeat{});
         for (auto& [name, known] : m_peers)
         {
             if (known.wanted && known.dialled == 0 && now >= known.dial_at)
@@ -107,8 +103,9 @@
                 known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
                 m_links[known.dialled];
             }
-            if (beat && !known.links.empty())
+            if (!known.links.empty() && now - known.sent_at >= m_timing.heartbeat)
             {
+                known.sent_at = now;
                 post_bytes(*known.links.rbegin(), bytes);
             }
             if (known.dialled != 0 && now - known.heard_at > m_timing.redial &&
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -45,7 +45,7 @@
     /// @brief Sends to a peer; nothing happens if there is no link.
     void send(const std::string& name, const link_message& message);
 
-    /// @brief Makes missing links, sends heartbeats, notices silence. Call at least twice a heartbeat.
+    /// @brief Makes missing links, sends heartbeats where nothing else was sent, notices silence. Call at least twice a heartbeat.
     void tick();
 
     /// @return what a peer said of itself when its link was made, or nothing
@@ -66,6 +66,7 @@
         /// Links on which the peer said its name; the newest is used.
         std::set<link_id> links;
         time_point heard_at{};
+        time_point sent_at{};
         bool reachable = false;
     };
 
@@ -88,7 +89,6 @@
     mutable std::mutex m_mutex;
     std::map<std::string, peer> m_peers;
     std::map<link_id, link> m_links;
-    time_point m_heartbeat_at{};
     // Last, so that its thread ends before anything it uses is gone.
     link_endpoint m_endpoint;
 };
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -12,7 +12,7 @@
 {
 
 /// How often replicas tell one another whom they heard: well under the silence that loses a backend server.
-constexpr duration tell_every = duration::from_ms(1000);
+constexpr duration tell_every = duration::from_ms(3000);
 /// A digest that differs for this long isn't just a change on its way.
 constexpr duration differs_bound = duration::from_ms(1500);
 /// Backend servers that come share a message if they come within this; one that leaves is told of at once.
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -383,13 +383,13 @@
         log(log_level::info, "group_asked_again",
             {{"request", action.sent->id},
              {"entry", action.peer.str()},
-             {"shards", action.services.size()},
-             {"first", action.services.front().str()}});
+             {"shards", action.shards.size()},
+             {"first", action.shards.front()}});
     }
     routed_ask asked{action.number, *action.sent};
     asked.request.patience = action.patience;
     asked.request.asked_revision = action.revision;
-    asked.request.asked_services = action.services;
+    asked.request.asked_shards = action.shards;
     asked.request.answer_within = action.answer_within;
     asked.request.progress_within = action.progress_within;
     asked.request.asked_again = action.again;
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -34,7 +34,9 @@
         asked.request.body = std::string("\x00\xff\x80", 3);
         asked.request.patience = duration::from_ms(1.5);
         asked.request.asked_revision = 3;
-        asked.request.asked_services = {service_name("s1"), service_name("s2")};
+        asked.request.asked_shards = {1, 2};
+        asked.request.progress_within = duration::from_ms(0.25);
+        asked.request.asked_again = true;
         asked.request.answer_within = duration::from_ms(0.5);
         const routed_ask got = received(asked);
         CHECK(got.number == 7);
@@ -48,7 +50,8 @@
         returned.outcome.merged = std::string("\xfe\x00\x01", 3);
         returned.outcome.signatures = {"a", "b"};
         returned.outcome.missing = 1;
-        returned.outcome.missing_services = {service_name("s3")};
+        returned.outcome.missing_shards = {3};
+        returned.outcome.is_progress = true;
         returned.outcome.reason = missing_reason::late;
         returned.outcome.retry_after = duration::from_ms(20);
         returned.outcome.attempts = 4;
@@ -58,7 +61,8 @@
         CHECK(got.merged == returned.outcome.merged);
         CHECK(got.signatures == returned.outcome.signatures);
         CHECK(got.missing == 1);
-        CHECK(got.missing_services == returned.outcome.missing_services);
+        CHECK(got.missing_shards == returned.outcome.missing_shards);
+        CHECK(got.is_progress);
         CHECK(got.reason == missing_reason::late);
         CHECK(got.retry_after == returned.outcome.retry_after);
         CHECK(got.attempts == 4);
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -81,7 +81,7 @@
         request->target = target;
         request->patience = duration::from_ms(100);
         request->asked_revision = revision;
-        request->asked_services = {service_name("s1"), service_name("s2")};
+        request->asked_shards = {1, 2};
         request->answer_within = duration::from_ms(50);
         request->progress_within = duration::from_ms(20);
         request->asked_again = again;
@@ -144,13 +144,16 @@
                                               }));
     }
 
-    void returned(const ask_entry& asked, routed_end end, std::size_t missing = 0)
+    /// @param told how many of the last parts were told before
+    void returned(const ask_entry& asked, routed_end end, std::size_t missing = 0, std::size_t told = 0)
     {
         routed_outcome outcome;
         outcome.end = end;
-        for (std::size_t i = missing; i < asked.services.size(); ++i)
+        outcome.missing_shards.assign(asked.shards.begin(),
+                                      asked.shards.begin() + static_cast<std::ptrdiff_t>(missing));
+        for (std::size_t i = missing; i < asked.shards.size() - told; ++i)
         {
-            outcome.signatures.push_back("by-" + asked.services[i].str());
+            outcome.signatures.push_back("by-s" + std::to_string(asked.shards[i]));
             outcome.merged += std::string(record_bytes, static_cast<char>('z' - i));
         }
         m_router.entry_answered(asked.peer, asked.number, outcome, now);
@@ -162,9 +165,11 @@
         routed_outcome outcome;
         outcome.end = routed_end::merged;
         outcome.is_progress = true;
-        for (std::size_t i = missing; i < asked.services.size(); ++i)
+        outcome.missing_shards.assign(asked.shards.begin(),
+                                      asked.shards.begin() + static_cast<std::ptrdiff_t>(missing));
+        for (std::size_t i = missing; i < asked.shards.size(); ++i)
         {
-            outcome.signatures.push_back("by-" + asked.services[i].str());
+            outcome.signatures.push_back("by-s" + std::to_string(asked.shards[i]));
         }
         m_router.entry_answered(asked.peer, asked.number, outcome, now);
         take();
@@ -432,7 +437,7 @@
         const request_number first = driver.ask("/all/x");
         REQUIRE(driver.started.size() == 2);
         REQUIRE(driver.sent_away.size() == 1);
-        CHECK(driver.sent_away[0].services == std::vector{service_name("s2"), service_name("s3")});
+        CHECK(driver.sent_away[0].shards == std::vector<std::size_t>{2, 3});
         driver.returned(driver.sent_away[0], routed_end::merged);
         CHECK(driver.answers.empty());
         driver.end("s0", attempt_status::answered);
@@ -484,7 +489,7 @@
         CHECK(driver.answers.at(first).missing == 1);
         CHECK(driver.answers.at(first).elsewhere.empty());
     }
-    SECTION("isn't run here as long as that entry says that it runs it; the final word replaces the first one")
+    SECTION("isn't run here as long as that entry says that it runs it; the final word brings the rest")
     {
         const request_number first = driver.ask("/all/x");
         driver.pass(50);
@@ -492,9 +497,10 @@
         driver.pass(28);
         CHECK(driver.started.empty());
         CHECK(driver.answers.empty());
-        driver.returned(driver.sent_away[0], routed_end::merged, 1);
+        driver.returned(driver.sent_away[0], routed_end::merged, 1, 2);
         driver.pass(5);
-        CHECK(driver.answers.at(first).signatures.size() == 3);
+        CHECK(driver.answers.at(first).signatures == std::vector<std::string>{"by-s2", "by-s3", "by-s1"});
+        CHECK(driver.answers.at(first).missing_services == std::vector{service_name("s0")});
         CHECK(driver.answers.at(first).missing == 1);
     }
     SECTION("is answered at the objective with what that entry told so far")
