--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -167,7 +167,7 @@
                 "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
                 "internalPortRange": [7380, 7395], "seeds": self.platform.seeds, "bootstrap": bootstrap,
                 "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
-                "bounds": {"graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60}}
+                "bounds": {"graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10}}
 
     def start(self, role, bootstrap=False):
         if role == "control":
