Two owners of a group stay within the route's attempts; replicas compare registrations; steadier groups

Change: both owners send to one designated backend server, the first to at most one other, the second to none; only groups of which nothing at all was heard are run again; groups are cut by position in the fan-out; links are kept a minute after they are needed; replicas exchange digests. An owner goes on after the objective, since late parts may still be of use. Not yet measured.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -153,6 +153,8 @@
         bool maybe_run = false;
         missing_reason last_reason = missing_reason::late;
         duration retry_after{};
+        /// The backend server beside the designated one that it was sent to.
+        std::optional<server_index> other;
         /// Backend servers that refused or failed it since it last waited.
         std::vector<server_index> tried;
     };
@@ -166,6 +168,7 @@
 
     // Choice of a backend server.
     bool eligible(const server_state& server, const work& item, time_point now) const;
+    bool is_allowed(const server_state& server, const work& item) const;
     bool may_have_come_back(const server_state& server, const work& item, time_point now) const;
     bool usable(const server_state& server, time_point now) const;
     connection_share own_share(const server_state& server) const;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -7,6 +7,7 @@
 #include <flaxtiller/routing/routing_view.hpp>
 #include <flaxtiller/routing/target_choice.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -127,7 +128,11 @@
 
         bool is_silent() const
         {
-            return !over && !asks.back().heard;
+            return !over && std::none_of(asks.begin(), asks.end(),
+                                         [](const ask& sent)
+                                         {
+                                             return sent.heard;
+                                         });
         }
     };
 
@@ -175,7 +180,8 @@
     duration way_to(const instance_name& peer) const;
     void note_way(const instance_name& peer, duration way);
     bool can_pay_again(const open_request& opened, const group& wanted) const;
-    int attempts_of(const open_request& opened, const part& wanted, bool again) const;
+    bool may_run_twice(const open_request& opened) const;
+    backend_server_name designated_of(const open_request& opened, const part& wanted) const;
     routed_outcome merged_so_far(const open_request& opened) const;
     double allowance_of(const service_name& service) const;
     double least_share_of(const open_request& opened) const;
@@ -190,6 +196,7 @@
     void settle_single(request_number number, open_request& opened);
     void settle_fan_out(request_number number, open_request& opened, time_point now);
     void merge(request_number number, open_request& opened);
+    void end_at_deadline(request_number number, open_request& opened);
     void fail(request_number number, open_request& opened, bool late);
     static std::vector<std::size_t> missing_shards(const open_request& opened);
     static part& part_of(open_request& opened, dispatch::subquery_id subquery);
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -162,7 +162,8 @@
         announced[register_log].erase(quorum::replica_name(name));
         return;
     }
-    if (replica_names().count(name) > 0)
+    const auto identity = links.identity(name);
+    if (identity && identity->role == "control")
     {
         hub.on_reachable(name);
     }
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -38,8 +38,22 @@
     return now - server.said_leaving_at >= (alone ? m_options.ask_leaving_alone : m_options.ask_leaving);
 }
 
+/// See @ref subquery::designated.
+bool scheduler::is_allowed(const server_state& server, const work& item) const
+{
+    if (item.wanted.designated.empty() || server.definition.name == item.wanted.designated)
+    {
+        return true;
+    }
+    return !item.wanted.again && (!item.other || &m_servers[*item.other] == &server);
+}
+
 bool scheduler::eligible(const server_state& server, const work& item, time_point now) const
 {
+    if (!is_allowed(server, item))
+    {
+        return false;
+    }
     if (server.is_leaving() && !may_have_come_back(server, item, now))
     {
         return false;
@@ -398,6 +412,10 @@
         server.ahead = id;
     }
     item.running.push_back(id);
+    if (!item.wanted.designated.empty() && server.definition.name != item.wanted.designated)
+    {
+        item.other = index;
+    }
     ++item.attempts;
     ++server.in_use;
     ++m_started;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -134,8 +134,9 @@
     int entries = 1;
     /// The other entries, by name, as a leader listed them.
     std::map<instance_name, entry_peer> listed_entries;
-    /// Those that this one keeps links to.
+    /// Those that this one keeps links to, and when each was last needed.
     std::set<instance_name> linked_entries;
+    std::map<instance_name, time_point> needed_at;
     /// The routes of the revision in force.
     std::shared_ptr<const route_table> routes = std::make_shared<const route_table>();
     bool view_due = false;
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -16,6 +16,9 @@
 /// Changes of the surroundings that come within this share one update; the fastest that operators and backend
 /// servers wait for is seconds.
 constexpr duration gather = duration::from_ms(100);
+/// A link that isn't needed any more is kept for this long: owners change with backend servers that come and go, and a
+/// new link costs more than a minute of heartbeats.
+constexpr duration unneeded_link_age = duration::from_ms(60000);
 /// Links to entries of each other region: enough that one may fail and another be passed over.
 constexpr std::size_t far_entries_per_region = 3;
 
@@ -237,6 +240,20 @@
 {
     std::set<instance_name> next = far_entries();
     next.merge(shard_plan(view).first_owners());
+    const time_point now = clock.now();
+    for (const instance_name& name : next)
+    {
+        needed_at[name] = now;
+    }
+    std::erase_if(needed_at,
+                  [&](const auto& item)
+                  {
+                      return now - item.second > unneeded_link_age || listed_entries.count(item.first) == 0;
+                  });
+    for (const auto& [name, at] : needed_at)
+    {
+        next.insert(name);
+    }
     if (next == linked_entries)
     {
         return;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -415,19 +415,20 @@
 {
     open_request& opened = m_open.at(number);
     opened.past_objective = opened.past_objective || now >= opened.answer_at;
-    if (opened.past_objective && opened.by->fans_out() && enough_in(opened))
+    if (opened.past_objective && opened.by->fans_out() && enough_in(opened) && !opened.request->is_asked())
     {
         merge(number, opened);
         return;
     }
     if (now >= opened.deadline)
     {
-        fail(number, opened, true);
+        end_at_deadline(number, opened);
         return;
     }
     if (now >= opened.progress_at)
     {
-        opened.progress_at = time_point::never();
+        // Told twice: that it is being run, and what is in when the asker's objective is near.
+        opened.progress_at = now < opened.answer_at ? opened.answer_at : time_point::never();
         tell_progress(number, opened, now);
     }
     const bool groups_late = now >= opened.group_late_at;
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -53,7 +53,9 @@
 {
     const auto all = static_cast<int>(opened.parts.size());
     const bool complete = opened.in + opened.missing == all;
-    if (enough_in(opened) && (complete || opened.past_objective))
+    // An entry that asked has what was in at its objective; what comes later may still be of use to it.
+    const bool may_stop = opened.past_objective && !opened.request->is_asked();
+    if (enough_in(opened) && (complete || may_stop))
     {
         merge(number, opened);
         return;
@@ -104,6 +106,12 @@
 void router::tell_progress(request_number number, open_request& opened, time_point now)
 {
     routed_outcome told = merged_so_far(opened);
+    const bool first = opened.progress_at != time_point::never();
+    if (!first && told.signatures.empty())
+    {
+        // Nothing new.
+        return;
+    }
     told.is_progress = true;
     told.route = opened.by->name;
     told.revision = m_view.placed->revision;
@@ -116,6 +124,16 @@
     m_actions.emplace_back(tell_progress_to_entry{number, std::move(told)});
 }
 
+void router::end_at_deadline(request_number number, open_request& opened)
+{
+    if (opened.by->fans_out() && enough_in(opened))
+    {
+        merge(number, opened);
+        return;
+    }
+    fail(number, opened, true);
+}
+
 void router::fail(request_number number, open_request& opened, bool late)
 {
     const bool running = std::any_of(opened.parts.begin(), opened.parts.end(),
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -84,15 +84,44 @@
 // asking again
 // ---------------------------------------------------------------------------------------------------------
 
-/// How many backend servers a part may go to here. Where another entry may have run it and there are more
-/// replicas than the route allows, that entry's attempts are left out of account by one.
-int router::attempts_of(const open_request& opened, const part& wanted, bool again) const
+/// Whether running it here as well can't bring any shard to more backend servers than the route allows.
+bool router::may_run_twice(const open_request& opened) const
+{
+    return std::all_of(opened.parts.begin(), opened.parts.end(),
+                       [&](const part& item)
+                       {
+                           const auto placed = m_view.placed->services.find(item.service);
+                           return placed == m_view.placed->services.end() ||
+                                  static_cast<int>(placed->second.shards.at(0).size()) <=
+                                      opened.by->most_attempts;
+                       });
+}
+
+/// The backend server that all owners of the shard in this availability zone send to first; empty where no other
+/// entry can run the part as well.
+backend_server_name router::designated_of(const open_request& opened, const part& wanted) const
 {
-    const int most = opened.by->most_attempts;
     const auto placed = m_view.placed->services.find(wanted.service);
-    const bool fits = placed == m_view.placed->services.end() ||
-                      static_cast<int>(placed->second.shards.at(0).size()) <= most;
-    return !again || fits ? most : std::max(1, most - 1);
+    if (!opened.request->is_asked() || placed == m_view.placed->services.end() ||
+        !m_groups.plan().is_owned(wanted.service))
+    {
+        return {};
+    }
+    // In the zone before in the region before elsewhere, and by name.
+    const backend_server* chosen = nullptr;
+    int nearest = 0;
+    for (const backend_server& server : placed->second.shards.at(0))
+    {
+        const auto region = m_view.region_of_zone.find(server.availability_zone);
+        const bool same_region = region != m_view.region_of_zone.end() && region->second == m_view.region;
+        const int distance = server.availability_zone == m_view.zone ? 0 : same_region ? 1 : 2;
+        if (!server.leaving && (chosen == nullptr || distance < nearest))
+        {
+            chosen = &server;
+            nearest = distance;
+        }
+    }
+    return chosen == nullptr ? backend_server_name() : chosen->name;
 }
 
 bool router::can_pay_again(const open_request& opened, const group& wanted) const
@@ -108,7 +137,10 @@
 /// @return whether it could be run here
 bool router::run_group_here(request_number number, group& lost, bool again, time_point now)
 {
-    if (again && !can_pay_again(m_open.at(number), lost))
+    const open_request& opened = m_open.at(number);
+    const bool owned = m_groups.plan().is_owned(opened.parts[lost.parts.front()].service);
+    const bool may_again = !owned && may_run_twice(opened) && can_pay_again(opened, lost);
+    if ((again && !may_again) || !lost.outcome.signatures.empty())
     {
         return false;
     }
@@ -129,7 +161,11 @@
     open_request& opened = m_open.at(number);
     const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
     constexpr std::size_t most_asks = 2;
-    if (!next || *next == m_view.self || lost.asks.size() >= most_asks)
+    if (again && lost.asks.size() >= most_asks)
+    {
+        return false;
+    }
+    if (!next || *next == m_view.self)
     {
         return run_group_here(number, lost, again, now);
     }
@@ -307,8 +343,9 @@
     asked.id = wanted.subquery;
     asked.deadline = opened.deadline;
     asked.repeatable = opened.by->repeatable;
-    asked.most_attempts = attempts_of(opened, wanted, again);
+    asked.most_attempts = opened.by->most_attempts;
     asked.again = again;
+    asked.designated = designated_of(opened, wanted);
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -40,6 +40,13 @@
     return static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(shards))));
 }
 
+/// @return a number of groups that a shard more or less seldom changes
+std::size_t steady_count(std::size_t groups)
+{
+    constexpr std::size_t exact_up_to = 4;
+    return groups <= exact_up_to ? groups : groups + groups % 2;
+}
+
 } // namespace
 
 shard_plan::shard_plan(routing_view view) : m_view(std::move(view))
@@ -245,16 +252,22 @@
     {
         return;
     }
-    const std::size_t groups = (shards.size() + size - 1) / size;
+    // By position in the whole fan-out, so that a shard that comes or goes leaves the other groups as they are.
+    const std::size_t all = by.fan_out.size();
+    const std::size_t groups = steady_count((shards.size() + size - 1) / size);
     const std::size_t most = (groups + entries.size() - 1) / entries.size();
     std::map<instance_name, std::size_t> load;
-    for (std::size_t from = 0; from < shards.size(); from += size)
+    std::size_t next = 0;
+    for (std::size_t at = 0; at < groups; ++at)
     {
-        const std::size_t to = std::min(from + size, shards.size());
+        const std::size_t first = at * all / groups;
+        const std::size_t end = (at + 1) * all / groups;
         group item;
-        item.shards.assign(shards.begin() + static_cast<std::ptrdiff_t>(from),
-                           shards.begin() + static_cast<std::ptrdiff_t>(to));
-        item.runners = ranked(salt + by.fan_out[item.shards.front()].str(), entries);
+        while (next < shards.size() && shards[next] < end)
+        {
+            item.shards.push_back(shards[next++]);
+        }
+        item.runners = ranked(salt + zone + '/' + by.fan_out[first].str(), entries);
         // None owns more groups than its share.
         const auto owner = std::find_if(item.runners.begin(), item.runners.end(),
                                         [&](const instance_name& name)
@@ -267,7 +280,10 @@
             std::rotate(item.runners.begin(), owner, owner + 1);
         }
         item.runners.resize(std::min(item.runners.size(), most_owners));
-        into.push_back(std::move(item));
+        if (!item.shards.empty())
+        {
+            into.push_back(std::move(item));
+        }
     }
 }
 
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -15,6 +15,8 @@
 constexpr duration tell_every = duration::from_ms(3000);
 /// A digest that differs for this long isn't just a change on its way.
 constexpr duration differs_bound = duration::from_ms(1500);
+/// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes by itself.
+constexpr duration resend_after = duration::from_ms(5000);
 /// Backend servers that come share a message if they come within this; one that leaves is told of at once.
 constexpr duration gather = duration::from_ms(100);
 /// A process that hasn't sent its digest for this long follows another replica.
@@ -76,12 +78,18 @@
         m_differs_since.erase(from);
         return;
     }
+    const auto resent = m_resent_at.find(from);
+    if (resent != m_resent_at.end() && now - resent->second < resend_after)
+    {
+        return;
+    }
     const auto since = m_differs_since.emplace(from, now).first;
     if (now - since->second > differs_bound)
     {
         log(log_level::info, "registrations_resent",
             {{"to", from}, {"differed_ms", (now - since->second).ms()}});
         m_differs_since.erase(since);
+        m_resent_at[from] = now;
         send_all(from, now);
     }
 }
@@ -164,8 +172,10 @@
     }
     m_tell_at = now + tell_every;
     const registration_heard heard{m_registry.take_heard()};
+    const registration_digest known{m_registry.digest()};
     for (const std::string& replica : replicas)
     {
+        m_links.send(replica, known);
         if (!heard.items.empty())
         {
             m_links.send(replica, heard);
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -65,6 +65,7 @@
     std::map<std::string, time_point> m_followers;
     /// Since when a process's digest has differed.
     std::map<std::string, time_point> m_differs_since;
+    std::map<std::string, time_point> m_resent_at;
 };
 
 } // namespace flaxtiller::shell
