Entries ask by the identity of the list of shards, and again only while backend servers are steady

Change: asks carry the identity of the list, not the revision, so that a change of a time-out doesn't refuse them either; a second run needs backend servers that were the same for 4 s, at the asker and where it is run.

--- a/include/flaxtiller/routing/route.hpp
+++ b/include/flaxtiller/routing/route.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
     }
 };
 
+/// @return the identity of a list of shards, equal on all instances; never 0
+std::uint64_t list_id(const std::vector<service_name>& shards);
+
 void to_json(nlohmann::json& j, const route& value);
 
 /// @brief Reads one route; every fault goes to the reader's findings.
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -26,10 +26,10 @@
     std::string body;
     /// How long the caller waits.
     duration patience{};
-    /// Set where another entry asks on its caller's behalf: the revision that it goes by. Only an entry with
-    /// the same one may run the request, lest the caller sees first a newer and then an older configuration.
-    std::int64_t asked_revision = 0;
-    /// Set with it: the shards that shall be run, by their positions in that revision's fan-out.
+    /// Set where another entry asks on its caller's behalf: the identity of the list of shards that it goes by. Only
+    /// an entry whose route has the same list may run the request, lest parts of two shard maps are mixed.
+    std::uint64_t asked_list = 0;
+    /// Set with it: the shards that shall be run, by their positions in that list.
     std::vector<std::size_t> asked_shards;
     /// Set with it: when a fan-out shall answer with what is in.
     duration answer_within{};
@@ -43,7 +43,7 @@
     /// @return whether another entry asks on its caller's behalf
     bool is_asked() const noexcept
     {
-        return asked_revision != 0;
+        return asked_list != 0;
     }
 };
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -138,6 +138,10 @@
 
     struct open_request
     {
+        /// The configuration's revision when it came.
+        std::int64_t revision = 0;
+        /// The identity of its route's list of shards.
+        std::uint64_t list = 0;
         std::shared_ptr<const routed_request> request;
         std::shared_ptr<const route> by;
         time_point arrived_at;
@@ -181,6 +185,8 @@
     void note_way(const instance_name& peer, duration way);
     bool can_pay_again(const open_request& opened, const group& wanted) const;
     bool may_run_twice(const open_request& opened) const;
+    bool is_steady(const service_name& service, time_point now) const;
+    void note_replicas(time_point now);
     backend_server_name designated_of(const open_request& opened, const part& wanted) const;
     routed_outcome merged_so_far(const open_request& opened) const;
     double allowance_of(const service_name& service) const;
@@ -212,6 +218,13 @@
     /// The regions of the other entries, and what the way to and from a region's entries costs, a moving average.
     std::map<instance_name, std::string> m_region_of;
     std::map<std::string, duration> m_ways;
+    /// Each service's backend servers that aren't leaving, and since when they are these.
+    struct standing
+    {
+        std::uint64_t replicas = 0;
+        time_point since;
+    };
+    std::map<service_name, standing> m_standings;
     std::map<lane_index, lane> m_lanes;
     std::map<service_name, lane_index> m_lane_of;
     lane_index m_next_lane = 1;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -56,7 +56,8 @@
 {
     ask_number number = 0;
     instance_name peer;
-    std::int64_t revision = 0;
+    /// The identity of the list of shards that the positions count in.
+    std::uint64_t list = 0;
     std::vector<std::size_t> shards;
     duration patience{};
     /// When it shall answer with what is in.
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -31,6 +31,9 @@
     double progress_share = 0.4;
     /// Where nothing was heard this long after that was due, the shards are run elsewhere: a busy entry's delay.
     duration progress_grace = duration::from_ms(12);
+    /// Shards are run a second time only if their backend servers have been the same for this long: two entries whose
+    /// views differ might use more of them than the route allows. Longer than news takes to reach every entry.
+    duration steady_after = duration::from_ms(4000);
     /// Past the objective, that is looked at once more after this long: less than what is left to most deadlines.
     duration elsewhere_grace = duration::from_ms(40);
 
--- a/src/routing/route.cpp
+++ b/src/routing/route.cpp
@@ -2,6 +2,8 @@
 
 #include <flaxtiller/routing/route.hpp>
 
+#include <flaxtiller/core/hash.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -96,6 +98,17 @@
 
 } // namespace
 
+std::uint64_t list_id(const std::vector<service_name>& shards)
+{
+    std::string names;
+    for (const service_name& service : shards)
+    {
+        names += service.str();
+        names += '\n';
+    }
+    return hash64(names) | 1U;
+}
+
 void to_json(nlohmann::json& j, const route& value)
 {
     j = {{"name", value.name},
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -28,7 +28,7 @@
 void to_json(nlohmann::json& j, const routed_request& value)
 {
     j = nlohmann::json::array({value.id, value.method, value.host, value.target, value.headers, value.body,
-                               value.patience.us(), value.asked_revision, value.asked_shards,
+                               value.patience.us(), value.asked_list, value.asked_shards,
                                value.answer_within.us(), value.progress_within.us(), value.asked_again});
 }
 
@@ -46,7 +46,7 @@
     value.headers = next().get<header_list>();
     value.body = next().get<std::string>();
     value.patience = duration::from_us(next().get<std::int64_t>());
-    value.asked_revision = next().get<std::int64_t>();
+    value.asked_list = next().get<std::uint64_t>();
     value.asked_shards = next().get<std::vector<std::size_t>>();
     value.answer_within = duration::from_us(next().get<std::int64_t>());
     value.progress_within = duration::from_us(next().get<std::int64_t>());
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,5 +1,7 @@
 #include <flaxtiller/routing/router.hpp>
 
+#include <flaxtiller/core/hash.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -46,6 +48,7 @@
 {
     m_view = std::move(view);
     m_groups.configure(m_view);
+    note_replicas(now);
     m_region_of.clear();
     for (const entry_peer& peer : m_view.peers)
     {
@@ -80,6 +83,29 @@
     drop_unused_lanes();
 }
 
+void router::note_replicas(time_point now)
+{
+    for (const auto& [name, placed] : m_view.placed->services)
+    {
+        std::uint64_t replicas = 1;
+        for (const backend_server& server : placed.shards.at(0))
+        {
+            replicas += server.leaving ? 0 : hash64(server.name.str());
+        }
+        standing& known = m_standings[name];
+        if (known.replicas != replicas)
+        {
+            known = {replicas, now};
+        }
+    }
+}
+
+bool router::is_steady(const service_name& service, time_point now) const
+{
+    const auto known = m_standings.find(service);
+    return known != m_standings.end() && now - known->second.since >= m_options.steady_after;
+}
+
 int router::sharers_of(const service_name& service) const
 {
     const shard_plan& plan = m_groups.plan();
@@ -186,11 +212,6 @@
         refuse(number, nullptr, missing_reason::no_backend_server);
         return;
     }
-    if (request->is_asked() && request->asked_revision != m_view.placed->revision)
-    {
-        refuse(number, nullptr, missing_reason::wrong_version);
-        return;
-    }
     const auto by = m_view.routes->find(request->host, request->target);
     if (!by)
     {
@@ -200,12 +221,14 @@
         m_actions.emplace_back(answer_request{number, std::move(told)});
         return;
     }
-    const bool malformed = std::any_of(request->asked_shards.begin(), request->asked_shards.end(),
-                                       [&](std::size_t shard)
-                                       {
-                                           return shard >= by->fan_out.size();
-                                       });
-    if (malformed)
+    const std::uint64_t list = by->fans_out() ? list_id(by->fan_out) : 0;
+    const auto cannot_run = [&](std::size_t shard)
+    {
+        return shard >= by->fan_out.size() ||
+               (request->asked_again && !is_steady(by->fan_out[shard], now));
+    };
+    const bool other_list = request->is_asked() && request->asked_list != list;
+    if (other_list || std::any_of(request->asked_shards.begin(), request->asked_shards.end(), cannot_run))
     {
         refuse(number, by.get(), missing_reason::wrong_version);
         return;
@@ -217,6 +240,8 @@
     }
     open_request& opened = m_open[number];
     opened.by = by;
+    opened.list = list;
+    opened.revision = m_view.placed->revision;
     opened.arrived_at = now;
     const duration patience = std::max(request->patience - m_options.way_back, duration{});
     opened.deadline = now + std::min(patience, by->timeout);
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -114,7 +114,7 @@
     }
     told.is_progress = true;
     told.route = opened.by->name;
-    told.revision = m_view.placed->revision;
+    told.revision = opened.revision;
     told.attempts = opened.attempts;
     told.took = now - opened.arrived_at;
     for (part& asked : opened.parts)
@@ -189,7 +189,7 @@
 void router::finish(request_number number, open_request& opened, routed_outcome outcome)
 {
     outcome.route = opened.by->name;
-    outcome.revision = m_view.placed->revision;
+    outcome.revision = opened.revision;
     outcome.missing_shards = missing_shards(opened);
     for (const std::size_t shard : outcome.missing_shards)
     {
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -34,7 +34,7 @@
     ask_entry sent;
     sent.number = m_next_ask++;
     sent.peer = peer;
-    sent.revision = m_view.placed->revision;
+    sent.list = opened.list;
     sent.patience = opened.deadline - now;
     const duration way = way_to(peer);
     sent.answer_within = std::max(opened.answer_at - now - way, duration::from_ms(1));
@@ -107,15 +107,17 @@
     {
         return {};
     }
-    // In the zone before in the region before elsewhere, and by name.
+    // One that stays before one that leaves, in the zone before in the region before elsewhere, and by name.
+    constexpr int leaves = 3;
     const backend_server* chosen = nullptr;
     int nearest = 0;
     for (const backend_server& server : placed->second.shards.at(0))
     {
         const auto region = m_view.region_of_zone.find(server.availability_zone);
         const bool same_region = region != m_view.region_of_zone.end() && region->second == m_view.region;
-        const int distance = server.availability_zone == m_view.zone ? 0 : same_region ? 1 : 2;
-        if (!server.leaving && (chosen == nullptr || distance < nearest))
+        const int distance = (server.availability_zone == m_view.zone ? 0 : same_region ? 1 : 2) +
+                             (server.leaving ? leaves : 0);
+        if (chosen == nullptr || distance < nearest)
         {
             chosen = &server;
             nearest = distance;
@@ -161,7 +163,12 @@
     open_request& opened = m_open.at(number);
     const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
     constexpr std::size_t most_asks = 2;
-    if (again && lost.asks.size() >= most_asks)
+    const bool steady = std::all_of(lost.parts.begin(), lost.parts.end(),
+                                    [&](std::size_t at)
+                                    {
+                                        return is_steady(opened.parts[at].service, now);
+                                    });
+    if (again && (lost.asks.size() >= most_asks || !steady))
     {
         return false;
     }
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -388,7 +388,7 @@
     }
     routed_ask asked{action.number, *action.sent};
     asked.request.patience = action.patience;
-    asked.request.asked_revision = action.revision;
+    asked.request.asked_list = action.list;
     asked.request.asked_shards = action.shards;
     asked.request.answer_within = action.answer_within;
     asked.request.progress_within = action.progress_within;
--- a/tests/src/scheduler_driver.hpp
+++ b/tests/src/scheduler_driver.hpp
@@ -50,6 +50,11 @@
         wanted.deadline = now + duration::from_ms(deadline_ms);
         wanted.repeatable = repeatable;
         wanted.version = index_version(version);
+        return submit(wanted);
+    }
+
+    dispatch::subquery_id submit(const dispatch::subquery& wanted)
+    {
         scheduler.submit(wanted, now);
         collect();
         return wanted.id;
--- a/tests/src/unit-distribution.cpp
+++ b/tests/src/unit-distribution.cpp
@@ -1,3 +1,4 @@
+#include <flaxtiller/catalog/diff.hpp>
 #include <flaxtiller/distribution/publisher.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
 
@@ -121,3 +122,47 @@
         CHECK_FALSE(fresh.is_confirmed());
     }
 }
+
+TEST_CASE("an instance that follows another replica gets no updates", "[distribution]")
+{
+    const time_point now(duration::from_ms(1000));
+    publisher up;
+    up.on_revision(1, with_services(1));
+    revision_report word;
+    word.wants_updates = false;
+    up.on_report(e1, word, now);
+    CHECK(up.take_updates(now).empty());
+    CHECK(up.heard_since(now) == 1);
+    word.wants_updates = true;
+    up.on_report(e1, word, now);
+    CHECK(up.take_updates(now).size() == 1);
+}
+
+TEST_CASE("the digest of a patched configuration costs only what the patch touches", "[distribution]")
+{
+    configuration before = *with_services(4);
+    route moved;
+    moved.name = "r";
+    moved.host = "h";
+    moved.path_prefix = "/a/";
+    moved.targets = {{service_name("s0"), 1}};
+    before.routes.emplace(moved.name, moved);
+    before.version = 3;
+
+    configuration after = before;
+    after.services.erase(service_name("s1"));
+    after.routes.at("r").path_prefix = "/b/";
+    after.limits.body_bytes = 77;
+    after.version = 4;
+    service fresh;
+    fresh.name = service_name("s9");
+    after.services.emplace(fresh.name, fresh);
+
+    const nlohmann::json patch = diff(before, after);
+    findings found;
+    const configuration patched = apply_patch(before, patch, found);
+    REQUIRE_FALSE(found.has_errors());
+    CHECK(patched == after);
+    CHECK(digest_after(before, before.digest(), patched, patch) == after.digest());
+    CHECK(before.digest() != after.digest());
+}
--- /dev/null
+++ b/tests/src/unit-scheduler-shared.cpp
@@ -0,0 +1,146 @@
+// Backend servers that several instances send to: what each may repeat, and which backend servers it may use.
+
+#include "scheduler_driver.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace flaxtiller;
+using namespace flaxtiller::dispatch;
+using flaxtiller::test::make_service;
+using flaxtiller::test::scheduler_driver;
+
+namespace
+{
+
+scheduler_options shared_options()
+{
+    scheduler_options options;
+    options.direct = true;
+    options.cancel_losers = false;
+    options.avoid_stuck = true;
+    options.most_attempts = 4;
+    return options;
+}
+
+placed_service three_replicas()
+{
+    placed_service placed = make_service(1, 3);
+    for (backend_server& server : placed.shards[0])
+    {
+        server.connection_limit = 30;
+    }
+    return placed;
+}
+
+subquery_id submit(scheduler_driver& driver, const std::string& designated, bool again = false)
+{
+    subquery wanted;
+    wanted.id = driver.next++;
+    wanted.deadline = driver.now + duration::from_ms(1000);
+    wanted.designated = backend_server_name(designated);
+    wanted.again = again;
+    return driver.submit(wanted);
+}
+
+/// Every backend server that a subquery was sent to while each attempt fails.
+std::set<std::string> servers_used(scheduler_driver& driver, subquery_id id)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 200 && driver.finished.count(id) == 0; ++i)
+    {
+        driver.pass(5);
+        if (!driver.running.empty())
+        {
+            const auto attempt = *driver.running.begin();
+            used.insert(attempt.second.server.str());
+            driver.fail(attempt.first, attempt_status::cut);
+        }
+    }
+    return used;
+}
+
+} // namespace
+
+TEST_CASE("a subquery that two instances may run stays within two backend servers", "[scheduler]")
+{
+    scheduler_driver driver(three_replicas(), shared_options());
+
+    SECTION("the first goes to the designated one and one other at most, however often it fails")
+    {
+        for (const char* designated : {"0a", "0b", "0c"})
+        {
+            const auto used = servers_used(driver, submit(driver, designated));
+            CHECK(used.size() <= 2);
+            CHECK((used.size() < 2 || used.count(designated) == 1));
+        }
+    }
+    SECTION("the one that runs it again goes to the designated one only")
+    {
+        const auto used = servers_used(driver, submit(driver, "0b", true));
+        CHECK(used == std::set<std::string>{"0b"});
+    }
+}
+
+TEST_CASE("what another instance may have run is paid for like a further attempt", "[scheduler]")
+{
+    scheduler_driver driver(three_replicas(), shared_options());
+    driver.scheduler.limit_budget(2.0);
+    CHECK(driver.running_on("0a") == 0);
+    submit(driver, "0a", true);
+    submit(driver, "0a", true);
+    const subquery_id third = submit(driver, "0a", true);
+    REQUIRE(driver.finished.count(third) == 1);
+    CHECK(driver.finished.at(third).outcome == outcome::not_run);
+    CHECK(driver.running.size() == 2);
+}
+
+TEST_CASE("a budget that also fills with time", "[scheduler]")
+{
+    token_budget budget(0.0, 4.0);
+    time_point now{duration::from_ms(1000)};
+    budget.advance(now);
+    budget.limit(2.0, 0.001);
+    SECTION("no window of time sees more than what is kept and what comes in it")
+    {
+        int spent = 0;
+        for (int ms = 0; ms < 3000; ms += 10)
+        {
+            now = now + duration::from_ms(10);
+            budget.advance(now);
+            spent += budget.spend() ? 1 : 0;
+        }
+        CHECK(spent >= 4);
+        CHECK(spent <= 5);
+    }
+    SECTION("no more is kept than the limit")
+    {
+        budget.advance(now + duration::from_ms(60000));
+        CHECK(budget.tokens() == Approx(2.0));
+    }
+}
+
+TEST_CASE("a backend server all of whose attempts are late comes last", "[scheduler]")
+{
+    scheduler_options options = shared_options();
+    options.extra_load_share = 0.0;
+    scheduler_driver driver(make_service(1, 2), options);
+    driver.warm_up(122);
+    driver.warm_up(4, 150);
+    driver.warm_up(2);
+    driver.scheduler.limit_budget(0.0);
+    const subquery_id first = driver.submit();
+    const std::string stuck = driver.attempt_of(first).server.str();
+    driver.pass(60);
+    for (int i = 0; i < 2; ++i)
+    {
+        CHECK(driver.attempt_of(driver.submit()).server.str() != stuck);
+    }
+    SECTION("until one of them ends")
+    {
+        driver.answer(driver.attempt_of(first).attempt);
+        CHECK(driver.running_on(stuck) == 0);
+        CHECK(driver.attempt_of(driver.submit()).server.str() == stuck);
+    }
+}
