--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -188,6 +188,7 @@
     bool is_steady(const service_name& service, time_point now) const;
     void note_replicas(time_point now);
     backend_server_name designated_of(const open_request& opened, const part& wanted) const;
+    static std::size_t parts_in(const open_request& opened);
     routed_outcome merged_so_far(const open_request& opened) const;
     double allowance_of(const service_name& service) const;
     double least_share_of(const open_request& opened) const;
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -73,6 +73,20 @@
     finish(number, opened, merged_so_far(opened));
 }
 
+std::size_t router::parts_in(const open_request& opened)
+{
+    auto count = static_cast<std::size_t>(std::count_if(opened.parts.begin(), opened.parts.end(),
+                                                        [](const part& asked)
+                                                        {
+                                                            return asked.is_in();
+                                                        }));
+    for (const group& asked : opened.groups)
+    {
+        count += asked.outcome.signatures.size();
+    }
+    return count;
+}
+
 routed_outcome router::merged_so_far(const open_request& opened) const
 {
     routed_outcome told;
@@ -97,7 +111,8 @@
         }
     }
     told.missing_shards = missing_shards(opened);
-    told.missing = static_cast<int>(told.missing_shards.size());
+    // Not the length of that list: what is named as in must be true whatever other entries say of the rest.
+    told.missing = static_cast<int>(opened.parts.size() - parts_in(opened));
     told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
     return told;
 }
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -103,7 +103,7 @@
 {
     const auto placed = m_view.placed->services.find(wanted.service);
     if (!opened.request->is_asked() || placed == m_view.placed->services.end() ||
-        !m_groups.plan().is_owned(wanted.service))
+        static_cast<int>(placed->second.shards.at(0).size()) <= opened.by->most_attempts)
     {
         return {};
     }
@@ -204,12 +204,26 @@
 {
     m_groups.failed(peer, now);
     std::vector<std::pair<request_number, std::size_t>> hit;
-    for (const auto& [number, opened] : m_open)
+    for (auto& [number, opened] : m_open)
     {
         for (std::size_t i = 0; i < opened.groups.size(); ++i)
         {
-            const group& asked = opened.groups[i];
-            if (!asked.over && asked.asks.back().peer == peer)
+            group& asked = opened.groups[i];
+            for (ask& sent : asked.asks)
+            {
+                if (sent.peer == peer && !sent.over)
+                {
+                    // A word of it may be lost, so that a later one doesn't tell all any more.
+                    sent.over = true;
+                    m_asks.erase(sent.number);
+                }
+            }
+            const bool none_left = std::all_of(asked.asks.begin(), asked.asks.end(),
+                                               [](const ask& sent)
+                                               {
+                                                   return sent.over;
+                                               });
+            if (!asked.over && none_left)
             {
                 hit.emplace_back(number, i);
             }
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -528,6 +528,25 @@
         CHECK(driver.started.empty());
         CHECK(driver.answers.at(first).missing == 1);
     }
+    SECTION("a word that comes after the link broke isn't counted: one before it may be lost")
+    {
+        const request_number first = driver.ask("/all/x");
+        driver.told_progress(driver.sent_away.at(0), 1);
+        driver.lose(driver.sent_away.at(0).peer);
+        driver.returned(driver.sent_away[0], routed_end::merged, 0, 3);
+        const routed_outcome& told = driver.answers.at(first);
+        CHECK(told.signatures.size() == 3);
+        CHECK(told.missing == 1);
+    }
+    SECTION("the number of missing parts is true even if a word of the entry was lost")
+    {
+        const request_number first = driver.ask("/all/x");
+        // The last three parts were told in a word that never came.
+        driver.returned(driver.sent_away.at(0), routed_end::merged, 0, 1);
+        const routed_outcome& told = driver.answers.at(first);
+        CHECK(told.signatures.size() == 3);
+        CHECK(told.missing == 1);
+    }
     SECTION("may still answer late where the budget doesn't pay for a second run")
     {
         driver.pass(4000);
