--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -30,8 +30,9 @@
     int most_attempts = 0;
     /// Whether another instance may have run it already: its first attempt is paid for like a further one.
     bool again = false;
-    /// Where it may be run by two instances that don't know of each other's attempts: both use this backend server
-    /// and at most one other, and the one that runs it again only this one. Together they stay within two.
+    /// Where it may be run by two instances that don't know of each other's attempts: both use this backend
+    /// server and at most one other, and the one that runs it again only this one. Together they stay within
+    /// two.
     backend_server_name designated;
     /// What is sent; not looked at.
     std::shared_ptr<const std::string> body;
--- a/include/flaxtiller/dispatch/token_budget.hpp
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -7,7 +7,8 @@
 namespace flaxtiller::dispatch
 {
 
-/// @brief A budget that fills with finished work, and perhaps with time, and pays for attempts beyond the first.
+/// @brief A budget that fills with finished work, and perhaps with time, and pays for attempts beyond the
+/// first.
 class token_budget
 {
   public:
--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -22,8 +22,8 @@
   public:
     /// Revisions kept to make patches of.
     static constexpr std::size_t revisions_kept = 16;
-    /// An unacknowledged update is sent again after this long: a large one takes a small instance most of a second,
-    /// and links lose nothing unless they break.
+    /// An unacknowledged update is sent again after this long: a large one takes a small instance most of a
+    /// second, and links lose nothing unless they break.
     static constexpr duration resend_after = duration::from_ms(1500);
 
     /// @brief What is known of one instance.
--- a/include/flaxtiller/routing/group_choice.hpp
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -10,8 +10,8 @@
 namespace flaxtiller
 {
 
-/// @brief Decides which entry runs each group of a fan-out now: the first one of the @ref shard_plan that can be
-/// reached and didn't fail lately. Deterministic.
+/// @brief Decides which entry runs each group of a fan-out now: the first one of the @ref shard_plan that can
+/// be reached and didn't fail lately. Deterministic.
 class group_choice
 {
   public:
@@ -33,10 +33,10 @@
     /// @return what other entries shall run of a fan-out by this route; all other shards are run here
     std::vector<group> groups_of(const route& by, time_point now);
 
-    /// @return whom to ask after @a failed: another entry that may run the shards, or this one's own name if it
-    /// is the next; nothing if there is none
-    std::optional<instance_name> another(const route& by, std::size_t first_shard, const instance_name& failed,
-                                         time_point now) const;
+    /// @return whom to ask after @a failed: another entry that may run the shards, or this one's own name if
+    /// it is the next; nothing if there is none
+    std::optional<instance_name> another(const route& by, std::size_t first_shard,
+                                         const instance_name& failed, time_point now) const;
 
     /// @brief An entry failed to answer in time.
     void failed(const instance_name& peer, time_point now);
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -26,11 +26,15 @@
     std::string body;
     /// How long the caller waits.
     duration patience{};
-    /// Set where another entry asks on its caller's behalf: the identity of the list of shards that it goes by. Only
-    /// an entry whose route has the same list may run the request, lest parts of two shard maps are mixed.
+    /// Set where another entry asks on its caller's behalf: the identity of the list of shards that it goes
+    /// by. Only an entry whose route has the same list may run the request, lest parts of two shard maps are
+    /// mixed.
     std::uint64_t asked_list = 0;
     /// Set with it: the shards that shall be run, by their positions in that list.
     std::vector<std::size_t> asked_shards;
+    /// Set with it where a second entry may be asked, too: for each of those shards the backend server that
+    /// both use beside at most one other, which is the first one's; see dispatch::subquery::designated.
+    std::vector<backend_server_name> designated;
     /// Set with it: when a fan-out shall answer with what is in.
     duration answer_within{};
     /// Set with it: when to tell the asker what is in so far.
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -89,6 +89,8 @@
         service_name service;
         /// Its position in the route's fan-out.
         std::size_t shard = 0;
+        /// As the entry that asked wants it; see dispatch::subquery::designated.
+        backend_server_name designated;
         /// Whether the entry that asked has it already.
         bool told = false;
         /// Set once it is run here.
@@ -120,6 +122,8 @@
     struct group
     {
         std::vector<std::size_t> parts;
+        /// Named to every entry that is asked; empty where all replicas may be used anyway.
+        std::vector<backend_server_name> designated;
         std::vector<ask> asks;
         bool over = false;
         /// The best that came so far.
@@ -161,6 +165,8 @@
         int attempts = 0;
         bool may_have_run = false;
         bool past_objective = false;
+        /// Whether backend servers are named to the entries that are asked.
+        bool designates = false;
         missing_reason reason = missing_reason::none;
         duration retry_after{};
     };
@@ -169,8 +175,8 @@
     std::vector<part> parts_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
-    void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer, bool again,
-                 time_point now);
+    void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
+                 bool again, time_point now);
     void run_here(request_number number, const std::vector<std::size_t>& wanted, bool again, time_point now);
     bool run_group_here(request_number number, group& lost, bool again, time_point now);
     void replace_ask(request_number number, group& asked, bool again, time_point now);
@@ -185,9 +191,7 @@
     void note_way(const instance_name& peer, duration way);
     bool can_pay_again(const open_request& opened, const group& wanted) const;
     bool may_run_twice(const open_request& opened) const;
-    bool is_steady(const service_name& service, time_point now) const;
-    void note_replicas(time_point now);
-    backend_server_name designated_of(const open_request& opened, const part& wanted) const;
+    backend_server_name designated_of(const service_name& service, const entry_peer& near) const;
     static std::size_t parts_in(const open_request& opened);
     routed_outcome merged_so_far(const open_request& opened) const;
     double allowance_of(const service_name& service) const;
@@ -216,16 +220,9 @@
     routing_view m_view;
     target_choice m_targets;
     group_choice m_groups;
-    /// The regions of the other entries, and what the way to and from a region's entries costs, a moving average.
-    std::map<instance_name, std::string> m_region_of;
+    /// The other entries, and what the way to and from a region's entries costs, a moving average.
+    std::map<instance_name, entry_peer> m_peers;
     std::map<std::string, duration> m_ways;
-    /// Each service's backend servers that aren't leaving, and since when they are these.
-    struct standing
-    {
-        std::uint64_t replicas = 0;
-        time_point since;
-    };
-    std::map<service_name, standing> m_standings;
     std::map<lane_index, lane> m_lanes;
     std::map<service_name, lane_index> m_lane_of;
     lane_index m_next_lane = 1;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -59,6 +59,7 @@
     /// The identity of the list of shards that the positions count in.
     std::uint64_t list = 0;
     std::vector<std::size_t> shards;
+    std::vector<backend_server_name> designated;
     duration patience{};
     /// When it shall answer with what is in.
     duration answer_within{};
@@ -83,8 +84,7 @@
     instance_name peer;
 };
 
-using router_action =
-    std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry, abandon_at_entry,
-                 tell_progress_to_entry>;
+using router_action = std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry,
+                                   abandon_at_entry, tell_progress_to_entry>;
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -26,15 +26,14 @@
     /// within one region on a busy instance.
     duration first_way_far = duration::from_ms(30);
     duration first_way_near = duration::from_ms(8);
-    /// An entry that runs shards for another one tells what is in after this share of the time that it has: late
-    /// enough that most have all by then, early enough to try another entry within the objective.
+    /// An entry that runs shards for another one tells what is in after this share of the time that it has:
+    /// late enough that most have all by then, early enough to try another entry within the objective.
     double progress_share = 0.4;
-    /// Where nothing was heard this long after that was due, the shards are run elsewhere: a busy entry's delay.
+    /// Where nothing was heard this long after that was due, the shards are run elsewhere: a busy entry's
+    /// delay.
     duration progress_grace = duration::from_ms(12);
-    /// Shards are run a second time only if their backend servers have been the same for this long: two entries whose
-    /// views differ might use more of them than the route allows. Longer than news takes to reach every entry.
-    duration steady_after = duration::from_ms(4000);
-    /// Past the objective, that is looked at once more after this long: less than what is left to most deadlines.
+    /// Past the objective, that is looked at once more after this long: less than what is left to most
+    /// deadlines.
     duration elsewhere_grace = duration::from_ms(40);
 
     /// What operators allow over all instances in a window of time, for each service: so many attempts beyond
@@ -45,8 +44,8 @@
     duration retry_window = duration::from_ms(10000);
     /// Of that, this share is spent. The rest is for views that differ and instances that come and go.
     double retry_share = 0.9;
-    /// Where shards have owners, this share of the allowance is theirs; the rest is for entries that run shards
-    /// because no owner can.
+    /// Where shards have owners, this share of the allowance is theirs; the rest is for entries that run
+    /// shards because no owner can.
     double owners_share = 0.7;
 
     bool operator==(const router_options&) const = default;
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -10,22 +10,23 @@
 namespace flaxtiller
 {
 
-/// @brief Which entry instances run which shards of a fan-out. A function of the view alone, so that all entries
-/// with the same view plan alike. Deterministic.
+/// @brief Which entry instances run which shards of a fan-out. A function of the view alone, so that all
+/// entries with the same view plan alike. Deterministic.
 ///
 /// *Direct*: where each entry may hold as many connections to a backend server as that has slots, the shards
-/// with a replica in the own region are run by the entry that has the caller. The others go, as one group for a
-/// region, to an entry there.
+/// with a replica in the own region are run by the entry that has the caller. The others go, as one group for
+/// a region, to an entry there.
 ///
 /// *Owned*: where the connections don't suffice for that, the shards are cut into groups, and each group has
-/// owners: entries of the availability zone that holds the replicas, chosen by rendezvous hashing. With about as
-/// many groups as shards in each, neither the asker nor an owner handles more messages than it must.
+/// owners: entries of the availability zone that holds the replicas, chosen by rendezvous hashing. With about
+/// as many groups as shards in each, neither the asker nor an owner handles more messages than it must.
 class shard_plan
 {
   public:
     /// Fewer far shards than this are cheaper to ask directly.
     static constexpr std::size_t least_group = 2;
-    /// Entries that may run a group, the first choice included: one may have failed, and another be passed over.
+    /// Entries that may run a group, the first choice included: one may have failed, and another be passed
+    /// over.
     static constexpr std::size_t most_owners = 4;
 
     /// @brief Shards that are run together.
@@ -48,7 +49,8 @@
     /// @complexity amortized O(1); O(shards · replicas + groups · entries) once for each list of shards
     const std::vector<group>& groups_of(const route& by);
 
-    /// @return whether this instance is among the entries that any availability zone asks first for the service
+    /// @return whether this instance is among the entries that any availability zone asks first for the
+    /// service
     bool owns(const service_name& service) const;
 
     /// @return whether the service's shard has owners, rather than being run by every entry
--- a/src/catalog/placement.cpp
+++ b/src/catalog/placement.cpp
@@ -25,7 +25,8 @@
     }
 }
 
-/// @brief Finds the items that a selector may match without looking at all: by the first label that it requires.
+/// @brief Finds the items that a selector may match without looking at all: by the first label that it
+/// requires.
 template <typename Item>
 class label_index
 {
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -10,7 +10,8 @@
 
 constexpr duration tick_every = duration::from_ms(10);
 constexpr duration notice_every = duration::from_ms(1000);
-/// Entries notice that a leader is lost after two or three reports, a second each, and then report to all replicas.
+/// Entries notice that a leader is lost after two or three reports, a second each, and then report to all
+/// replicas.
 constexpr duration reports_bound = duration::from_ms(3500);
 /// After a start of all, links and first reports take less than this.
 constexpr duration cold_reports_bound = duration::from_ms(700);
@@ -147,8 +148,8 @@
     }
 }
 
-/// Whether entries have had the time to report to this replica since it leads: while they know a leader they report to
-/// that one only. All started together report to every replica from the start.
+/// Whether entries have had the time to report to this replica since it leads: while they know a leader they
+/// report to that one only. All started together report to every replica from the start.
 bool control_process::implementation::knows_entries(time_point now) const
 {
     const bool started_lately = led_since - started_at < cold_start_bound;
@@ -166,8 +167,7 @@
     const bool answers = catalog.may_answer(now);
     if (answers && !answered)
     {
-        const distribution::revision_confirmation word{catalog.state().revision(),
-                                                       counted_entries(now)};
+        const distribution::revision_confirmation word{catalog.state().revision(), counted_entries(now)};
         for (const std::string& peer : links.reachable())
         {
             if (entries.count(peer) > 0)
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -25,7 +25,8 @@
         return change;
     }
     // Both are sorted by name.
-    std::set_difference(now.begin(), now.end(), before->begin(), before->end(), std::back_inserter(change.items));
+    std::set_difference(now.begin(), now.end(), before->begin(), before->end(),
+                        std::back_inserter(change.items));
     for (const entry_peer& item : *before)
     {
         const auto same = std::lower_bound(now.begin(), now.end(), item,
@@ -105,8 +106,8 @@
     if (catalog.may_answer(now))
     {
         // Said under the lease: no other replica can have accepted a later revision.
-        links.send(from.name, distribution::revision_confirmation{catalog.state().revision(),
-                                                                  counted_entries(now)});
+        links.send(from.name,
+                   distribution::revision_confirmation{catalog.state().revision(), counted_entries(now)});
     }
     publish();
 }
@@ -135,8 +136,9 @@
         auto& told = told_entries[item.name.str()];
         const auto known = changes.find(told.get());
         const entry_list& change =
-            known != changes.end() ? known->second
-                                   : changes.emplace(told.get(), change_of(told.get(), *shared)).first->second;
+            known != changes.end()
+                ? known->second
+                : changes.emplace(told.get(), change_of(told.get(), *shared)).first->second;
         if (change.whole || !change.items.empty() || !change.gone.empty())
         {
             links.send(item.name.str(), change);
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -215,7 +215,8 @@
                        [&](server_index index)
                        {
                            const server_state& other = m_servers[index];
-                           if (index == candidate || !eligible(other, item, now) || !usable(other, now) || is_stuck(other))
+                           if (index == candidate || !eligible(other, item, now) || !usable(other, now) ||
+                               is_stuck(other))
                            {
                                return false;
                            }
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// A replica that lags behind the leader's word for this long isn't followed: longer than a commit takes to reach
-/// it, shorter than operators wait.
+/// A replica that lags behind the leader's word for this long isn't followed: longer than a commit takes to
+/// reach it, shorter than operators wait.
 constexpr duration follow_lag_bound = duration::from_ms(900);
 /// Unanswered reports after which another replica may lead.
 constexpr double reports_until_leader_lost = 2.5;
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -16,8 +16,8 @@
 /// Changes of the surroundings that come within this share one update; the fastest that operators and backend
 /// servers wait for is seconds.
 constexpr duration gather = duration::from_ms(100);
-/// A link that isn't needed any more is kept for this long: owners change with backend servers that come and go, and a
-/// new link costs more than a minute of heartbeats.
+/// A link that isn't needed any more is kept for this long: owners change with backend servers that come and
+/// go, and a new link costs more than a minute of heartbeats.
 constexpr duration unneeded_link_age = duration::from_ms(60000);
 /// Links to entries of each other region: enough that one may fail and another be passed over.
 constexpr std::size_t far_entries_per_region = 3;
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -28,7 +28,7 @@
 void to_json(nlohmann::json& j, const routed_request& value)
 {
     j = nlohmann::json::array({value.id, value.method, value.host, value.target, value.headers, value.body,
-                               value.patience.us(), value.asked_list, value.asked_shards,
+                               value.patience.us(), value.asked_list, value.asked_shards, value.designated,
                                value.answer_within.us(), value.progress_within.us(), value.asked_again});
 }
 
@@ -48,6 +48,7 @@
     value.patience = duration::from_us(next().get<std::int64_t>());
     value.asked_list = next().get<std::uint64_t>();
     value.asked_shards = next().get<std::vector<std::size_t>>();
+    value.designated = next().get<std::vector<backend_server_name>>();
     value.answer_within = duration::from_us(next().get<std::int64_t>());
     value.progress_within = duration::from_us(next().get<std::int64_t>());
     value.asked_again = next().get<bool>();
@@ -67,8 +68,8 @@
     {
         return j.at(at++);
     };
-    value.end = static_cast<routed_end>(
-        std::clamp(next().get<int>(), static_cast<int>(routed_end::passed_on), static_cast<int>(routed_end::late)));
+    value.end = static_cast<routed_end>(std::clamp(next().get<int>(), static_cast<int>(routed_end::passed_on),
+                                                   static_cast<int>(routed_end::late)));
     value.is_progress = next().get<bool>();
     value.merged = next().get<std::string>();
     value.signatures = next().get<std::vector<std::string>>();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,7 +1,5 @@
 #include <flaxtiller/routing/router.hpp>
 
-#include <flaxtiller/core/hash.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,7 +11,8 @@
 
 /// Connections are shared by the owners and a few more, whose view differs for a moment.
 constexpr int spare_sharers = 2;
-/// While it isn't known how many instances there are, each takes one connection and a small part of the allowance.
+/// While it isn't known how many instances there are, each takes one connection and a small part of the
+/// allowance.
 constexpr int unknown_sharers = 1000;
 constexpr double unknown_allowance = 0.01;
 /// Half of the slack may be spent at once, and half comes with time: no window sees more than all of it.
@@ -51,11 +50,10 @@
 {
     m_view = std::move(view);
     m_groups.configure(m_view);
-    note_replicas(now);
-    m_region_of.clear();
+    m_peers.clear();
     for (const entry_peer& peer : m_view.peers)
     {
-        m_region_of.emplace(peer.name, peer.region);
+        m_peers.emplace(peer.name, peer);
     }
     for (const auto& [name, placed] : m_view.placed->services)
     {
@@ -86,29 +84,6 @@
     drop_unused_lanes();
 }
 
-void router::note_replicas(time_point now)
-{
-    for (const auto& [name, placed] : m_view.placed->services)
-    {
-        std::uint64_t replicas = 1;
-        for (const backend_server& server : placed.shards.at(0))
-        {
-            replicas += server.leaving ? 0 : hash64(server.name.str());
-        }
-        standing& known = m_standings[name];
-        if (known.replicas != replicas)
-        {
-            known = {replicas, now};
-        }
-    }
-}
-
-bool router::is_steady(const service_name& service, time_point now) const
-{
-    const auto known = m_standings.find(service);
-    return known != m_standings.end() && now - known->second.since >= m_options.steady_after;
-}
-
 int router::sharers_of(const service_name& service) const
 {
     const shard_plan& plan = m_groups.plan();
@@ -181,9 +156,12 @@
     }
     if (request.is_asked())
     {
-        for (const std::size_t shard : request.asked_shards)
+        for (std::size_t i = 0; i < request.asked_shards.size(); ++i)
         {
+            const std::size_t shard = request.asked_shards[i];
             add(by.fan_out.at(shard), shard);
+            parts.back().designated =
+                i < request.designated.size() ? request.designated[i] : backend_server_name();
         }
         return parts;
     }
@@ -225,13 +203,12 @@
         return;
     }
     const std::uint64_t list = by->fans_out() ? list_id(by->fan_out) : 0;
-    const auto cannot_run = [&](std::size_t shard)
+    const auto unknown = [&](std::size_t shard)
     {
-        return shard >= by->fan_out.size() ||
-               (request->asked_again && !is_steady(by->fan_out[shard], now));
+        return shard >= by->fan_out.size();
     };
     const bool other_list = request->is_asked() && request->asked_list != list;
-    if (other_list || std::any_of(request->asked_shards.begin(), request->asked_shards.end(), cannot_run))
+    if (other_list || std::any_of(request->asked_shards.begin(), request->asked_shards.end(), unknown))
     {
         refuse(number, by.get(), missing_reason::wrong_version);
         return;
@@ -276,7 +253,8 @@
     run_here(number, wanted, opened.request->asked_again, now);
 }
 
-void router::run_here(request_number number, const std::vector<std::size_t>& wanted, bool again, time_point now)
+void router::run_here(request_number number, const std::vector<std::size_t>& wanted, bool again,
+                      time_point now)
 {
     open_request& opened = m_open.at(number);
     std::vector<lane_index> lanes;
@@ -303,8 +281,8 @@
 void router::set_timer(request_number number, open_request& opened)
 {
     m_timers.erase({opened.timer_at, number});
-    opened.timer_at = std::min({opened.past_objective ? opened.deadline : opened.answer_at, opened.progress_at,
-                                opened.group_late_at, opened.deadline});
+    opened.timer_at = std::min({opened.past_objective ? opened.deadline : opened.answer_at,
+                                opened.progress_at, opened.group_late_at, opened.deadline});
     m_timers.emplace(opened.timer_at, number);
 }
 
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -185,7 +185,8 @@
         {
             continue;
         }
-        missing.insert(missing.end(), asked.outcome.missing_shards.begin(), asked.outcome.missing_shards.end());
+        missing.insert(missing.end(), asked.outcome.missing_shards.begin(),
+                       asked.outcome.missing_shards.end());
         for (const std::size_t at : asked.parts)
         {
             known_elsewhere[at] = true;
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -5,6 +5,7 @@
 #include <flaxtiller/routing/top_records.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace flaxtiller
@@ -20,7 +21,9 @@
     {
         return;
     }
-    for (const group_choice::group& chosen : m_groups.groups_of(*opened.by, now))
+    const auto chosen_groups = m_groups.groups_of(*opened.by, now);
+    opened.designates = !chosen_groups.empty() && !may_run_twice(opened);
+    for (const group_choice::group& chosen : chosen_groups)
     {
         group& wanted = opened.groups.emplace_back();
         wanted.parts = chosen.shards;
@@ -41,10 +44,18 @@
     sent.progress_within = sent.answer_within * m_options.progress_share;
     sent.again = again;
     sent.sent = opened.request;
+    const auto listed = m_peers.find(peer);
+    const bool first = wanted.asks.empty();
+    const bool designates = opened.designates && first && listed != m_peers.end();
     for (const std::size_t at : wanted.parts)
     {
         sent.shards.push_back(opened.parts[at].shard);
+        if (designates)
+        {
+            wanted.designated.push_back(designated_of(opened.parts[at].service, listed->second));
+        }
     }
+    sent.designated = wanted.designated;
     const time_point word_due = now + sent.progress_within + way + m_options.progress_grace;
     opened.group_late_at = std::min(opened.group_late_at, word_due);
     m_asks.emplace(sent.number, number);
@@ -57,8 +68,8 @@
 
 duration router::way_to(const instance_name& peer) const
 {
-    const auto region = m_region_of.find(peer);
-    const std::string& where = region == m_region_of.end() ? m_view.region : region->second;
+    const auto listed = m_peers.find(peer);
+    const std::string& where = listed == m_peers.end() ? m_view.region : listed->second.region;
     const auto known = m_ways.find(where);
     if (known != m_ways.end())
     {
@@ -71,12 +82,12 @@
 {
     // A few answers suffice, and one that was held up doesn't count for much.
     constexpr double weight = 0.2;
-    const auto region = m_region_of.find(peer);
-    if (region == m_region_of.end())
+    const auto listed = m_peers.find(peer);
+    if (listed == m_peers.end())
     {
         return;
     }
-    const auto known = m_ways.emplace(region->second, way).first;
+    const auto known = m_ways.emplace(listed->second.region, way).first;
     known->second = known->second + (way - known->second) * weight;
 }
 
@@ -97,33 +108,30 @@
                        });
 }
 
-/// The backend server that all owners of the shard in this availability zone send to first; empty where no other
-/// entry can run the part as well.
-backend_server_name router::designated_of(const open_request& opened, const part& wanted) const
+/// The backend server that is nearest to an entry; of several the first by name. One that leaves comes last.
+backend_server_name router::designated_of(const service_name& service, const entry_peer& near) const
 {
-    const auto placed = m_view.placed->services.find(wanted.service);
-    if (!opened.request->is_asked() || placed == m_view.placed->services.end() ||
-        static_cast<int>(placed->second.shards.at(0).size()) <= opened.by->most_attempts)
-    {
-        return {};
-    }
-    // One that stays before one that leaves, in the zone before in the region before elsewhere, and by name.
     constexpr int leaves = 3;
-    const backend_server* chosen = nullptr;
-    int nearest = 0;
-    for (const backend_server& server : placed->second.shards.at(0))
+    const auto placed = m_view.placed->services.find(service);
+    backend_server_name chosen;
+    int nearest = std::numeric_limits<int>::max();
+    for (std::size_t i = 0; placed != m_view.placed->services.end() && i < placed->second.shards.at(0).size();
+         ++i)
     {
+        const backend_server& server = placed->second.shards[0][i];
         const auto region = m_view.region_of_zone.find(server.availability_zone);
-        const bool same_region = region != m_view.region_of_zone.end() && region->second == m_view.region;
-        const int distance = (server.availability_zone == m_view.zone ? 0 : same_region ? 1 : 2) +
+        const bool same_region = region != m_view.region_of_zone.end() && region->second == near.region;
+        const int distance = (server.availability_zone == near.availability_zone ? 0
+                              : same_region                                      ? 1
+                                                                                 : 2) +
                              (server.leaving ? leaves : 0);
-        if (chosen == nullptr || distance < nearest)
+        if (distance < nearest)
         {
-            chosen = &server;
+            chosen = server.name;
             nearest = distance;
         }
     }
-    return chosen == nullptr ? backend_server_name() : chosen->name;
+    return chosen;
 }
 
 bool router::can_pay_again(const open_request& opened, const group& wanted) const
@@ -139,9 +147,9 @@
 /// @return whether it could be run here
 bool router::run_group_here(request_number number, group& lost, bool again, time_point now)
 {
-    const open_request& opened = m_open.at(number);
+    open_request& opened = m_open.at(number);
     const bool owned = m_groups.plan().is_owned(opened.parts[lost.parts.front()].service);
-    const bool may_again = !owned && may_run_twice(opened) && can_pay_again(opened, lost);
+    const bool may_again = !owned && can_pay_again(opened, lost);
     if ((again && !may_again) || !lost.outcome.signatures.empty())
     {
         return false;
@@ -152,6 +160,10 @@
         m_asks.erase(sent.number);
     }
     const std::vector<std::size_t> wanted = lost.parts;
+    for (std::size_t i = 0; again && i < lost.designated.size(); ++i)
+    {
+        opened.parts[wanted[i]].designated = lost.designated[i];
+    }
     run_here(number, wanted, again, now);
     return true;
 }
@@ -163,12 +175,7 @@
     open_request& opened = m_open.at(number);
     const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
     constexpr std::size_t most_asks = 2;
-    const bool steady = std::all_of(lost.parts.begin(), lost.parts.end(),
-                                    [&](std::size_t at)
-                                    {
-                                        return is_steady(opened.parts[at].service, now);
-                                    });
-    if (again && (lost.asks.size() >= most_asks || !steady))
+    if (again && lost.asks.size() >= most_asks)
     {
         return false;
     }
@@ -255,8 +262,8 @@
 // what others answer
 // ---------------------------------------------------------------------------------------------------------
 
-/// Adds what an entry told to what it told before. Of two entries that run the same shards, the one that has more of
-/// them counts.
+/// Adds what an entry told to what it told before. Of two entries that run the same shards, the one that has
+/// more of them counts.
 void router::take_outcome(open_request& opened, group& asked, ask& from, const routed_outcome& outcome)
 {
     routed_outcome& sum = from.outcome;
@@ -366,7 +373,7 @@
     asked.repeatable = opened.by->repeatable;
     asked.most_attempts = opened.by->most_attempts;
     asked.again = again;
-    asked.designated = designated_of(opened, wanted);
+    asked.designated = wanted.designated;
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -61,7 +61,8 @@
     }
 }
 
-/// Every instance works out whom all availability zones ask, and so agrees on how many share what operators allow.
+/// Every instance works out whom all availability zones ask, and so agrees on how many share what operators
+/// allow.
 void shard_plan::find_owners(const route& by)
 {
     for (const service_name& service : by.fan_out)
@@ -207,7 +208,8 @@
 }
 
 /// Far shards that any entry of their region may run: one group a region.
-void shard_plan::add_far_groups(const route& by, const std::vector<std::size_t>& far, std::vector<group>& into)
+void shard_plan::add_far_groups(const route& by, const std::vector<std::size_t>& far,
+                                std::vector<group>& into)
 {
     std::vector<std::set<std::string>> regions(by.fan_out.size());
     for (const std::size_t shard : far)
@@ -227,10 +229,11 @@
     }
 }
 
-/// Far shards that have owners: few entries beside the replicas run them for all of the asking region, so that
-/// these keep connections and know the latencies.
-void shard_plan::add_far_owned_groups(const route& by, const viewpoint& from, const std::vector<std::size_t>& far,
-                                      std::size_t size, std::vector<group>& into)
+/// Far shards that have owners: few entries beside the replicas run them for all of the asking region, so
+/// that these keep connections and know the latencies.
+void shard_plan::add_far_owned_groups(const route& by, const viewpoint& from,
+                                      const std::vector<std::size_t>& far, std::size_t size,
+                                      std::vector<group>& into)
 {
     std::vector<std::set<std::string>> zones(by.fan_out.size());
     for (const std::size_t shard : far)
@@ -256,7 +259,8 @@
     {
         return;
     }
-    // By position in the whole fan-out, so that a shard that comes or goes leaves the other groups as they are.
+    // By position in the whole fan-out, so that a shard that comes or goes leaves the other groups as they
+    // are.
     const std::size_t all = by.fan_out.size();
     const std::size_t groups = steady_count((shards.size() + size - 1) / size);
     const std::size_t most = (groups + entries.size() - 1) / entries.size();
--- a/src/shell/http_exchange.hpp
+++ b/src/shell/http_exchange.hpp
@@ -21,8 +21,8 @@
     std::string body;
     /// A reply that doesn't come within this is given up.
     duration patience{};
-    /// A kept connection that has rested for longer isn't used: the peer may have forgotten it, and what is sent
-    /// then is lost.
+    /// A kept connection that has rested for longer isn't used: the peer may have forgotten it, and what is
+    /// sent then is lost.
     duration most_rest = duration::from_ms(3600000);
     /// The header by which the peer repeats @ref id; a reply with another id is not this request's.
     std::string id_header;
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -117,8 +117,8 @@
     std::vector<std::string> names;
 };
 
-/// @brief The entry instances that can be reached, from a control leader: all of them, or what changed since its
-/// last word to this receiver.
+/// @brief The entry instances that can be reached, from a control leader: all of them, or what changed since
+/// its last word to this receiver.
 struct entry_list
 {
     bool whole = false;
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -48,7 +48,8 @@
     /// @brief Sends the same to several peers; it is encoded once.
     void send(const std::vector<std::string>& names, const link_message& message);
 
-    /// @brief Makes missing links, sends heartbeats where nothing else was sent, notices silence. Call at least twice a heartbeat.
+    /// @brief Makes missing links, sends heartbeats where nothing else was sent, notices silence. Call at
+    /// least twice a heartbeat.
     void tick();
 
     /// @return what a peer said of itself when its link was made, or nothing
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -15,7 +15,8 @@
 constexpr duration tell_every = duration::from_ms(3000);
 /// A digest that differs for this long isn't just a change on its way.
 constexpr duration differs_bound = duration::from_ms(1500);
-/// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes by itself.
+/// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes by
+/// itself.
 constexpr duration resend_after = duration::from_ms(5000);
 /// Backend servers that come share a message if they come within this; one that leaves is told of at once.
 constexpr duration gather = duration::from_ms(100);
--- a/src/shell/routed_codec.cpp
+++ b/src/shell/routed_codec.cpp
@@ -21,8 +21,8 @@
 /// What a caller that names no deadline is taken to wait; the route's time-out is what counts then.
 constexpr duration unstated_patience = duration::from_ms(3600000);
 
-/// What may run once goes on a connection that was in use a moment ago, or on a new one: a new one costs a few
-/// milliseconds, and a lost request can't be sent again.
+/// What may run once goes on a connection that was in use a moment ago, or on a new one: a new one costs a
+/// few milliseconds, and a lost request can't be sent again.
 constexpr duration most_rest_for_once = duration::from_ms(150);
 
 constexpr int first_server_error = 500;
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -390,6 +390,7 @@
     asked.request.patience = action.patience;
     asked.request.asked_list = action.list;
     asked.request.asked_shards = action.shards;
+    asked.request.designated = action.designated;
     asked.request.answer_within = action.answer_within;
     asked.request.progress_within = action.progress_within;
     asked.request.asked_again = action.again;
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -35,6 +35,7 @@
         asked.request.patience = duration::from_ms(1.5);
         asked.request.asked_list = ~std::uint64_t{0};
         asked.request.asked_shards = {1, 2};
+        asked.request.designated = {backend_server_name("b1"), backend_server_name("b2")};
         asked.request.progress_within = duration::from_ms(0.25);
         asked.request.asked_again = true;
         asked.request.answer_within = duration::from_ms(0.5);
--- a/tests/src/unit-shard-plan.cpp
+++ b/tests/src/unit-shard-plan.cpp
@@ -12,7 +12,8 @@
 
 constexpr int slots = 2;
 
-/// Three regions of two availability zones each; the first zone of each region holds a replica of every shard.
+/// Three regions of two availability zones each; the first zone of each region holds a replica of every
+/// shard.
 class plan_fixture
 {
   public:
