--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -1,9 +1,7 @@
 #include <flaxtiller/catalog/configuration.hpp>
 
-#include "shard_label.hpp"
+#include "configuration_keys.hpp"
 
-#include <flaxtiller/catalog/placement.hpp>
-#include <flaxtiller/core/hash.hpp>
 #include <flaxtiller/core/json_reader.hpp>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +11,8 @@
 namespace flaxtiller
 {
 
+using namespace detail;
+
 namespace
 {
 
@@ -24,15 +24,6 @@
 /// Beyond this a JSON number is no longer exact everywhere.
 constexpr std::int64_t highest_version = std::int64_t{1} << 53U;
 
-/// The keys of a document and of a patch.
-constexpr const char* services_key = "services";
-constexpr const char* backend_servers_key = "backend_servers";
-constexpr const char* placement_rules_key = "placement_rules";
-constexpr const char* instances_key = "instances";
-constexpr const char* routes_key = "routes";
-constexpr const char* limits_key = "request_limits";
-constexpr const char* version_key = "version";
-
 template <typename Map>
 nlohmann::json values_of(const Map& map)
 {
@@ -267,149 +258,8 @@
     }
 }
 
-void check_rule(const configuration& value, const placement_rule& rule, findings& found)
-{
-    const std::string place = std::string("/") + placement_rules_key + "/" + rule.name;
-    const auto selects_service = [&](const auto& item)
-    {
-        return rule.services.matches(item.second.labels);
-    };
-    const auto selects_server = [&](const auto& item)
-    {
-        return rule.backend_servers.matches(item.second.labels);
-    };
-    if (std::none_of(value.services.begin(), value.services.end(), selects_service))
-    {
-        found.warning(errc::selector_matches_nothing, place + "/services", "no service matches");
-    }
-    if (std::none_of(value.backend_servers.begin(), value.backend_servers.end(), selects_server))
-    {
-        found.warning(errc::selector_matches_nothing, place + "/backend_servers",
-                      "no backend server matches");
-    }
-    for (const auto& [name, server] : value.backend_servers)
-    {
-        if (rule.backend_servers.matches(server.labels) && detail::shard_of(rule, server) < 0)
-        {
-            found.warning(errc::unknown_shard, place + "/shard_label",
-                          "backend server " + name.str() + " has no shard number in label " +
-                              rule.shard_label);
-        }
-    }
-}
-
-void check_route_services(const configuration& value, const route& item, findings& found)
-{
-    const auto check = [&](const service_name& service)
-    {
-        if (value.services.count(service) == 0)
-        {
-            found.error(errc::unknown_name, std::string("/") + routes_key + "/" + item.name,
-                        "service " + service.str() + " isn't declared");
-        }
-    };
-    for (const weighted_service& target : item.targets)
-    {
-        check(target.service);
-    }
-    for (const service_name& service : item.fan_out)
-    {
-        check(service);
-    }
-}
-
-void check_routes(const configuration& value, findings& found)
-{
-    std::set<std::pair<std::string, std::string>> seen;
-    for (const auto& [name, item] : value.routes)
-    {
-        check_route_services(value, item, found);
-        if (!seen.emplace(item.host, item.path_prefix).second)
-        {
-            found.error(errc::duplicate_name, std::string("/") + routes_key + "/" + name,
-                        "another route has the same host and path prefix");
-        }
-    }
-}
-
-} // namespace
-
-namespace
-{
-
-template <typename Item>
-std::uint64_t item_digest(const char* key, const Item& item)
-{
-    return hash64(nlohmann::json(item).dump(), hash64(key));
-}
-
-/// A sum of the items' hashes, so that a patch changes it by the items that it touches.
-template <typename Map>
-std::uint64_t digest_of_map(const char* key, const Map& items)
-{
-    std::uint64_t sum = 0;
-    for (const auto& [name, item] : items)
-    {
-        sum += item_digest(key, item);
-    }
-    return sum;
-}
-
-std::uint64_t digest_of_rest(const configuration& value)
-{
-    return item_digest(limits_key, value.limits) + item_digest(version_key, value.version);
-}
-
-/// @return by how much the items that a patch names change the digest
-template <typename Map>
-std::uint64_t digest_change(const char* key, const Map& before, const Map& after, const nlohmann::json& patch)
-{
-    std::set<typename Map::key_type> touched;
-    if (patch.contains("remove") && patch["remove"].contains(key))
-    {
-        for (const auto& name : patch["remove"][key])
-        {
-            touched.insert(typename Map::key_type(name.template get<std::string>()));
-        }
-    }
-    if (patch.contains("upsert") && patch["upsert"].contains(key))
-    {
-        for (const auto& item : patch["upsert"][key])
-        {
-            touched.insert(typename Map::key_type(item.at("name").template get<std::string>()));
-        }
-    }
-    std::uint64_t sum = 0;
-    for (const auto& name : touched)
-    {
-        const auto old = before.find(name);
-        const auto now = after.find(name);
-        sum -= old == before.end() ? 0 : item_digest(key, old->second);
-        sum += now == after.end() ? 0 : item_digest(key, now->second);
-    }
-    return sum;
-}
-
 } // namespace
 
-std::uint64_t configuration::digest() const
-{
-    return digest_of_map(services_key, services) + digest_of_map(backend_servers_key, backend_servers) +
-           digest_of_map(placement_rules_key, placement_rules) + digest_of_map(instances_key, instances) +
-           digest_of_map(routes_key, routes) + digest_of_rest(*this);
-}
-
-std::uint64_t digest_after(const configuration& base, std::uint64_t base_digest, const configuration& patched,
-                           const nlohmann::json& patch)
-{
-    return base_digest + digest_change(services_key, base.services, patched.services, patch) +
-           digest_change(backend_servers_key, base.backend_servers, patched.backend_servers, patch) +
-           digest_change(placement_rules_key, base.placement_rules, patched.placement_rules, patch) +
-           digest_change(instances_key, base.instances, patched.instances, patch) +
-           digest_change(routes_key, base.routes, patched.routes, patch) + digest_of_rest(patched) -
-           digest_of_rest(base);
-}
-
 void to_json(nlohmann::json& j, const service& value)
 {
     j = {{"name", value.name},
@@ -494,27 +344,4 @@
     return patched;
 }
 
-findings validate(const configuration& value)
-{
-    findings found;
-    check_routes(value, found);
-    for (const auto& [name, rule] : value.placement_rules)
-    {
-        check_rule(value, rule, found);
-    }
-    const placement placed = place(0, value);
-    for (const auto& [name, entry] : placed.services)
-    {
-        for (std::size_t shard = 0; shard < entry.shards.size(); ++shard)
-        {
-            if (entry.shards[shard].empty())
-            {
-                found.warning(errc::shard_without_backend_server, "/services/" + name.str(),
-                              "shard " + std::to_string(shard) + " has no backend server");
-            }
-        }
-    }
-    return found;
-}
-
 } // namespace flaxtiller
--- /dev/null
+++ b/src/catalog/configuration_digest.cpp
@@ -0,0 +1,94 @@
+// A configuration's digest: a sum over its items.
+
+#include <flaxtiller/catalog/configuration.hpp>
+
+#include "configuration_keys.hpp"
+
+#include <flaxtiller/core/hash.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace flaxtiller
+{
+
+using namespace detail;
+
+namespace
+{
+
+template <typename Item>
+std::uint64_t item_digest(const char* key, const Item& item)
+{
+    return hash64(nlohmann::json(item).dump(), hash64(key));
+}
+
+/// A sum of the items' hashes, so that a patch changes it by the items that it touches.
+template <typename Map>
+std::uint64_t digest_of_map(const char* key, const Map& items)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [name, item] : items)
+    {
+        sum += item_digest(key, item);
+    }
+    return sum;
+}
+
+std::uint64_t digest_of_rest(const configuration& value)
+{
+    return item_digest(limits_key, value.limits) + item_digest(version_key, value.version);
+}
+
+/// @return by how much the items that a patch names change the digest
+template <typename Map>
+std::uint64_t digest_change(const char* key, const Map& before, const Map& after, const nlohmann::json& patch)
+{
+    std::set<typename Map::key_type> touched;
+    if (patch.contains("remove") && patch["remove"].contains(key))
+    {
+        for (const auto& name : patch["remove"][key])
+        {
+            touched.insert(typename Map::key_type(name.template get<std::string>()));
+        }
+    }
+    if (patch.contains("upsert") && patch["upsert"].contains(key))
+    {
+        for (const auto& item : patch["upsert"][key])
+        {
+            touched.insert(typename Map::key_type(item.at("name").template get<std::string>()));
+        }
+    }
+    std::uint64_t sum = 0;
+    for (const auto& name : touched)
+    {
+        const auto old = before.find(name);
+        const auto now = after.find(name);
+        sum -= old == before.end() ? 0 : item_digest(key, old->second);
+        sum += now == after.end() ? 0 : item_digest(key, now->second);
+    }
+    return sum;
+}
+
+} // namespace
+
+std::uint64_t configuration::digest() const
+{
+    return digest_of_map(services_key, services) + digest_of_map(backend_servers_key, backend_servers) +
+           digest_of_map(placement_rules_key, placement_rules) + digest_of_map(instances_key, instances) +
+           digest_of_map(routes_key, routes) + digest_of_rest(*this);
+}
+
+std::uint64_t digest_after(const configuration& base, std::uint64_t base_digest, const configuration& patched,
+                           const nlohmann::json& patch)
+{
+    return base_digest + digest_change(services_key, base.services, patched.services, patch) +
+           digest_change(backend_servers_key, base.backend_servers, patched.backend_servers, patch) +
+           digest_change(placement_rules_key, base.placement_rules, patched.placement_rules, patch) +
+           digest_change(instances_key, base.instances, patched.instances, patch) +
+           digest_change(routes_key, base.routes, patched.routes, patch) + digest_of_rest(patched) -
+           digest_of_rest(base);
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/shell/routed_front_actions.cpp
@@ -0,0 +1,255 @@
+// Carries out what the router decides.
+
+#include "routed_front.hpp"
+
+#include "log.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+const char* name_of(routed_end end)
+{
+    switch (end)
+    {
+    case routed_end::passed_on:
+        return "passed_on";
+    case routed_end::merged:
+        return "merged";
+    case routed_end::no_route:
+        return "no_route";
+    case routed_end::refused:
+        return "refused";
+    case routed_end::failed:
+        return "failed";
+    case routed_end::late:
+        break;
+    }
+    return "late";
+}
+
+const char* name_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::replied:
+        return "replied";
+    case exchange_end::unreachable:
+        return "unreachable";
+    case exchange_end::cut:
+        return "cut";
+    case exchange_end::closed:
+        return "closed";
+    case exchange_end::foreign:
+        break;
+    }
+    return "foreign";
+}
+
+metrics::counter counter_of(const routed_outcome& outcome)
+{
+    switch (outcome.end)
+    {
+    case routed_end::passed_on:
+        return metrics::counter::answers_whole;
+    case routed_end::merged:
+        return outcome.missing == 0 ? metrics::counter::answers_whole : metrics::counter::answers_partial;
+    case routed_end::no_route:
+    case routed_end::refused:
+        return metrics::counter::answers_refused;
+    case routed_end::failed:
+    case routed_end::late:
+        break;
+    }
+    return metrics::counter::answers_unknown;
+}
+
+/// The first few of @a names, so that a line stays short.
+template <typename Name>
+std::string joined(const std::vector<Name>& names)
+{
+    constexpr std::size_t most_shown = 8;
+    std::string text;
+    for (std::size_t i = 0; i < names.size() && i < most_shown; ++i)
+    {
+        text += (text.empty() ? "" : ",") + names[i].str();
+    }
+    return names.size() > most_shown ? text + ",..." : text;
+}
+
+} // namespace
+
+void routed_front::carry_out()
+{
+    for (auto todo = m_router.take_actions(); !todo.empty(); todo = m_router.take_actions())
+    {
+        for (const router_action& action : todo)
+        {
+            std::visit(
+                [this](const auto& item)
+                {
+                    carry(item);
+                },
+                action);
+        }
+    }
+    schedule();
+}
+
+void routed_front::carry(const start_routed_attempt& action)
+{
+    m_metrics.add(metrics::counter::attempts);
+    const time_point now = m_clock.now();
+    if (action.ordinal > 1)
+    {
+        log(log_level::info, "attempt_again",
+            {{"request", action.sent->id},
+             {"service", action.service.str()},
+             {"backend_server", action.server.str()},
+             {"ordinal", action.ordinal}});
+    }
+    const auto pool = m_pools.find(action.server);
+    if (!pool)
+    {
+        // Its pool went with an earlier change of the backend servers; the end comes as any other.
+        net::post(m_strand,
+                  [this, action, now]
+                  {
+                      on_reply(action, now, {});
+                  });
+        return;
+    }
+    m_attempts.emplace(action.attempt, pool);
+    pool->send(m_codec.write_attempt(action, action.deadline - now),
+               [this, action, now](http_exchange_result reply)
+               {
+                   net::dispatch(m_strand,
+                                 [this, action, now, reply = std::move(reply)]() mutable
+                                 {
+                                     on_reply(action, now, std::move(reply));
+                                 });
+               });
+}
+
+void routed_front::on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply)
+{
+    const time_point now = m_clock.now();
+    m_attempts.erase(sent.attempt);
+    m_metrics.observe(metrics::timer::attempt, now - sent_at);
+    const exchange_end end = reply.end;
+    const int status = reply.status;
+    routed_reply read = m_codec.read_reply(std::move(reply), sent.part);
+    if (read.result.status != dispatch::attempt_status::answered)
+    {
+        log(log_level::info, "attempt_failed",
+            {{"request", sent.sent->id},
+             {"service", sent.service.str()},
+             {"backend_server", sent.server.str()},
+             {"end", name_of(end)},
+             {"status", status},
+             {"after_ms", (now - sent_at).ms()}});
+    }
+    m_router.attempt_ended(sent.attempt, read.result, std::move(read.answer), now);
+    carry_out();
+}
+
+void routed_front::carry(const cancel_routed_attempt& action)
+{
+    m_metrics.add(metrics::counter::cancels);
+    const auto found = m_attempts.find(action.attempt);
+    if (found != m_attempts.end())
+    {
+        found->second->close(action.attempt);
+    }
+}
+
+void routed_front::carry(const answer_request& action)
+{
+    const auto found = m_callers.find(action.request);
+    if (found == m_callers.end())
+    {
+        return;
+    }
+    const caller from = std::move(found->second);
+    m_callers.erase(found);
+    const duration took = m_clock.now() - from.arrived;
+    routed_outcome outcome = action.outcome;
+    outcome.took = took;
+    if (from.asked_by.empty())
+    {
+        m_metrics.add(counter_of(outcome));
+        m_metrics.observe(metrics::timer::query, took);
+    }
+    else
+    {
+        m_asked.erase({from.asked_by, from.asked_number});
+    }
+    log_answer(from, outcome, took);
+    from.respond(outcome);
+}
+
+void routed_front::carry(const tell_progress_to_entry& action)
+{
+    const auto found = m_callers.find(action.request);
+    if (found != m_callers.end())
+    {
+        found->second.respond(action.outcome);
+    }
+}
+
+void routed_front::log_answer(const caller& from, const routed_outcome& outcome, duration took) const
+{
+    log(log_level::info, "answer",
+        {{"request", from.id},
+         {"asked_by", from.asked_by},
+         {"route", outcome.route},
+         {"end", name_of(outcome.end)},
+         {"status", outcome.answer ? outcome.answer->status : 0},
+         {"parts", outcome.signatures.size()},
+         {"missing", outcome.missing},
+         {"missing_services", joined(outcome.missing_services)},
+         {"reason", nlohmann::json(outcome.reason).get<std::string>()},
+         {"elsewhere", joined(outcome.elsewhere)},
+         {"attempts", outcome.attempts},
+         {"retry_after_ms", outcome.retry_after.ms()},
+         {"revision", outcome.revision},
+         {"after_ms", took.ms()}});
+}
+
+void routed_front::schedule()
+{
+    const time_point next = m_router.next_time();
+    if (next >= m_timer_at && m_timer_at > m_clock.now())
+    {
+        // It is set for an earlier moment already, and is set anew then.
+        return;
+    }
+    m_timer_at = next;
+    if (next == time_point::never())
+    {
+        return;
+    }
+    m_timer.expires_after(std::chrono::microseconds((next - m_clock.now()).us()));
+    m_timer.async_wait(
+        [this, next](const boost::system::error_code& stopped)
+        {
+            if (!stopped && m_timer_at == next)
+            {
+                m_timer_at = time_point::never();
+                m_router.on_time(m_clock.now());
+                carry_out();
+            }
+        });
+}
+
+} // namespace flaxtiller::shell
--- /dev/null
+++ b/src/shell/routed_front_entries.cpp
@@ -0,0 +1,99 @@
+// What entries ask of one another.
+
+#include "routed_front.hpp"
+
+#include "log.hpp"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+namespace net = boost::asio;
+
+void routed_front::on_ask(const std::string& from, const routed_ask& asked)
+{
+    caller asker;
+    asker.id = asked.request.id;
+    asker.asked_by = from;
+    asker.asked_number = asked.number;
+    asker.respond = [this, from, number = asked.number](const routed_outcome& outcome)
+    {
+        m_send(from, routed_return{number, outcome});
+    };
+    if (!m_open.load(std::memory_order_acquire))
+    {
+        asker.respond(routed_outcome{});
+        return;
+    }
+    net::dispatch(m_strand,
+                  [this, number = m_next_request++, asker = std::move(asker),
+                   request = std::make_shared<const routed_request>(asked.request)]
+                  {
+                      arrive(number, request, asker);
+                  });
+}
+
+void routed_front::on_return(const std::string& from, const routed_return& returned)
+{
+    net::dispatch(m_strand,
+                  [this, from, returned]
+                  {
+                      m_router.entry_answered(instance_name(from), returned.number, returned.outcome,
+                                              m_clock.now());
+                      carry_out();
+                  });
+}
+
+void routed_front::on_abandon(const std::string& from, const routed_abandon& abandoned)
+{
+    net::dispatch(m_strand,
+                  [this, from, number = abandoned.number]
+                  {
+                      const auto found = m_asked.find({from, number});
+                      if (found != m_asked.end())
+                      {
+                          on_gone(found->second);
+                      }
+                  });
+}
+
+void routed_front::on_entry_lost(const std::string& name)
+{
+    net::dispatch(m_strand,
+                  [this, name]
+                  {
+                      m_router.entry_lost(instance_name(name), m_clock.now());
+                      carry_out();
+                  });
+}
+
+void routed_front::carry(const ask_entry& action)
+{
+    if (action.again)
+    {
+        log(log_level::info, "group_asked_again",
+            {{"request", action.sent->id},
+             {"entry", action.peer.str()},
+             {"shards", action.shards.size()},
+             {"first", action.shards.front()}});
+    }
+    routed_ask asked{action.number, *action.sent};
+    asked.request.patience = action.patience;
+    asked.request.asked_list = action.list;
+    asked.request.asked_shards = action.shards;
+    asked.request.designated = action.designated;
+    asked.request.answer_within = action.answer_within;
+    asked.request.progress_within = action.progress_within;
+    asked.request.asked_again = action.again;
+    m_send(action.peer.str(), asked);
+}
+
+void routed_front::carry(const abandon_at_entry& action)
+{
+    m_send(action.peer.str(), routed_abandon{action.number});
+}
+
+} // namespace flaxtiller::shell
