An entry keeps the control replicas that any reachable replica names

Every entry had revision 17 and waited for a word that the leader couldn't send. Ruled out by the lines added for it (lease_held, revision_confirmed): quorum, lease, storage. A replica that lags isn't followed for 10 s, so that two wiped ones in a region don't take turns.

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -165,6 +165,17 @@
 void control_process::implementation::confirm_to_entries(time_point now)
 {
     const bool answers = catalog.may_answer(now);
+    if (answers != answered)
+    {
+        const quorum::replica* node = catalog.node();
+        log(log_level::info, answers ? "lease_held" : "lease_lost",
+            {{"term", node ? node->term() : 0},
+             {"leads", node && node->is_ready_leader()},
+             {"applied", catalog.applied()},
+             {"committed", node ? node->commit_index() : 0},
+             {"members", node ? node->members().members.size() : 0},
+             {"revision", catalog.state().revision()}});
+    }
     if (answers && !answered)
     {
         const distribution::revision_confirmation word{catalog.state().revision(), counted_entries(now)};
--- /dev/null
+++ b/src/entry/control_directory.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "shell/settings.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace flaxtiller::shell
+{
+
+/// @brief Which control replicas an entry knows: those of its settings, and those that any replica that can
+/// be reached names.
+///
+/// One replica's word doesn't take away what another one says: a wiped one knows the founders only, until it
+/// has learned the log again, and the leader may not be among these.
+class control_directory
+{
+  public:
+    explicit control_directory(std::vector<named_address> configured)
+        : m_configured(std::move(configured)), m_present(m_configured)
+    {
+    }
+
+    /// @brief A replica named all that its log has.
+    /// @return whether the known replicas changed
+    bool on_word(const std::string& from, const std::vector<std::string>& names)
+    {
+        m_said[from] = names;
+        return update();
+    }
+
+    /// @brief A replica can't be reached any more: its word counts only as long as no other one's is there.
+    /// @return whether the known replicas changed
+    bool on_lost(const std::string& from)
+    {
+        if (m_said.size() < 2)
+        {
+            return false;
+        }
+        return m_said.erase(from) > 0 && update();
+    }
+
+    /// @return the known replicas; those of the settings first
+    const std::vector<named_address>& present() const noexcept
+    {
+        return m_present;
+    }
+
+    /// @return whether a replica of this name is known
+    bool knows(const std::string& name) const
+    {
+        return holds(m_present, name);
+    }
+
+  private:
+    static bool holds(const std::vector<named_address>& list, const std::string& name)
+    {
+        return std::any_of(list.begin(), list.end(),
+                           [&](const named_address& item)
+                           {
+                               return item.name == name;
+                           });
+    }
+
+    bool update()
+    {
+        std::vector<named_address> next = m_configured;
+        for (const auto& [from, names] : m_said)
+        {
+            for (const std::string& name : names)
+            {
+                const auto at = parse_address(name);
+                if (at && !holds(next, name))
+                {
+                    next.push_back({name, *at});
+                }
+            }
+        }
+        const bool changed = !(next == m_present);
+        m_present = std::move(next);
+        return changed;
+    }
+
+    std::vector<named_address> m_configured;
+    std::map<std::string, std::vector<std::string>> m_said;
+    std::vector<named_address> m_present;
+};
+
+} // namespace flaxtiller::shell
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -13,6 +13,8 @@
 /// A replica that lags behind the leader's word for this long isn't followed: longer than a commit takes to
 /// reach it, shorter than operators wait.
 constexpr duration follow_lag_bound = duration::from_ms(900);
+/// For so long: a wiped replica has learned the log by then.
+constexpr duration not_followed_for = duration::from_ms(10000);
 /// Unanswered reports after which another replica may lead.
 constexpr double reports_until_leader_lost = 2.5;
 
@@ -38,6 +40,12 @@
     leader = from.name;
     leader_heard_at = now;
     subscriber.on_confirmation(word, now);
+    if (leader_revision != word.revision)
+    {
+        leader_revision = word.revision;
+        log(log_level::info, "revision_confirmed",
+            {{"by", from.name}, {"revision", word.revision}, {"in_force", subscriber.revision()}});
+    }
     const bool behind = subscriber.revision() < word.revision;
     behind_since = behind ? std::min(behind_since, now) : time_point::never();
     note_confirmed();
@@ -126,7 +134,7 @@
 
 void entry_process::implementation::want_peers()
 {
-    std::vector<named_address> peers = control;
+    std::vector<named_address> peers = control.present();
     for (const instance_name& name : linked_entries)
     {
         const auto listed = listed_entries.find(name);
@@ -213,14 +221,16 @@
     if (now - behind_since > follow_lag_bound)
     {
         // It should have had the revision by now. The leader has it.
-        not_followed = followed;
+        not_followed_until[followed] = now + not_followed_for;
         behind_since = now;
     }
     std::string best;
     int best_rank = 0;
     for (const std::string& name : reachable)
     {
-        const auto identity = name == not_followed ? std::nullopt : links.identity(name);
+        const auto lagged = not_followed_until.find(name);
+        const bool lags = lagged != not_followed_until.end() && lagged->second > now;
+        const auto identity = lags ? std::nullopt : links.identity(name);
         if (!identity || identity->role != "control")
         {
             continue;
@@ -251,7 +261,7 @@
     }
     const bool leader_known = now - leader_heard_at < settings.report_every * reports_until_leader_lost;
     const registration_digest known{registered.digest()};
-    for (const named_address& replica : control)
+    for (const named_address& replica : control.present())
     {
         const bool follows = replica.name == followed;
         if (!follows && leader_known && replica.name != leader)
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control_directory.hpp"
 #include "entry_process.hpp"
 
 #include "shell/log.hpp"
@@ -126,8 +127,7 @@
     /// New connections may come until then: the balancer needs to notice.
     time_point drained_at_least{};
     std::set<std::string> reachable;
-    /// The control replicas: those of the settings, and those that a replica named since.
-    std::vector<named_address> control;
+    control_directory control;
     std::unique_ptr<routed_front> routed;
     registry registered;
     /// Entry instances that share the backend servers, as the leader counts them; 0 while that isn't known.
@@ -143,10 +143,12 @@
     /// The replica that last said under its lease what the present revision is, and when.
     std::string leader;
     time_point leader_heard_at{};
+    std::int64_t leader_revision = 0;
     /// The replica whose updates this entry follows, and since when it has been behind the leader's word.
     std::string followed;
     time_point behind_since = time_point::never();
-    std::string not_followed;
+    /// Replicas that lagged, and until when they aren't followed.
+    std::map<std::string, time_point> not_followed_until;
     std::map<backend_server_name, bool> listed_leaving;
     std::thread platform_poller;
     std::atomic<bool> stopping{false};
@@ -185,8 +187,10 @@
 
     void on_registrations(const hello& from, const registration_update& update);
 
-    /// A replica's word on where the others are; those of the settings stay, in case it is wrong.
-    void on_control_members(const control_members& told);
+    /// A replica's word on where the others are.
+    void on_control_members(const hello& from, const control_members& told);
+
+    void note_control_replicas();
 
     /// Soon puts what changed in this entry's surroundings in force; changes that come together share it.
     void update_routed_soon();
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -22,15 +22,6 @@
 /// Links to entries of each other region: enough that one may fail and another be passed over.
 constexpr std::size_t far_entries_per_region = 3;
 
-bool holds(const std::vector<named_address>& list, const std::string& name)
-{
-    return std::any_of(list.begin(), list.end(),
-                       [&](const named_address& item)
-                       {
-                           return item.name == name;
-                       });
-}
-
 } // namespace
 
 void entry_process::implementation::on_message(const hello& from, const link_message& message)
@@ -109,7 +100,7 @@
     }
     else if (const auto* told = std::get_if<control_members>(&message))
     {
-        on_control_members(*told);
+        on_control_members(from, *told);
     }
     else if (const auto* list = std::get_if<entry_list>(&message))
     {
@@ -145,23 +136,17 @@
     update_routed_soon();
 }
 
-void entry_process::implementation::on_control_members(const control_members& told)
+void entry_process::implementation::on_control_members(const hello& from, const control_members& told)
 {
-    std::vector<named_address> next = settings.control;
-    for (const std::string& name : told.names)
+    if (control.on_word(from.name, told.names))
     {
-        const auto at = parse_address(name);
-        if (at && !holds(next, name))
-        {
-            next.push_back({name, *at});
-        }
+        note_control_replicas();
     }
-    if (next == control)
-    {
-        return;
-    }
-    control = std::move(next);
-    log(log_level::info, "control_replicas", {{"count", control.size()}});
+}
+
+void entry_process::implementation::note_control_replicas()
+{
+    log(log_level::info, "control_replicas", {{"count", control.present().size()}});
     want_peers();
 }
 
@@ -300,7 +285,11 @@
               [this, name, up]
               {
                   up ? (void)reachable.insert(name) : (void)reachable.erase(name);
-                  if (up && holds(control, name))
+                  if (!up && control.on_lost(name))
+                  {
+                      note_control_replicas();
+                  }
+                  if (up && control.knows(name))
                   {
                       // Its answer confirms the configuration, without which a starting entry serves nobody.
                       report();
