--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -171,7 +171,8 @@
                                         return a.second.size() < b.second.size();
                                     });
         }
-        const auto [place, taken] = *best;
+        const std::string place = best->first;
+        const std::vector<std::size_t> taken = best->second;
         candidates.erase(best);
         if (taken.empty())
         {
