--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -417,6 +417,29 @@
     }
 }
 
+TEST_CASE("a weighted target that is short of room refuses its share; nothing of it moves to another",
+          "[router]")
+{
+    router_driver driver;
+    route split = single(true);
+    split.targets = {{service_name("s0"), 3}, {service_name("s1"), 1}};
+    driver.serve({{"one", split}}, 1);
+    int refused = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        const request_number number = driver.ask("/one/x");
+        if (driver.answers.count(number) > 0)
+        {
+            CHECK(driver.answers.at(number).end == routed_end::refused);
+            ++refused;
+            continue;
+        }
+        driver.end("s0", attempt_status::answered);
+    }
+    CHECK(refused == 10);
+    CHECK(driver.started.empty());
+}
+
 TEST_CASE("a fan-out whose replicas are all in another region", "[router]")
 {
     router_driver driver;
