Read once more: one plan a view, no copies of what is known

With each change of the surroundings the plan of shards was worked out twice, by the entry for its links and by the router; the router now tells the entry whom it asks. The routed front had a struct that copied seven fields of routing_view; the entry fills the view itself. Linked entries were kept beside the times that already named them. Control worked out its replicas' names twice every 10 ms, and copied them to the hub; the hub is told when they change. The missing shards of an answer were worked out twice. Three loops over a group's asks are one member. Confirmations, lists of members and notices are encoded once for all receivers. A search with an empty zone for a region is two functions.

One thing isn't only form: a process whose list is empty was sent the whole list with every report where the replica, too, knew only lost backend servers; equal digests now count first.

--- a/include/flaxtiller/routing/group_choice.hpp
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -36,7 +36,7 @@
     /// @return whom to ask after @a failed: another entry that may run the shards, or this one's own name if
     /// it is the next; nothing if there is none
     std::optional<instance_name> another(const route& by, std::size_t first_shard,
-                                         const instance_name& failed, time_point now) const;
+                                         const instance_name& failed, time_point now);
 
     /// @brief An entry failed to answer in time.
     void failed(const instance_name& peer, time_point now);
@@ -56,7 +56,7 @@
 
     instance_name m_self;
     std::set<instance_name> m_unreachable;
-    mutable shard_plan m_plan;
+    shard_plan m_plan;
     struct failures
     {
         time_point until;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -69,6 +69,9 @@
     /// @return requests that aren't answered yet
     std::size_t open_requests() const noexcept;
 
+    /// @return the other entries that own shards of fan-outs: whom to keep links to
+    std::set<instance_name> owners_asked() const;
+
     /// @return how many instances share the connections to the service's backend servers
     int sharers_of(const service_name& service) const;
 
@@ -130,6 +133,16 @@
         routed_outcome outcome;
         instance_name answered_by;
 
+        /// @return whether some entry that was asked may still answer
+        bool is_awaited() const
+        {
+            return std::any_of(asks.begin(), asks.end(),
+                               [](const ask& sent)
+                               {
+                                   return !sent.over;
+                               });
+        }
+
         bool is_silent() const
         {
             return !over && std::none_of(asks.begin(), asks.end(),
@@ -185,7 +198,8 @@
                   time_point now);
     void move_silent_groups(request_number number, time_point now);
     static void take_outcome(open_request& opened, group& asked, ask& from, const routed_outcome& outcome);
-    void end_group(open_request& opened, group& asked);
+    static void end_group(open_request& opened, group& asked);
+    static void describe(const open_request& opened, routed_outcome& outcome);
     void tell_progress(request_number number, open_request& opened, time_point now);
     duration way_to(const instance_name& peer) const;
     void note_way(const instance_name& peer, duration way);
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -60,7 +60,7 @@
     std::size_t owners_of(const service_name& service) const;
 
     /// @return the first two owners of each group of all fan-out routes: whom to keep links to
-    std::set<instance_name> first_owners();
+    std::set<instance_name> first_owners() const;
 
   private:
     using shards_by_place = std::map<std::string, std::vector<std::size_t>>;
@@ -83,7 +83,8 @@
                               std::size_t size, std::vector<group>& into);
     void add_owned_groups(const route& by, const std::string& zone, const std::vector<std::size_t>& shards,
                           std::size_t size, const std::string& salt, std::vector<group>& into) const;
-    std::vector<instance_name> entries_in(const std::string& zone, const std::string& region) const;
+    std::vector<instance_name> entries_in_zone(const std::string& zone) const;
+    std::vector<instance_name> entries_in_region(const std::string& region) const;
 
     routing_view m_view;
     /// By the list of shards: routes often share one.
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -79,11 +79,18 @@
 void control_process::implementation::link_to_members()
 {
     std::set<std::string> names = replica_names();
-    if (!forms_itself() || names == linked)
+    if (names == linked)
     {
         return;
     }
     linked = std::move(names);
+    std::set<std::string> others = linked;
+    others.erase(settings.replica.name);
+    hub.set_replicas(std::move(others));
+    if (!forms_itself())
+    {
+        return;
+    }
     std::vector<named_address> peers;
     for (const std::string& name : linked)
     {
@@ -94,10 +101,8 @@
     }
     links.want(peers);
     const control_members told{{linked.begin(), linked.end()}};
-    for (const std::string& peer : links.reachable())
-    {
-        links.send(peer, told);
-    }
+    const std::set<std::string> reachable = links.reachable();
+    links.send(std::vector<std::string>(reachable.begin(), reachable.end()), told);
 }
 
 void control_process::implementation::send(const char* log_name, const quorum::message& message)
@@ -179,13 +184,15 @@
     if (answers && !answered)
     {
         const distribution::revision_confirmation word{catalog.state().revision(), counted_entries(now)};
+        std::vector<std::string> receivers;
         for (const std::string& peer : links.reachable())
         {
             if (entries.count(peer) > 0)
             {
-                links.send(peer, word);
+                receivers.push_back(peer);
             }
         }
+        links.send(receivers, word);
     }
     answered = answers;
 }
@@ -227,9 +234,7 @@
         keep_members(catalog, catalog_log, now);
         keep_members(registers, register_log, now);
     }
-    std::set<std::string> others = replica_names();
-    others.erase(settings.replica.name);
-    hub.tick(others, catalog.may_answer(now), now);
+    hub.tick(catalog.may_answer(now), now);
     if (catalog.may_answer(now) && knows_entries(now))
     {
         tell_entries(now);
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -115,7 +115,7 @@
     std::map<std::string, entry_peer> entries;
     std::map<std::string, std::shared_ptr<const std::vector<entry_peer>>> told_entries;
     time_point tell_entries_at{};
-    /// The replicas of the last member set that was linked to.
+    /// The replicas that the hub was told of and that were linked to last.
     std::set<std::string> linked;
     bool pump_posted = false;
     bool led = false;
@@ -185,13 +185,14 @@
     void send_notice(Machine& machine, const char* log_name)
     {
         const quorum::replica* node = machine.node();
-        for (const std::string& replica : replica_names())
+        if (node == nullptr)
         {
-            if (node != nullptr && replica != settings.replica.name)
-            {
-                links.send(replica, incarnation_notice{log_name, node->incarnation()});
-            }
+            return;
         }
+        std::set<std::string> others = replica_names();
+        others.erase(settings.replica.name);
+        links.send(std::vector<std::string>(others.begin(), others.end()),
+                   incarnation_notice{log_name, node->incarnation()});
     }
 
     void on_reachable(const std::string& name, bool up);
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -135,7 +135,7 @@
 void entry_process::implementation::want_peers()
 {
     std::vector<named_address> peers = control.present();
-    for (const instance_name& name : linked_entries)
+    for (const auto& [name, needed_at] : linked_entries)
     {
         const auto listed = listed_entries.find(name);
         const auto at = listed == listed_entries.end() ? std::nullopt : parse_address(listed->second.address);
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -84,6 +84,14 @@
                                                  [this](const std::string& to, const link_message& message)
                                                  {
                                                      links.send(to, message);
+                                                 },
+                                                 [this](const std::set<instance_name>& owners)
+                                                 {
+                                                     net::post(strand,
+                                                               [this, owners]
+                                                               {
+                                                                   link_to_entries(owners);
+                                                               });
                                                  })),
           callers(io, limits_of(settings),
                   [this](const http_request& request, http_server::respond respond)
@@ -135,8 +143,7 @@
     /// The other entries, by name, as a leader listed them.
     std::map<instance_name, entry_peer> listed_entries;
     /// Those that this one keeps links to, and when each was last needed.
-    std::set<instance_name> linked_entries;
-    std::map<instance_name, time_point> needed_at;
+    std::map<instance_name, time_point> linked_entries;
     /// The routes of the revision in force.
     std::shared_ptr<const route_table> routes = std::make_shared<const route_table>();
     bool view_due = false;
@@ -198,7 +205,7 @@
     void update_routed();
 
     /// Links to the owners of the shards that callers ask for, and to a few entries of each other region.
-    void link_to_entries(const routing_view& view);
+    void link_to_entries(const std::set<instance_name>& owners);
 
     void on_entry_list(const entry_list& list);
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -175,24 +175,23 @@
     {
         return;
     }
-    routed_front::surroundings around;
-    around.entries = entries;
-    around.self = instance_name(settings.instance.name);
-    around.region = settings.instance.region;
-    around.zone = settings.instance.availability_zone;
-    around.region_of_zone = settings.region_of_zone;
+    const configuration& value = *subscriber.current();
+    routing_view view;
+    view.placed = routed_front::place_with(subscriber.revision(), value, registered.present());
+    view.routes = routes;
+    view.entries = entries;
+    view.self = instance_name(settings.instance.name);
+    view.region = settings.instance.region;
+    view.zone = settings.instance.availability_zone;
+    view.region_of_zone = settings.region_of_zone;
     for (const auto& [name, peer] : listed_entries)
     {
-        around.peers.push_back(peer);
+        view.peers.push_back(peer);
         if (reachable.count(name.str()) == 0)
         {
-            around.unreachable.insert(name);
+            view.unreachable.insert(name);
         }
     }
-    const configuration& value = *subscriber.current();
-    const routing_view view =
-        routed_front::view_of(subscriber.revision(), value, routes, registered.present(), around);
-    link_to_entries(view);
     routed->update(view, value.limits);
 }
 
@@ -221,29 +220,30 @@
     return chosen;
 }
 
-void entry_process::implementation::link_to_entries(const routing_view& view)
+void entry_process::implementation::link_to_entries(const std::set<instance_name>& owners)
 {
-    std::set<instance_name> next = far_entries();
-    next.merge(shard_plan(view).first_owners());
+    std::set<instance_name> needed = far_entries();
+    needed.insert(owners.begin(), owners.end());
     const time_point now = clock.now();
-    for (const instance_name& name : next)
-    {
-        needed_at[name] = now;
-    }
-    std::erase_if(needed_at,
-                  [&](const auto& item)
-                  {
-                      return now - item.second > unneeded_link_age || listed_entries.count(item.first) == 0;
-                  });
-    for (const auto& [name, at] : needed_at)
+    bool changed = false;
+    for (const instance_name& name : needed)
     {
-        next.insert(name);
+        // Owners may have left the list since they were worked out.
+        if (listed_entries.count(name) > 0)
+        {
+            changed = linked_entries.insert_or_assign(name, now).second || changed;
+        }
     }
-    if (next == linked_entries)
+    const auto forgotten = std::erase_if(linked_entries,
+                                         [&](const auto& item)
+                                         {
+                                             return now - item.second > unneeded_link_age ||
+                                                    listed_entries.count(item.first) == 0;
+                                         });
+    if (!changed && forgotten == 0)
     {
         return;
     }
-    linked_entries = std::move(next);
     log(log_level::info, "entries_linked",
         {{"linked", linked_entries.size()}, {"listed", listed_entries.size()}});
     want_peers();
--- a/src/routing/group_choice.cpp
+++ b/src/routing/group_choice.cpp
@@ -56,7 +56,7 @@
 }
 
 std::optional<instance_name> group_choice::another(const route& by, std::size_t first_shard,
-                                                   const instance_name& failed, time_point now) const
+                                                   const instance_name& failed, time_point now)
 {
     for (const shard_plan::group& item : m_plan.groups_of(by))
     {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -84,6 +84,11 @@
     drop_unused_lanes();
 }
 
+std::set<instance_name> router::owners_asked() const
+{
+    return m_groups.plan().first_owners();
+}
+
 int router::sharers_of(const service_name& service) const
 {
     const shard_plan& plan = m_groups.plan();
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -110,8 +110,8 @@
             told.elsewhere.push_back(asked.answered_by);
         }
     }
-    told.missing_shards = missing_shards(opened);
-    // Not the length of that list: what is named as in must be true whatever other entries say of the rest.
+    // Not the length of the list of missing ones: what is named as in must be true whatever other entries say
+    // of the rest.
     told.missing = static_cast<int>(opened.parts.size() - parts_in(opened));
     told.merged = top_records(bodies, static_cast<std::size_t>(opened.by->top_records));
     return told;
@@ -128,9 +128,7 @@
         return;
     }
     told.is_progress = true;
-    told.route = opened.by->name;
-    told.revision = opened.revision;
-    told.attempts = opened.attempts;
+    describe(opened, told);
     told.took = now - opened.arrived_at;
     for (part& asked : opened.parts)
     {
@@ -202,17 +200,22 @@
     return missing;
 }
 
-void router::finish(request_number number, open_request& opened, routed_outcome outcome)
+void router::describe(const open_request& opened, routed_outcome& outcome)
 {
     outcome.route = opened.by->name;
     outcome.revision = opened.revision;
+    outcome.attempts = opened.attempts;
     outcome.missing_shards = missing_shards(opened);
+}
+
+void router::finish(request_number number, open_request& opened, routed_outcome outcome)
+{
+    describe(opened, outcome);
     for (const std::size_t shard : outcome.missing_shards)
     {
         outcome.missing_services.push_back(opened.by->fan_out.at(shard));
     }
     outcome.reason = opened.reason;
-    outcome.attempts = opened.attempts;
     for (const group& asked : opened.groups)
     {
         for (const ask& sent : asked.asks)
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -173,12 +173,12 @@
 bool router::move_group(request_number number, group& lost, bool again, time_point now)
 {
     open_request& opened = m_open.at(number);
-    const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
     constexpr std::size_t most_asks = 2;
     if (again && lost.asks.size() >= most_asks)
     {
         return false;
     }
+    const auto next = m_groups.another(*opened.by, lost.parts.front(), lost.asks.back().peer, now);
     if (!next || *next == m_view.self)
     {
         return run_group_here(number, lost, again, now);
@@ -225,12 +225,7 @@
                     m_asks.erase(sent.number);
                 }
             }
-            const bool none_left = std::all_of(asked.asks.begin(), asked.asks.end(),
-                                               [](const ask& sent)
-                                               {
-                                                   return sent.over;
-                                               });
-            if (!asked.over && none_left)
+            if (!asked.over && !asked.is_awaited())
             {
                 hit.emplace_back(number, i);
             }
@@ -324,16 +319,11 @@
     note_way(peer, now - sent.sent_at - outcome.took);
     m_groups.answered(peer);
     take_outcome(opened, *asked, sent, outcome);
-    const bool all_over = std::all_of(asked->asks.begin(), asked->asks.end(),
-                                      [](const ask& item)
-                                      {
-                                          return item.over;
-                                      });
     if (sent.over)
     {
         opened.attempts += outcome.attempts;
     }
-    if (all_over || asked->outcome.signatures.size() == asked->parts.size())
+    if (!asked->is_awaited() || asked->outcome.signatures.size() == asked->parts.size())
     {
         end_group(opened, *asked);
     }
@@ -349,13 +339,8 @@
     open_request& opened = m_open.at(number);
     opened.may_have_run = opened.may_have_run || !not_run;
     opened.reason = outcome.reason;
-    const bool others_run = std::any_of(asked.asks.begin(), asked.asks.end(),
-                                        [](const ask& item)
-                                        {
-                                            return !item.over;
-                                        });
     const bool first = asked.asks.size() == 1;
-    if (!others_run)
+    if (!asked.is_awaited())
     {
         replace_ask(number, asked, !(not_run && first), now);
     }
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -71,7 +71,8 @@
     }
     for (const auto& [zone, region] : m_view.region_of_zone)
     {
-        for (const group& item : plan(by, {zone, region}))
+        const std::vector<group> groups = plan(by, {zone, region});
+        for (const group& item : groups)
         {
             const auto counting = static_cast<std::ptrdiff_t>(std::min(counting_owners, item.runners.size()));
             for (const std::size_t shard : item.shards)
@@ -79,6 +80,10 @@
                 m_owners[by.fan_out[shard]].insert(item.runners.begin(), item.runners.begin() + counting);
             }
         }
+        if (zone == m_view.zone && region == m_view.region)
+        {
+            m_plans.emplace(by.fan_out, groups);
+        }
     }
 }
 
@@ -191,17 +196,34 @@
     return chosen;
 }
 
-std::vector<instance_name> shard_plan::entries_in(const std::string& zone, const std::string& region) const
+std::vector<instance_name> shard_plan::entries_in_zone(const std::string& zone) const
+{
+    std::vector<instance_name> names;
+    for (const entry_peer& peer : m_view.peers)
+    {
+        if (peer.availability_zone == zone)
+        {
+            names.push_back(peer.name);
+        }
+    }
+    if (m_view.zone == zone)
+    {
+        names.push_back(m_view.self);
+    }
+    return names;
+}
+
+std::vector<instance_name> shard_plan::entries_in_region(const std::string& region) const
 {
     std::vector<instance_name> names;
     for (const entry_peer& peer : m_view.peers)
     {
-        if (zone.empty() ? peer.region == region : peer.availability_zone == zone)
+        if (peer.region == region)
         {
             names.push_back(peer.name);
         }
     }
-    if (zone.empty() ? m_view.region == region : m_view.zone == zone)
+    if (m_view.region == region)
     {
         names.push_back(m_view.self);
     }
@@ -222,7 +244,7 @@
     }
     for (const auto& [region, shards] : cover(regions, ""))
     {
-        const std::vector<instance_name> runners = entries_in("", region);
+        const std::vector<instance_name> runners = entries_in_region(region);
         if (shards.size() >= least_group && !runners.empty())
         {
             into.push_back({shards, runners, true});
@@ -251,10 +273,10 @@
                                   const std::vector<std::size_t>& shards, std::size_t size,
                                   const std::string& salt, std::vector<group>& into) const
 {
-    std::vector<instance_name> entries = entries_in(zone, region_of(zone));
+    std::vector<instance_name> entries = entries_in_zone(zone);
     if (entries.empty())
     {
-        entries = entries_in("", region_of(zone));
+        entries = entries_in_region(region_of(zone));
     }
     if (entries.empty())
     {
@@ -345,7 +367,7 @@
     return found != m_owners.end() && found->second.count(m_view.self) > 0;
 }
 
-std::set<instance_name> shard_plan::first_owners()
+std::set<instance_name> shard_plan::first_owners() const
 {
     std::set<instance_name> names;
     for (const auto& [shards, groups] : m_plans)
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -68,15 +68,15 @@
 void registration_hub::on_digest(const std::string& from, const registration_digest& said, time_point now)
 {
     m_followers[from] = now;
-    const bool knows_nothing = said.digest == registry().digest();
-    if (knows_nothing && !m_registry.empty())
+    if (said.digest == m_registry.digest())
     {
-        send_all(from, now);
+        m_differs_since.erase(from);
         return;
     }
-    if (said.digest == m_registry.digest())
+    if (said.digest == registry().digest())
     {
-        m_differs_since.erase(from);
+        // It knows nothing yet, and needn't wait until that has lasted.
+        send_all(from, now);
         return;
     }
     const auto resent = m_resent_at.find(from);
@@ -166,9 +166,13 @@
     }
 }
 
-void registration_hub::tick(const std::set<std::string>& replicas, bool leads, time_point now)
+void registration_hub::set_replicas(std::set<std::string> others)
+{
+    m_replicas = std::move(others);
+}
+
+void registration_hub::tick(bool leads, time_point now)
 {
-    m_replicas = replicas;
     if (now >= m_spread_at)
     {
         spread(now);
@@ -180,7 +184,7 @@
     m_tell_at = now + tell_every;
     const registration_heard heard{m_registry.take_heard()};
     const registration_digest known{m_registry.digest()};
-    const std::vector<std::string> others(replicas.begin(), replicas.end());
+    const std::vector<std::string> others(m_replicas.begin(), m_replicas.end());
     m_links.send(others, known);
     if (!heard.items.empty())
     {
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -36,9 +36,11 @@
     void on_reachable(const std::string& peer);
 
     /// @brief Tells what changed, tells the other replicas who was heard, and calls the silent lost.
-    /// @param replicas all control replicas but this one
     /// @param leads whether this replica leads: only a leader, which a majority's words reach, calls one lost
-    void tick(const std::set<std::string>& replicas, bool leads, time_point now);
+    void tick(bool leads, time_point now);
+
+    /// @brief Tells which are the other control replicas.
+    void set_replicas(std::set<std::string> others);
 
     const registry& known() const noexcept
     {
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -60,9 +60,9 @@
 } // namespace
 
 routed_front::routed_front(net::io_context& io, metrics& counted, const router_options& options,
-                           routed_headers names, sender send)
+                           routed_headers names, sender send, owners_handler owners)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
-      m_send(std::move(send)), m_router(options), m_pools(io, counted),
+      m_send(std::move(send)), m_owners(std::move(owners)), m_router(options), m_pools(io, counted),
       m_server(io, limits_of({}),
                [this](const http_request& request, http_server::respond respond)
                {
@@ -100,21 +100,10 @@
 // configuration
 // ---------------------------------------------------------------------------------------------------------
 
-routing_view routed_front::view_of(std::int64_t revision, const configuration& value,
-                                   std::shared_ptr<const route_table> routes,
-                                   const std::vector<registration>& registered, const surroundings& around)
+std::shared_ptr<const placement> routed_front::place_with(std::int64_t revision, const configuration& value,
+                                                          const std::vector<registration>& registered)
 {
-    routing_view view;
-    view.placed = std::make_shared<const placement>(place(revision, with_registered(value, registered)));
-    view.routes = std::move(routes);
-    view.entries = around.entries;
-    view.self = around.self;
-    view.region = around.region;
-    view.zone = around.zone;
-    view.region_of_zone = around.region_of_zone;
-    view.peers = around.peers;
-    view.unreachable = around.unreachable;
-    return view;
+    return std::make_shared<const placement>(place(revision, with_registered(value, registered)));
 }
 
 void routed_front::update(const routing_view& view, const request_limits& limits)
@@ -125,6 +114,7 @@
                   {
                       m_router.configure(view, m_clock.now());
                       configure_pools(*view.placed);
+                      m_owners(m_router.owners_asked());
                       carry_out();
                   });
 }
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -31,27 +31,15 @@
     /// Sends to another process, by name.
     using sender = std::function<void(const std::string&, const link_message&)>;
 
-    /// @brief What of this instance's surroundings decides where a request runs.
-    struct surroundings
-    {
-        /// Entry instances that share the backend servers; 0 while that isn't known.
-        int entries = 0;
-        instance_name self;
-        std::string region;
-        std::string zone;
-        std::map<std::string, std::string> region_of_zone;
-        /// Other entries, and those of them that can't be reached now.
-        std::vector<entry_peer> peers;
-        std::set<instance_name> unreachable;
-    };
+    /// Told with each update which other entries own shards that callers ask for; called on any thread.
+    using owners_handler = std::function<void(std::set<instance_name>)>;
 
     routed_front(boost::asio::io_context& io, metrics& counted, const router_options& options,
-                 routed_headers names, sender send);
+                 routed_headers names, sender send, owners_handler owners);
 
-    /// @return what a fan-out's shards are planned by, of this configuration
-    static routing_view view_of(std::int64_t revision, const configuration& value,
-                                std::shared_ptr<const route_table> routes,
-                                const std::vector<registration>& registered, const surroundings& around);
+    /// @return which backend servers hold which shard: the declared ones and the registered ones
+    static std::shared_ptr<const placement> place_with(std::int64_t revision, const configuration& value,
+                                                       const std::vector<registration>& registered);
 
     std::error_code listen(const address& at);
 
@@ -124,6 +112,7 @@
     monotonic_clock m_clock;
     const routed_codec m_codec;
     const sender m_send;
+    const owners_handler m_owners;
     std::atomic<bool> m_open{false};
     std::atomic<request_number> m_next_request{1};
     // On the strand only.
