Quorum: restarted replicas elect at once when no earlier lease can be in force

Cause: after all instances lose power, entries serve nobody until a leader confirms their configuration. So a restarted replica asks the other voters whether they lead; once all have answered that they don't, and a majority's logs hold the same members, it may vote and stand at once.

--- a/include/flaxtiller/quorum/message.hpp
+++ b/include/flaxtiller/quorum/message.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <flaxtiller/quorum/log_entry.hpp>
+#include <flaxtiller/quorum/member_set.hpp>
 #include <flaxtiller/quorum/snapshot.hpp>
 #include <flaxtiller/quorum/types.hpp>
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -62,7 +64,28 @@
     bool operator==(const install_request&) const = default;
 };
 
-using message_body = std::variant<vote_request, vote_reply, append_request, append_reply, install_request>;
+/// @brief Asks a voter whether it leads. Sent by a replica that restarted; see @ref restart_hold.
+struct leadership_query
+{
+    /// Identifies the asker's present life; echoed.
+    std::uint64_t life = 0;
+
+    bool operator==(const leadership_query&) const = default;
+};
+
+/// @brief Answers a @ref leadership_query.
+struct leadership_reply
+{
+    std::uint64_t life = 0;
+    bool leads = false;
+    /// The newest members in the log of the replica that answers, committed or not.
+    member_set members;
+
+    bool operator==(const leadership_reply&) const = default;
+};
+
+using message_body = std::variant<vote_request, vote_reply, append_request, append_reply, install_request,
+                                  leadership_query, leadership_reply>;
 
 /// @brief A message between two replicas of one log.
 struct message
--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -6,6 +6,7 @@
 #include <flaxtiller/quorum/persisted_state.hpp>
 #include <flaxtiller/quorum/progress.hpp>
 #include <flaxtiller/quorum/replicated_log.hpp>
+#include <flaxtiller/quorum/restart_hold.hpp>
 #include <flaxtiller/quorum/timing.hpp>
 
 #include <map>
@@ -111,6 +112,10 @@
     void on_install_request(const message& received, const install_request& body, time_point now);
 
     bool heard_leader_recently(time_point now) const;
+    void note_leader(time_point now);
+    void query_leadership(time_point now);
+    void on_leadership_query(const message& received, const leadership_query& body);
+    void on_leadership_reply(const message& received, const leadership_reply& body, time_point now);
     bool is_superseded(const message& received) const;
     bool is_up_to_date(const vote_request& body) const;
     void note_commit(log_index leader_commit);
@@ -145,6 +150,9 @@
     std::map<replica_name, progress> m_progress;
     std::map<replica_name, incarnation_id> m_strangers;
 
+    /// Set from the start until a leader was heard, or an earlier life's lease is ruled out or over.
+    std::optional<restart_hold> m_hold;
+    time_point m_query_due{};
     time_point m_leader_heard_at{};
     time_point m_election_deadline{};
     time_point m_heartbeat_due{};
--- a/include/flaxtiller/quorum/timing.hpp
+++ b/include/flaxtiller/quorum/timing.hpp
@@ -12,6 +12,12 @@
     /// A follower that heard from a leader grants no vote for this long.
     duration election_min = duration::from_ms(500);
     duration election_max = duration::from_ms(1000);
+    /// A replica that restarted asks the others this often whether they lead: a few round trips between
+    /// regions.
+    duration query_every = duration::from_ms(50);
+    /// Once no earlier lease can be in force, restarted replicas stand for election within this time, spread
+    /// so that one of them is elected before the next one stands: a few round trips between regions.
+    duration early_election_spread = duration::from_ms(100);
     /// Bound on how far the rates of two monotonic clocks differ; the lease is shorter by twice this share.
     double clock_drift = 0.01;
     /// A snapshot that wasn't acknowledged is sent again after this long.
--- a/src/quorum/message_codec.cpp
+++ b/src/quorum/message_codec.cpp
@@ -20,8 +20,9 @@
 }
 
 /// Names of the message kinds on the wire, in the order of message_body.
-constexpr const char* kind_names[] = {"vote_request", "vote_reply", "append_request", "append_reply",
-                                      "install_request"};
+constexpr const char* kind_names[] = {"vote_request",    "vote_reply",      "append_request",
+                                      "append_reply",    "install_request", "leadership_query",
+                                      "leadership_reply"};
 
 struct body_writer
 {
@@ -57,6 +58,16 @@
         j["base"] = body.base;
         j["sent_at_us"] = body.sent_at_us;
     }
+    void operator()(const leadership_query& body) const
+    {
+        j["life"] = body.life;
+    }
+    void operator()(const leadership_reply& body) const
+    {
+        j["life"] = body.life;
+        j["leads"] = body.leads;
+        j["members"] = body.members;
+    }
 };
 
 message_body read_body(const std::string& kind, const nlohmann::json& j)
@@ -82,6 +93,14 @@
     {
         return install_request{j.at("base").get<snapshot>(), j.at("sent_at_us")};
     }
+    if (kind == kind_names[5])
+    {
+        return leadership_query{j.at("life")};
+    }
+    if (kind == kind_names[6])
+    {
+        return leadership_reply{j.at("life"), j.at("leads"), j.at("members").get<member_set>()};
+    }
     throw nlohmann::json::other_error::create(static_cast<int>(errc::message_malformed),
                                               "unknown message kind " + kind, &j);
 }
--- a/src/quorum/replica.cpp
+++ b/src/quorum/replica.cpp
@@ -14,7 +14,8 @@
                  std::uint64_t seed, time_point now)
     : m_name(std::move(name)), m_incarnation(incarnation), m_timing(limits), m_random(seed),
       m_hard(stored.hard), m_log(stored.base, stored.entries), m_commit(stored.base.last_index),
-      m_synced(m_log.last_index()), m_emitted(stored.base.last_index),
+      m_synced(m_log.last_index()), m_emitted(stored.base.last_index), m_hold(std::in_place, m_random()),
+      m_query_due(now),
       // It may have heard from a leader just before it stopped, so it counts as having heard one now.
       m_leader_heard_at(now)
 {
@@ -73,7 +74,11 @@
 
 time_point replica::next_tick() const noexcept
 {
-    return m_role == role::leader ? m_heartbeat_due : m_election_deadline;
+    if (m_role == role::leader)
+    {
+        return m_heartbeat_due;
+    }
+    return m_hold ? std::min(m_query_due, m_election_deadline) : m_election_deadline;
 }
 
 output replica::take_output()
@@ -88,7 +93,8 @@
 
 bool replica::has_lease(time_point now) const
 {
-    if (!is_ready_leader())
+    // One that removes itself is no voter that a restarted replica would ask.
+    if (!is_ready_leader() || !m_log.members().is_voter(m_name, m_incarnation))
     {
         return false;
     }
@@ -125,6 +131,10 @@
         }
         return;
     }
+    if (m_hold && now >= m_query_due)
+    {
+        query_leadership(now);
+    }
     if (now >= m_election_deadline)
     {
         start_election(true, now);
@@ -143,6 +153,58 @@
     return now - m_leader_heard_at < m_timing.election_min;
 }
 
+void replica::note_leader(time_point now)
+{
+    m_leader_heard_at = now;
+    m_hold.reset();
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// after a restart
+// ---------------------------------------------------------------------------------------------------------
+
+void replica::query_leadership(time_point now)
+{
+    if (!heard_leader_recently(now))
+    {
+        // Whatever lease its earlier life was part of is over.
+        m_hold.reset();
+        return;
+    }
+    m_query_due = now + m_timing.query_every;
+    for (const auto& [name, item] : m_log.members().members)
+    {
+        if (name != m_name && item.voter && m_hold->awaits(name))
+        {
+            // To whoever lives under that name now, be it on another disk.
+            send(name, 0, leadership_query{m_hold->life()}, false);
+        }
+    }
+}
+
+void replica::on_leadership_query(const message& received, const leadership_query& body)
+{
+    send(received.from, received.from_incarnation,
+         leadership_reply{body.life, m_role == role::leader, m_log.members()}, false);
+}
+
+void replica::on_leadership_reply(const message& received, const leadership_reply& body, time_point now)
+{
+    if (!m_hold)
+    {
+        return;
+    }
+    m_hold->take(received.from, received.from_incarnation, body, m_log.members());
+    if (!m_hold->is_ruled_out(m_name, m_log.members()))
+    {
+        return;
+    }
+    m_hold.reset();
+    m_leader_heard_at = now - m_timing.election_min;
+    std::uniform_int_distribution<std::int64_t> draw(0, m_timing.early_election_spread.us());
+    m_election_deadline = std::min(m_election_deadline, now + duration::from_us(draw(m_random)));
+}
+
 void replica::check_quorum(time_point now)
 {
     const bool alive = m_log.members().majority_of(
@@ -322,6 +384,17 @@
         on_vote_request(received, *vote, now);
         return;
     }
+    // These tell nothing about terms: one that only asks unseats nobody.
+    if (const auto* query = std::get_if<leadership_query>(&received.body))
+    {
+        on_leadership_query(received, *query);
+        return;
+    }
+    if (const auto* reply = std::get_if<leadership_reply>(&received.body))
+    {
+        on_leadership_reply(received, *reply, now);
+        return;
+    }
     const auto* trial = std::get_if<vote_reply>(&received.body);
     const bool granted_trial = trial != nullptr && trial->trial && trial->granted;
     if (received.term > m_hard.term && !granted_trial)
@@ -390,7 +463,7 @@
         return;
     }
     become_follower(received.term, received.from, now);
-    m_leader_heard_at = now;
+    note_leader(now);
     note_commit(body.commit);
 
     const auto known_term = m_log.term_at(body.previous_index);
@@ -444,7 +517,7 @@
         return;
     }
     become_follower(received.term, received.from, now);
-    m_leader_heard_at = now;
+    note_leader(now);
     if (body.base.last_index > m_commit)
     {
         m_log.reset(body.base);
--- a/tests/src/quorum_harness.hpp
+++ b/tests/src/quorum_harness.hpp
@@ -248,7 +248,7 @@
         }
         else if (kind < 90)
         {
-            crash_or_start();
+            draw(0, 4) == 0 ? restart_some() : crash_or_start();
         }
         else if (kind < 92)
         {
@@ -357,6 +357,18 @@
         }
     }
 
+    /// Several processes end and are back at once, as when machines lose power together.
+    void restart_some()
+    {
+        for (node& item : m_nodes)
+        {
+            if (draw(0, 3) > 0 && !item.lost)
+            {
+                start(item);
+            }
+        }
+    }
+
     void cut_or_heal()
     {
         if (draw(0, 2) == 0)
--- a/tests/src/unit-quorum.cpp
+++ b/tests/src/unit-quorum.cpp
@@ -156,6 +156,121 @@
     }
 }
 
+TEST_CASE("a restarted replica's wait for an earlier lease", "[quorum]")
+{
+    driver restarted(three_members());
+    const member_set members = restarted.node.members();
+    const auto ask = [&]
+    {
+        restarted.pass(1);
+        REQUIRE(restarted.last_said<leadership_query>() != nullptr);
+        return restarted.last_said<leadership_query>()->life;
+    };
+    const auto votes = [&]
+    {
+        restarted.hear(c3, 13, 9, vote_request{false, 50, 8});
+        return restarted.last_said<vote_reply>()->granted;
+    };
+    const std::uint64_t life = ask();
+
+    SECTION("ends, and it stands for election soon, once no other voter leads")
+    {
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+        CHECK_FALSE(votes());
+        restarted.hear(c3, 13, 1, leadership_reply{life, false, members});
+        restarted.pass(timing{}.early_election_spread.ms());
+        CHECK(restarted.node.role() == role::pre_candidate);
+        CHECK(votes());
+    }
+
+    SECTION("lasts while a voter is silent, and that one alone is asked again")
+    {
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+        restarted.said.clear();
+        restarted.pass(timing{}.query_every.ms());
+        REQUIRE(restarted.said.size() == 1);
+        CHECK(restarted.said[0].to == c3);
+        CHECK_FALSE(votes());
+    }
+
+    SECTION("lasts while a voter leads")
+    {
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+        restarted.hear(c3, 13, 1, leadership_reply{life, true, members});
+        CHECK_FALSE(votes());
+        CHECK(restarted.node.role() == role::follower);
+    }
+
+    SECTION("isn't ended by answers to an earlier life")
+    {
+        restarted.hear(c2, 12, 1, leadership_reply{life + 1, false, members});
+        restarted.hear(c3, 13, 1, leadership_reply{life + 1, false, members});
+        CHECK_FALSE(votes());
+    }
+
+    SECTION("a wiped voter doesn't lead, but knows nothing of members")
+    {
+        restarted.hear(c3, 99, 0, leadership_reply{life, false, {}});
+        CHECK_FALSE(votes());
+        SECTION("the others' word suffices")
+        {
+            restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+            CHECK(votes());
+        }
+        SECTION("two of them leave nobody who knows")
+        {
+            restarted.hear(c2, 98, 0, leadership_reply{life, false, {}});
+            CHECK_FALSE(votes());
+        }
+    }
+
+    SECTION("lasts where the others know of another voter, which may lead")
+    {
+        member_set more = members;
+        more.members.emplace(replica_name("c4"), member{replica_name("c4"), 14, true});
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, more});
+        restarted.hear(c3, 13, 1, leadership_reply{life, false, more});
+        CHECK_FALSE(votes());
+    }
+
+    SECTION("starts anew once it heard a leader in this life")
+    {
+        restarted.hear(c2, 12, 1, append_request{1, 1, 1, 7, {}});
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+        restarted.hear(c3, 13, 1, leadership_reply{life, false, members});
+        CHECK_FALSE(votes());
+    }
+
+    SECTION("asking unseats no leader and starts no election")
+    {
+        driver leader(three_members());
+        leader.lead();
+        const term_number term = leader.node.term();
+        leader.hear(c2, 12, term + 5, leadership_query{77});
+        REQUIRE(leader.last_said<leadership_reply>() != nullptr);
+        CHECK(leader.last_said<leadership_reply>()->leads);
+        CHECK(leader.last_said<leadership_reply>()->life == 77);
+        CHECK(leader.node.role() == role::leader);
+        CHECK(leader.node.term() == term);
+    }
+}
+
+TEST_CASE("a leader that removes itself holds no lease", "[quorum]")
+{
+    driver leader(three_members());
+    leader.lead();
+    const auto hears = [&]
+    {
+        const std::int64_t sent_at = leader.now.since_start().us();
+        const log_index last = leader.node.log().last_index();
+        leader.hear(c2, 12, leader.node.term(), append_reply{true, last, sent_at});
+    };
+    hears();
+    REQUIRE(leader.node.has_lease(leader.now));
+    REQUIRE_FALSE(leader.node.remove_member(c1, leader.now));
+    CHECK_FALSE(leader.node.has_lease(leader.now));
+}
+
 TEST_CASE("commitment", "[quorum]")
 {
     driver leader(three_members({command_at(2, 2)}));
