Control keeps registrations on disk for its next start

Cause: registrations are soft state. With the early election entries serve 0.3 s after a start, but know no backend server until its next heartbeat, up to 1.2 s later: 502 and 503 for that time.

A control process appends changes to a file, written and synced by a thread of its own (a disk may hang). What is read at the next start is taken in after 150 ms, unless a replica that didn't restart has told what it knows; what isn't heard of within three heartbeats is called lost.

--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -37,6 +37,23 @@
     /// @return whether any standing changed
     bool keep_only(const std::vector<registration>& all, time_point now);
 
+    /// @brief Takes in what an earlier life of this process knew. Only ids that are unknown are taken; one
+    /// that isn't heard again soon is to be called lost by @ref drop_unconfirmed.
+    /// @return how many were taken
+    std::size_t restore(const std::vector<registration>& before, time_point now);
+
+    /// @brief Calls lost what was restored and not heard of for @a age since.
+    /// @return whether any standing changed
+    bool drop_unconfirmed(duration age, time_point now);
+
+    /// @brief Calls lost what was restored and isn't in @a all, the knowledge of a process that didn't
+    /// restart.
+    /// @return whether any standing changed
+    bool drop_unconfirmed(const std::vector<registration>& all);
+
+    /// @return whether anything that was restored is still unheard
+    bool has_unconfirmed() const noexcept;
+
     /// @brief Another process heard these backend servers lately.
     void on_heard(const std::vector<std::pair<backend_server_name, std::int64_t>>& heard, time_point now);
 
@@ -69,13 +86,19 @@
         time_point gone_at{};
         /// Whether its own heartbeat came since @ref take_heard.
         bool fresh = false;
+        /// Whether it is only known from an earlier life of this process.
+        bool unconfirmed = false;
     };
 
     bool take(known& item, const registration& said, time_point now);
+    void confirm(known& item) noexcept;
     void lose(known& item);
+    template <typename Condition>
+    bool drop_unconfirmed_if(Condition drops);
 
     std::map<backend_server_name, known> m_known;
     std::vector<registration> m_changes;
+    std::size_t m_unconfirmed = 0;
 };
 
 } // namespace flaxtiller
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -210,7 +210,7 @@
     const auto identity = links.identity(name);
     if (identity && identity->role == "control")
     {
-        hub.on_reachable(name);
+        hub.on_reachable(name, clock.now());
     }
     if (forms_itself())
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -79,16 +79,16 @@
                   quorum::replica_name(settings.replica.name), settings.timing),
           registers(files, settings.data_folder + "/" + register_log,
                     quorum::replica_name(settings.replica.name), settings.timing),
-          hub(links, settings.registration_silence, clock.now()), keeper(settings.keeper),
-          operators(io, limits_of(settings),
-                    [this](const http_request& request, http_server::respond respond)
-                    {
-                        net::post(strand,
-                                  [this, request, respond]
-                                  {
-                                      on_operator(request, respond);
-                                  });
-                    })
+          hub(links, settings.data_folder + "/registrations", settings.registration_silence, clock.now()),
+          keeper(settings.keeper), operators(io, limits_of(settings),
+                                             [this](const http_request& request, http_server::respond respond)
+                                             {
+                                                 net::post(strand,
+                                                           [this, request, respond]
+                                                           {
+                                                               on_operator(request, respond);
+                                                           });
+                                             })
     {
     }
 
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -28,6 +28,7 @@
     findings found;
     self.open_machine(self.catalog, catalog_log, found);
     self.open_machine(self.registers, register_log, found);
+    self.hub.load();
     return found;
 }
 
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -33,6 +33,7 @@
             return false;
         }
     }
+    confirm(item);
     const bool changed = unseen || !item.said.same_standing(said);
     if (said.state == registration_state::gone)
     {
@@ -82,12 +83,85 @@
         {
             found->second.said.sequence = sequence;
             found->second.heard_at = now;
+            confirm(found->second);
         }
     }
 }
 
+void registry::confirm(known& item) noexcept
+{
+    m_unconfirmed -= item.unconfirmed ? 1 : 0;
+    item.unconfirmed = false;
+}
+
+std::size_t registry::restore(const std::vector<registration>& before, time_point now)
+{
+    std::size_t taken = 0;
+    for (const registration& said : before)
+    {
+        if (!is_present(said) || m_known.count(said.id) > 0)
+        {
+            continue;
+        }
+        known& item = m_known[said.id];
+        (void)take(item, said, now);
+        item.unconfirmed = true;
+        ++m_unconfirmed;
+        ++taken;
+    }
+    return taken;
+}
+
+template <typename Condition>
+bool registry::drop_unconfirmed_if(Condition drops)
+{
+    if (m_unconfirmed == 0)
+    {
+        return false;
+    }
+    bool changed = false;
+    for (auto& [id, item] : m_known)
+    {
+        if (item.unconfirmed && drops(id, item))
+        {
+            lose(item);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool registry::drop_unconfirmed(duration age, time_point now)
+{
+    return drop_unconfirmed_if(
+        [&](const backend_server_name&, const known& item)
+        {
+            return now - item.heard_at > age;
+        });
+}
+
+bool registry::drop_unconfirmed(const std::vector<registration>& all)
+{
+    std::set<backend_server_name> listed;
+    for (const registration& item : all)
+    {
+        listed.insert(item.id);
+    }
+    return drop_unconfirmed_if(
+        [&](const backend_server_name& id, const known&)
+        {
+            return listed.count(id) == 0;
+        });
+}
+
+bool registry::has_unconfirmed() const noexcept
+{
+    return m_unconfirmed > 0;
+}
+
 void registry::lose(known& item)
 {
+    confirm(item);
     item.said.state = registration_state::lost;
     // Ahead of the last heartbeat, so that this word wins where that one is known.
     ++item.said.sequence;
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -96,6 +96,8 @@
     /// Set where @ref items is all that the sender knows, and it has listened for long enough to know all.
     bool whole = false;
     std::vector<registration> items;
+    /// Set where the sender has listened for long enough to know all, whether or not it tells all.
+    bool settled = false;
 };
 
 /// @brief Backend servers whose own heartbeat the sender received lately, with its sequence.
--- /dev/null
+++ b/src/shell/registration_file.cpp
@@ -0,0 +1,189 @@
+#include "registration_file.hpp"
+
+#include "log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+registration_file::registration_file(std::string path) : m_path(std::move(path))
+{
+}
+
+registration_file::~registration_file()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_more.notify_one();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
+}
+
+std::vector<registration> registration_file::load()
+{
+    std::string bytes;
+    if (m_files.read(m_path, bytes))
+    {
+        // The first start.
+        return {};
+    }
+    std::istringstream lines(bytes);
+    std::string line;
+    std::size_t unreadable = 0;
+    while (std::getline(lines, line))
+    {
+        const auto item = nlohmann::json::parse(line, nullptr, false);
+        try
+        {
+            auto said = item.get<registration>();
+            m_kept.insert_or_assign(said.id, said);
+        }
+        catch (const nlohmann::json::exception&)
+        {
+            ++unreadable;
+        }
+    }
+    if (unreadable > 0)
+    {
+        log(log_level::warning, "registrations_unreadable", {{"path", m_path}, {"lines", unreadable}});
+    }
+    // Written anew with the first change.
+    m_lines = most_lines;
+    std::vector<registration> items;
+    for (const auto& [id, said] : m_kept)
+    {
+        items.push_back(said);
+    }
+    return items;
+}
+
+void registration_file::append(const std::vector<registration>& changes)
+{
+    if (changes.empty())
+    {
+        return;
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_queued.insert(m_queued.end(), changes.begin(), changes.end());
+        if (!m_thread.joinable())
+        {
+            m_thread = std::thread(
+                [this]
+                {
+                    run();
+                });
+        }
+    }
+    m_more.notify_one();
+}
+
+void registration_file::flush()
+{
+    std::unique_lock lock(m_mutex);
+    m_written.wait(lock,
+                   [this]
+                   {
+                       return m_queued.empty() && !m_writing;
+                   });
+}
+
+std::string registration_file::line_of(const registration& item)
+{
+    return nlohmann::json(item).dump() + '\n';
+}
+
+void registration_file::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true)
+    {
+        m_more.wait(lock,
+                    [this]
+                    {
+                        return m_stopping || !m_queued.empty();
+                    });
+        if (m_queued.empty())
+        {
+            return;
+        }
+        const std::vector<registration> changes = std::exchange(m_queued, {});
+        m_writing = true;
+        lock.unlock();
+        std::string lines;
+        for (const registration& item : changes)
+        {
+            lines += line_of(item);
+            const bool present =
+                item.state == registration_state::ready || item.state == registration_state::draining;
+            if (present)
+            {
+                m_kept.insert_or_assign(item.id, item);
+            }
+            else
+            {
+                m_kept.erase(item.id);
+            }
+        }
+        m_lines += changes.size();
+        const bool anew = m_lines > most_lines || m_failed;
+        if (anew)
+        {
+            lines.clear();
+            for (const auto& [id, item] : m_kept)
+            {
+                lines += line_of(item);
+            }
+        }
+        const std::error_code failed = write(lines, anew);
+        if (failed && !m_failed)
+        {
+            log(log_level::warning, "registrations_not_written",
+                {{"path", m_path}, {"error", failed.message()}});
+        }
+        m_failed = failed;
+        m_lines = anew && !failed ? m_kept.size() : m_lines;
+        lock.lock();
+        m_writing = false;
+        m_written.notify_all();
+    }
+}
+
+std::error_code registration_file::write(const std::string& lines, bool anew)
+{
+    const std::string target = anew ? m_path + ".new" : m_path;
+    if (anew)
+    {
+        // What an earlier try left; that there is nothing is as good.
+        (void)m_files.remove(target);
+    }
+    std::error_code failed;
+    auto file = m_files.open(target, failed);
+    if (!failed)
+    {
+        failed = file.write(lines);
+    }
+    if (!failed)
+    {
+        failed = file.sync();
+    }
+    if (!failed && anew)
+    {
+        failed = m_files.rename(target, m_path);
+    }
+    if (!failed && anew)
+    {
+        failed = m_files.sync_folder(m_path.substr(0, m_path.find_last_of('/')));
+    }
+    return failed;
+}
+
+} // namespace flaxtiller::shell
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -20,11 +20,42 @@
 constexpr duration resend_after = duration::from_ms(5000);
 /// Backend servers that come share a message if they come within this; one that leaves is told of at once.
 constexpr duration gather = duration::from_ms(100);
+/// Replicas that start together are linked within this, also between regions; one that didn't restart has
+/// told what it knows by then.
+constexpr duration restore_after = duration::from_ms(150);
+/// What was restored is called lost when it wasn't heard for this share of the silence that loses others:
+/// three heartbeats.
+constexpr double unconfirmed_share = 0.3;
+/// Meanwhile replicas tell one another this often whom they heard.
+constexpr duration tell_unconfirmed_every = duration::from_ms(500);
 /// A process that hasn't sent its digest for this long follows another replica.
 constexpr duration follower_age = duration::from_ms(3500);
 
 } // namespace
 
+void registration_hub::load()
+{
+    m_before = m_file.load();
+}
+
+void registration_hub::restore(time_point now)
+{
+    const std::size_t count = m_registry.restore(std::exchange(m_before, {}), now);
+    log(log_level::info, "registrations_restored", {{"items", count}});
+    m_spread_at = now;
+    note_changes(true, now);
+}
+
+/// A replica that didn't restart knows which of the restored ones still live.
+void registration_hub::take_settled(const registration_update& update, time_point now)
+{
+    m_before.clear();
+    if (m_registry.drop_unconfirmed(update.items))
+    {
+        note_changes(true, now);
+    }
+}
+
 void registration_hub::on_heartbeat(const registration& said, time_point now)
 {
     if (m_registry.on_heartbeat(said, now))
@@ -48,6 +79,10 @@
     {
         changed = m_registry.merge(said, now) || changed;
     }
+    if (update.settled)
+    {
+        take_settled(update, now);
+    }
     if (changed)
     {
         log(log_level::debug, "registrations_merged", {{"from", from}, {"items", update.items.size()}});
@@ -95,22 +130,24 @@
     }
 }
 
-void registration_hub::on_reachable(const std::string& peer)
+void registration_hub::on_reachable(const std::string& peer, time_point now)
 {
     if (!m_registry.empty())
     {
-        m_links.send(peer, registration_update{false, m_registry.all()});
+        m_links.send(peer, registration_update{false, m_registry.all(), is_settled(now)});
     }
 }
 
 void registration_hub::send_all(const std::string& to, time_point now)
 {
-    m_links.send(to, registration_update{is_settled(now), m_registry.all()});
+    m_links.send(to, registration_update{is_settled(now), m_registry.all(), is_settled(now)});
 }
 
 void registration_hub::note_changes(bool own, time_point now)
 {
-    for (const registration& item : m_registry.take_changes())
+    const std::vector<registration> changes = m_registry.take_changes();
+    m_file.append(changes);
+    for (const registration& item : changes)
     {
         log(log_level::info, "registration",
             {{"backend_server", item.id.str()},
@@ -137,8 +174,8 @@
 void registration_hub::spread(time_point now)
 {
     m_spread_at = time_point::never();
-    const registration_update own{false, std::exchange(m_own_changes, {})};
-    const registration_update all{false, std::exchange(m_all_changes, {})};
+    const registration_update own{false, std::exchange(m_own_changes, {}), false};
+    const registration_update all{false, std::exchange(m_all_changes, {}), false};
     const std::set<std::string> reachable = m_links.reachable();
     const bool cut_off =
         !std::includes(reachable.begin(), reachable.end(), m_replicas.begin(), m_replicas.end());
@@ -173,6 +210,14 @@
 
 void registration_hub::tick(bool leads, time_point now)
 {
+    if (!m_before.empty() && now - m_started_at >= restore_after)
+    {
+        restore(now);
+    }
+    if (m_registry.drop_unconfirmed(m_silence * unconfirmed_share, now))
+    {
+        note_changes(true, now);
+    }
     if (now >= m_spread_at)
     {
         spread(now);
@@ -181,7 +226,7 @@
     {
         return;
     }
-    m_tell_at = now + tell_every;
+    m_tell_at = now + (m_registry.has_unconfirmed() ? tell_unconfirmed_every : tell_every);
     const registration_heard heard{m_registry.take_heard()};
     const registration_digest known{m_registry.digest()};
     const std::vector<std::string> others(m_replicas.begin(), m_replicas.end());
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peer_links.hpp"
+#include "registration_file.hpp"
 
 #include <flaxtiller/registration/registry.hpp>
 
@@ -16,11 +17,16 @@
 class registration_hub
 {
   public:
-    registration_hub(peer_links& links, duration silence, time_point now)
-        : m_links(links), m_silence(silence), m_started_at(now)
+    /// @param path of the file that keeps the registrations for this process's next start
+    registration_hub(peer_links& links, const std::string& path, duration silence, time_point now)
+        : m_links(links), m_file(path), m_silence(silence), m_started_at(now)
     {
     }
 
+    /// @brief Reads what an earlier life of this process knew. It is taken in a moment later, unless a
+    /// replica that didn't restart knows better.
+    void load();
+
     /// @brief A backend server's own word.
     void on_heartbeat(const registration& said, time_point now);
     void on_leave(const backend_server_name& id, time_point now);
@@ -33,7 +39,7 @@
     void on_digest(const std::string& from, const registration_digest& said, time_point now);
 
     /// @brief A link to another replica came up: its other end may know nothing.
-    void on_reachable(const std::string& peer);
+    void on_reachable(const std::string& peer, time_point now);
 
     /// @brief Tells what changed, tells the other replicas who was heard, and calls the silent lost.
     /// @param leads whether this replica leads: only a leader, which a majority's words reach, calls one lost
@@ -52,8 +58,13 @@
     void spread(time_point now);
     void send_all(const std::string& to, time_point now);
     bool is_settled(time_point now) const;
+    void take_settled(const registration_update& update, time_point now);
+    void restore(time_point now);
 
     peer_links& m_links;
+    registration_file m_file;
+    /// What an earlier life knew, until it is taken in.
+    std::vector<registration> m_before;
     duration m_silence;
     time_point m_started_at;
     registry m_registry;
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -44,6 +44,45 @@
         CHECK_FALSE(known.merge(said_by("a", 2), now));
         CHECK(known.present().at(0).state == registration_state::draining);
     }
+    SECTION("what an earlier life knew counts until it should have been heard again")
+    {
+        const duration age = duration::from_ms(3000);
+        registry restarted;
+        CHECK(restarted.restore({said_by("a", 5), said_by("b", 5), said_by("c", 5, registration_state::lost)},
+                                now) == 2);
+        CHECK(restarted.present().size() == 2);
+        CHECK(restarted.has_unconfirmed());
+        SECTION("its next heartbeat confirms it, and the other one is lost")
+        {
+            restarted.on_heartbeat(said_by("a", 6), now);
+            now = now + age + duration::from_ms(1);
+            CHECK(restarted.drop_unconfirmed(age, now));
+            REQUIRE(restarted.present().size() == 1);
+            CHECK(restarted.present()[0].id == backend_server_name("a"));
+            CHECK_FALSE(restarted.has_unconfirmed());
+            CHECK(restarted.on_heartbeat(said_by("b", 7), now));
+        }
+        SECTION("so does another process that heard it")
+        {
+            restarted.on_heard({{backend_server_name("a"), 6}, {backend_server_name("b"), 5}}, now);
+            now = now + age + duration::from_ms(1);
+            CHECK(restarted.drop_unconfirmed(age, now));
+            CHECK(restarted.present().size() == 1);
+        }
+        SECTION("a process that didn't restart knows which still live")
+        {
+            CHECK(restarted.drop_unconfirmed(std::vector{said_by("a", 5)}));
+            CHECK(restarted.present().size() == 1);
+            CHECK(restarted.has_unconfirmed());
+        }
+        SECTION("one that left meanwhile isn't brought back")
+        {
+            registry knows;
+            knows.on_leave(backend_server_name("a"), now);
+            CHECK(knows.restore({said_by("a", 5)}, now) == 0);
+            CHECK(knows.present().empty());
+        }
+    }
     SECTION("gone is final, also before the first heartbeat arrived")
     {
         CHECK(known.on_leave(backend_server_name("a"), now));
