--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -114,6 +114,7 @@
     bool heard_leader_recently(time_point now) const;
     void note_leader(time_point now);
     void query_leadership(time_point now);
+    duration early_election_delay();
     void on_leadership_query(const message& received, const leadership_query& body);
     void on_leadership_reply(const message& received, const leadership_reply& body, time_point now);
     bool is_superseded(const message& received) const;
@@ -153,6 +154,8 @@
     /// Set from the start until a leader was heard, or an earlier life's lease is ruled out or over.
     std::optional<restart_hold> m_hold;
     time_point m_query_due{};
+    /// Until then an election that failed is tried again soon.
+    time_point m_stands_early_until{};
     time_point m_leader_heard_at{};
     time_point m_election_deadline{};
     time_point m_heartbeat_due{};
--- a/src/quorum/replica.cpp
+++ b/src/quorum/replica.cpp
@@ -156,6 +156,7 @@
 void replica::note_leader(time_point now)
 {
     m_leader_heard_at = now;
+    m_stands_early_until = now;
     m_hold.reset();
 }
 
@@ -201,8 +202,14 @@
     }
     m_hold.reset();
     m_leader_heard_at = now - m_timing.election_min;
+    m_stands_early_until = now + m_timing.election_min;
+    m_election_deadline = std::min(m_election_deadline, now + early_election_delay());
+}
+
+duration replica::early_election_delay()
+{
     std::uniform_int_distribution<std::int64_t> draw(0, m_timing.early_election_spread.us());
-    m_election_deadline = std::min(m_election_deadline, now + duration::from_us(draw(m_random)));
+    return duration::from_us(draw(m_random));
 }
 
 void replica::check_quorum(time_point now)
@@ -242,6 +249,11 @@
 void replica::start_election(bool trial, time_point now)
 {
     reset_election_deadline(now);
+    if (now < m_stands_early_until)
+    {
+        // The others may not have ruled out an earlier lease yet: answers to their queries are on their way.
+        m_election_deadline = now + m_timing.query_every + early_election_delay();
+    }
     const bool may_lead = m_log.members().is_voter(m_name, m_incarnation);
     const bool lost_entries = m_log.last_index() < m_hard.known_commit;
     if (!may_lead || lost_entries)
@@ -338,6 +350,7 @@
     {
         m_hard.voted_for = received.from;
         persist_hard();
+        m_stands_early_until = now;
         reset_election_deadline(now);
     }
     answer(granted);
--- a/tests/src/unit-quorum.cpp
+++ b/tests/src/unit-quorum.cpp
@@ -183,6 +183,26 @@
         CHECK(votes());
     }
 
+    SECTION("ends earlier than the others', which refuse their votes: it soon stands again")
+    {
+        restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
+        restarted.hear(c3, 13, 1, leadership_reply{life, false, members});
+        restarted.pass(timing{}.early_election_spread.ms());
+        restarted.hear(c2, 12, 1, vote_reply{true, false});
+        restarted.hear(c3, 13, 1, vote_reply{true, false});
+        restarted.said.clear();
+        restarted.pass(timing{}.query_every.ms() + timing{}.early_election_spread.ms());
+        CHECK(restarted.last_said<vote_request>() != nullptr);
+        SECTION("and not for long")
+        {
+            restarted.pass(timing{}.election_min.ms());
+            restarted.pass(timing{}.early_election_spread.ms() + timing{}.query_every.ms());
+            restarted.said.clear();
+            restarted.pass(timing{}.election_min.ms() - 1);
+            CHECK(restarted.last_said<vote_request>() == nullptr);
+        }
+    }
+
     SECTION("lasts while a voter is silent, and that one alone is asked again")
     {
         restarted.hear(c2, 12, 1, leadership_reply{life, false, members});
