Entries link to control at once after a start, and don't wait for a replica that lags

Until an entry serves, links are looked at every 20 ms; a dial on which nothing is heard for 300 ms is tried anew, and the bound grows with the tries; an entry that serves nobody yet gives a lagging replica 150 ms.

--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace flaxtiller::shell
 {
@@ -13,6 +14,8 @@
 /// A replica that lags behind the leader's word for this long isn't followed: longer than a commit takes to
 /// reach it, shorter than operators wait.
 constexpr duration follow_lag_bound = duration::from_ms(900);
+/// An entry that serves nobody yet waits less: a push within the region takes some milliseconds.
+constexpr duration first_revision_bound = duration::from_ms(150);
 /// For so long: a wiped replica has learned the log by then.
 constexpr duration not_followed_for = duration::from_ms(10000);
 /// Unanswered reports after which another replica may lead.
@@ -47,8 +50,13 @@
             {{"by", from.name}, {"revision", word.revision}, {"in_force", subscriber.revision()}});
     }
     const bool behind = subscriber.revision() < word.revision;
+    const bool fell_behind = behind && behind_since == time_point::never();
     behind_since = behind ? std::min(behind_since, now) : time_point::never();
     note_confirmed();
+    if (fell_behind && confirmed_at_us.load(std::memory_order_relaxed) == 0)
+    {
+        report_after(first_revision_bound);
+    }
     if (word.instances != entries && word.instances > 0)
     {
         entries = word.instances;
@@ -218,7 +226,8 @@
 
 std::string entry_process::implementation::choose_followed(time_point now)
 {
-    if (now - behind_since > follow_lag_bound)
+    const bool serves = confirmed_at_us.load(std::memory_order_relaxed) != 0;
+    if (now - behind_since >= (serves ? follow_lag_bound : first_revision_bound))
     {
         // It should have had the revision by now. The leader has it.
         not_followed_until[followed] = now + not_followed_for;
@@ -249,6 +258,19 @@
     return best.empty() ? leader : best;
 }
 
+void entry_process::implementation::report_after(duration pause)
+{
+    catch_up_timer.expires_after(std::chrono::microseconds(pause.us()));
+    catch_up_timer.async_wait(
+        [this](const boost::system::error_code& stopped)
+        {
+            if (!stopped)
+            {
+                report();
+            }
+        });
+}
+
 void entry_process::implementation::report()
 {
     const time_point now = clock.now();
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -54,8 +54,8 @@
 
     explicit implementation(entry_settings wanted)
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
-          report_timer(strand), pools_timer(strand), drain_timer(strand), view_timer(strand),
-          signals(io, SIGTERM, SIGINT, SIGHUP),
+          report_timer(strand), catch_up_timer(strand), pools_timer(strand), drain_timer(strand),
+          view_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links,
@@ -112,6 +112,7 @@
     net::strand<net::io_context::executor_type> strand;
     net::steady_timer link_timer;
     net::steady_timer report_timer;
+    net::steady_timer catch_up_timer;
     net::steady_timer pools_timer;
     net::steady_timer drain_timer;
     net::steady_timer view_timer;
@@ -242,6 +243,8 @@
 
     void report();
 
+    void report_after(duration pause);
+
     // ------------------------------------------------------------------ the platform's list
 
     void poll_platform();
@@ -250,10 +253,11 @@
 
     // ------------------------------------------------------------------ life
 
-    template <typename Work>
-    void repeat(net::steady_timer& timer, duration every, Work work)
+    /// @param every how long to wait until the next time
+    template <typename Interval, typename Work>
+    void repeat(net::steady_timer& timer, Interval every, Work work)
     {
-        timer.expires_after(std::chrono::microseconds(every.us()));
+        timer.expires_after(std::chrono::microseconds(every().us()));
         timer.async_wait(
             [this, &timer, every, work](const boost::system::error_code& stopped)
             {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -166,25 +166,42 @@
     implementation& self = *m_implementation;
     self.links.want(self.settings.control);
     self.links.start();
-    self.repeat(self.link_timer, std::max(link_tick, self.settings.links.heartbeat * link_tick_share),
-                [&self]
-                {
-                    self.links.tick();
-                });
-    self.repeat(self.report_timer, self.settings.report_every,
-                [&self]
-                {
-                    self.report();
-                });
-    self.repeat(self.pools_timer, pools_every,
-                [&self]
-                {
-                    const auto now_in_force = self.table.load();
-                    if (now_in_force->placed)
-                    {
-                        self.configure_pools(*now_in_force->placed, nullptr);
-                    }
-                });
+    self.repeat(
+        self.link_timer,
+        [&self]
+        {
+            // Callers wait for the first link to control.
+            const bool serves = self.confirmed_at_us.load(std::memory_order_relaxed) != 0;
+            return serves ? std::max(link_tick, self.settings.links.heartbeat * link_tick_share) : link_tick;
+        },
+        [&self]
+        {
+            self.links.tick();
+        });
+    self.repeat(
+        self.report_timer,
+        [&self]
+        {
+            return self.settings.report_every;
+        },
+        [&self]
+        {
+            self.report();
+        });
+    self.repeat(
+        self.pools_timer,
+        []
+        {
+            return pools_every;
+        },
+        [&self]
+        {
+            const auto now_in_force = self.table.load();
+            if (now_in_force->placed)
+            {
+                self.configure_pools(*now_in_force->placed, nullptr);
+            }
+        });
     self.on_signal();
     if (self.settings.platform_list.port != 0)
     {
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -9,7 +9,6 @@
 {
 
 constexpr std::size_t most_message_bytes = std::size_t{64} << 20U;
-constexpr duration dial_again_after = duration::from_ms(200);
 
 } // namespace
 
@@ -111,7 +110,8 @@
         {
             if (known.wanted && known.dialled == 0 && now >= known.dial_at)
             {
-                known.dial_at = now + dial_again_after;
+                known.dial_at = now + known.dial_pause;
+                known.dialled_at = now;
                 known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
                 m_links[known.dialled];
             }
@@ -120,8 +120,12 @@
                 known.sent_at = now;
                 post_bytes(*known.links.rbegin(), bytes);
             }
-            if (known.dialled != 0 && now - known.heard_at > m_timing.redial &&
-                now - known.dial_at > m_timing.redial)
+            const bool silent_since_dialled = known.heard_at < known.dialled_at;
+            const duration bound = std::max(dial_bound, known.dial_pause * pauses_per_dial);
+            const bool hangs = silent_since_dialled && now - known.dialled_at > bound;
+            const bool silent_for_long =
+                now - known.heard_at > m_timing.redial && now - known.dialled_at > m_timing.redial;
+            if (known.dialled != 0 && (hangs || silent_for_long))
             {
                 // The connection may stand and yet carry nothing any more.
                 m_endpoint.close(known.dialled);
@@ -160,7 +164,8 @@
             if (known.dialled == id)
             {
                 known.dialled = 0;
-                known.dial_at = m_clock.now() + dial_again_after;
+                known.dial_at = m_clock.now() + known.dial_pause;
+                known.dial_pause = std::min(known.dial_pause * 2.0, longest_dial_pause);
             }
             if (known.links.erase(id) > 0 && known.links.empty() && known.reachable)
             {
@@ -210,6 +215,7 @@
         from = here.from;
         peer& known = m_peers[from.name];
         known.heard_at = m_clock.now();
+        known.dial_pause = first_dial_pause;
         came_back = !known.reachable;
         known.reachable = true;
     }
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -61,12 +61,25 @@
   private:
     using link_id = link_endpoint::link_id;
 
+    /// A peer that starts at the same moment listens within this; the pause doubles up to the longest one.
+    static constexpr duration first_dial_pause = duration::from_ms(20);
+    static constexpr duration longest_dial_pause = duration::from_ms(200);
+    /// A dial on which nothing was heard for this long is tried anew: several round trips between regions and
+    /// a start on a busy instance. A machine without power says nothing, and the system itself tries again
+    /// only after a second.
+    static constexpr duration dial_bound = duration::from_ms(300);
+    /// It grows with the pause between tries, so that a peer that is merely slow is reached in the end.
+    static constexpr double pauses_per_dial = 10.0;
+
     struct peer
     {
         address at;
         bool wanted = false;
         link_id dialled = 0;
         time_point dial_at{};
+        time_point dialled_at{};
+        /// How long to wait until the next try.
+        duration dial_pause = first_dial_pause;
         /// Links on which the peer said its name; the newest is used.
         std::set<link_id> links;
         time_point heard_at{};
