Backend servers that refuse or lose attempts come last; hopeless fan-outs are refused at once

Each backend server's share of failed attempts is now kept, fading with time; one that fails more only gets what the other one has more of. (2) Fan-outs of which too many shards had no backend server ran the others all the same and ended as failed (502); they are refused at once now, with a time to come back. (3) After a loss of power backend servers count the connections of the earlier life for some seconds and reset what is over their limit: a connection beyond the first that rests for a second is closed.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -76,6 +76,10 @@
     /// @return how long a new subquery of this shard would wait for a slot
     duration estimated_wait(int shard) const;
 
+    /// @return why a new subquery of this shard can't be run at all now, or @ref missing_reason::none
+    /// @param retry_after set to when that ends, as far as it is known
+    missing_reason why_unavailable(int shard, time_point now, duration& retry_after) const;
+
     /// @return after how long an attempt now counts as late, on a backend server without a tail of its own
     duration late_after_now() const;
 
@@ -174,6 +178,7 @@
     connection_share own_share(const server_state& server) const;
     int slots_of(const server_state& server) const;
     bool has_slot(const server_state& server, time_point now) const;
+    double failing(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
     duration late_after(const server_state& server) const;
     bool is_stuck(const server_state& server) const noexcept;
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -58,6 +58,9 @@
     duration ask_leaving_alone = duration::from_ms(2000);
     /// A backend server without an observation for this long is tried as if it were as fast as the others.
     duration observation_age = duration::from_ms(5000);
+    /// What a backend server refused or lost is half forgotten after this long: some attempts' worth, so that
+    /// it is soon used again once it serves, and rarely tried while it doesn't. Zero: it doesn't count.
+    duration failure_half_life{};
     /// A backend server counts as slower only beyond this ratio.
     double slower_ratio = 1.5;
 
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/catalog/backend_server.hpp>
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/dispatch/failure_rate.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/subquery.hpp>
 
@@ -48,6 +49,8 @@
     /// The versions it said it holds; nothing before its first answer.
     std::optional<std::vector<index_version>> versions;
 
+    /// Attempts that it refused or lost, among its recent ones.
+    failure_rate failures;
     int failures_in_row = 0;
     int ejections_in_row = 0;
     time_point ejected_until{};
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -186,7 +186,8 @@
 
     lane_index lane_of(const service_name& service);
     std::vector<part> parts_of(const route& by, const routed_request& request);
-    void refuse(request_number number, const route* by, missing_reason reason);
+    void refuse(request_number number, const route* by, missing_reason reason, duration retry_after = {});
+    bool refuse_unservable(request_number number, const route& by, time_point now);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
                  bool again, time_point now);
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -21,6 +21,8 @@
     std::size_t most_requests = 2000;
     /// When a caller that was refused for want of a backend server or of room shall come back, at least.
     duration least_retry = duration::from_ms(100);
+    /// The same where no backend server is registered: heartbeats come about every second.
+    duration registration_retry = duration::from_ms(500);
 
     /// What the way to and from another entry is taken to cost before it was measured: two regions apart, and
     /// within one region on a busy instance.
--- a/src/dispatch/scheduler_detail.hpp
+++ b/src/dispatch/scheduler_detail.hpp
@@ -13,6 +13,10 @@
 inline constexpr double most_late_ratio = 3.0;
 /// Outliers count in the moving average at most as this multiple of the median.
 inline constexpr double outlier_ratio = 4.0;
+/// A backend server that fails nearly always counts as this bad, so that there is still an order among such.
+inline constexpr double most_failing = 0.95;
+/// Failure rates that differ by less are alike: about one failure among the attempts remembered.
+inline constexpr double failing_band = 0.15;
 inline constexpr double slowest_average_weight = 0.1;
 /// Weight of one attempt in the mean time for which a slot is held.
 inline constexpr double mean_hold_weight = 0.01;
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -84,6 +84,12 @@
         server.cancel_failures_in_row = 0;
     }
     const server_index index = ended.server;
+    const bool failed = result.status == attempt_status::shed ||
+                        result.status == attempt_status::unreachable || result.status == attempt_status::cut;
+    if (failed || result.status == attempt_status::answered)
+    {
+        server.failures.note(failed, now, std::max(m_options.failure_half_life, duration::from_ms(1)));
+    }
     if (result.status == attempt_status::shed)
     {
         server.shed_at = now;
@@ -269,6 +275,17 @@
     m_work.erase(found);
 }
 
+missing_reason scheduler::why_unavailable(int shard, time_point now, duration& retry_after) const
+{
+    if (!is_known_shard(shard))
+    {
+        return missing_reason::no_backend_server;
+    }
+    work any;
+    any.wanted.shard = shard;
+    return why_not_runnable(any, now, retry_after);
+}
+
 missing_reason scheduler::why_not_runnable(const work& item, time_point now, duration& retry_after) const
 {
     const auto& replicas = m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas;
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -92,7 +92,15 @@
 duration scheduler::expected_latency(const server_state& server, time_point now) const
 {
     const bool known = server.recent_samples > 0 && now - server.observed_at < m_options.observation_age;
-    return known ? server.recent_latency : m_latency.median();
+    const duration latency = known ? server.recent_latency : m_latency.median();
+    // Each failure costs another attempt, there or elsewhere.
+    return latency * (1.0 / (1.0 - std::min(failing(server, now), most_failing)));
+}
+
+double scheduler::failing(const server_state& server, time_point now) const
+{
+    const bool counts = m_options.failure_half_life > duration{};
+    return counts ? server.failures.at(now, m_options.failure_half_life) : 0.0;
 }
 
 duration scheduler::median_latency() const noexcept
@@ -138,6 +146,17 @@
     {
         return is_stuck(b);
     }
+    const double more_failing = failing(a, now) - failing(b, now);
+    // One that refuses or loses attempts only gets what the other has enough of: each failure costs another
+    // attempt, of which there are few.
+    if (more_failing < -failing_band && a.in_use <= b.in_use)
+    {
+        return true;
+    }
+    if (more_failing > failing_band && b.in_use <= a.in_use)
+    {
+        return false;
+    }
     const duration latency_a = expected_latency(a, now);
     const duration latency_b = expected_latency(b, now);
     if (latency_a * m_options.slower_ratio < latency_b)
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -17,6 +17,8 @@
 constexpr double unknown_allowance = 0.01;
 /// Half of the slack may be spent at once, and half comes with time: no window sees more than all of it.
 constexpr double at_once = 0.5;
+/// An entry sends a backend server a few attempts a second; about ten of them are remembered.
+constexpr duration failure_half_life = duration::from_ms(2000);
 
 } // namespace
 
@@ -27,6 +29,7 @@
     m_options.scheduling.late_by_server = true;
     m_options.scheduling.cancel_losers = false;
     m_options.scheduling.avoid_stuck = true;
+    m_options.scheduling.failure_half_life = failure_half_life;
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -134,17 +137,45 @@
 // requests
 // ---------------------------------------------------------------------------------------------------------
 
-void router::refuse(request_number number, const route* by, missing_reason reason)
+void router::refuse(request_number number, const route* by, missing_reason reason, duration retry_after)
 {
     routed_outcome told;
     told.end = routed_end::refused;
     told.reason = reason;
-    told.retry_after = m_options.least_retry;
+    told.retry_after = std::max(m_options.least_retry, retry_after);
     told.route = by == nullptr ? std::string() : by->name;
     told.revision = m_view.placed ? m_view.placed->revision : 0;
     m_actions.emplace_back(answer_request{number, std::move(told)});
 }
 
+/// Refuses a fan-out of which too many shards have no backend server that could be asked: running the others
+/// would only take their time.
+/// @return whether it was refused
+bool router::refuse_unservable(request_number number, const route& by, time_point now)
+{
+    std::vector<duration> returns;
+    for (const service_name& service : by.fan_out)
+    {
+        duration retry_after = m_options.registration_retry;
+        const dispatch::scheduler* scheduler = scheduler_of(service);
+        if (scheduler == nullptr || scheduler->why_unavailable(0, now, retry_after) != missing_reason::none)
+        {
+            returns.push_back(retry_after);
+        }
+    }
+    const auto all = static_cast<double>(by.fan_out.size());
+    const double needed = by.least_share * all;
+    if (all - static_cast<double>(returns.size()) >= needed && returns.size() < by.fan_out.size())
+    {
+        return false;
+    }
+    // It can be served once enough of them are back.
+    std::sort(returns.begin(), returns.end());
+    const auto may_miss = std::min(static_cast<std::size_t>(all - needed), returns.size() - 1);
+    refuse(number, &by, missing_reason::no_backend_server, returns[returns.size() - 1 - may_miss]);
+    return true;
+}
+
 std::vector<router::part> router::parts_of(const route& by, const routed_request& request)
 {
     std::vector<part> parts;
@@ -223,6 +254,10 @@
         refuse(number, by.get(), missing_reason::overloaded);
         return;
     }
+    if (by->fans_out() && !request->is_asked() && refuse_unservable(number, *by, now))
+    {
+        return;
+    }
     open_request& opened = m_open[number];
     opened.by = by;
     opened.list = list;
--- a/src/shell/connection_pool.cpp
+++ b/src/shell/connection_pool.cpp
@@ -42,6 +42,9 @@
 constexpr std::uint64_t most_reply_bytes = std::uint64_t{64} << 20U;
 /// A connection rests for this share of what the peer allows, at most: its close may be on its way.
 constexpr double rest_share = 0.8;
+/// Beyond one, a connection that rested this long is closed. A backend server that doesn't learn of an
+/// instance's loss of power still counts its connections for some seconds, beside the new ones.
+constexpr duration surplus_rest = duration::from_ms(1000);
 
 std::chrono::microseconds to_chrono(duration span)
 {
@@ -170,11 +173,23 @@
         {
             used->rests_since = clock.now();
             idle.push_back(std::move(used));
+            close_surplus();
             return;
         }
         --open;
     }
 
+    /// Those in front were used least lately.
+    void close_surplus()
+    {
+        const auto kept = static_cast<std::size_t>(std::max(warm, 1));
+        while (idle.size() > kept && clock.now() - idle.front()->rests_since > surplus_rest)
+        {
+            idle.erase(idle.begin());
+            --open;
+        }
+    }
+
     void shrink()
     {
         while (open > most && !idle.empty())
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -349,6 +349,29 @@
     }
 }
 
+TEST_CASE("a fan-out of which too many shards have no backend server is refused at once", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(4, 0.75)}}, 3);
+
+    SECTION("one missing shard is within what the route may miss")
+    {
+        driver.ask("/all/x");
+        CHECK(driver.started.size() == 3);
+        CHECK(driver.answers.empty());
+    }
+    SECTION("two are not: nothing is run, and the caller is told when to come back")
+    {
+        driver.serve({{"all", fan_out_over(4, 0.75)}}, 2);
+        const request_number number = driver.ask("/all/x");
+        CHECK(driver.started.empty());
+        REQUIRE(driver.answers.count(number) == 1);
+        CHECK(driver.answers.at(number).end == routed_end::refused);
+        CHECK(driver.answers.at(number).reason == missing_reason::no_backend_server);
+        CHECK(driver.answers.at(number).retry_after == router_options{}.registration_retry);
+    }
+}
+
 TEST_CASE("a request to one service", "[router]")
 {
     router_driver driver;
--- a/tests/src/unit-scheduler-shared.cpp
+++ b/tests/src/unit-scheduler-shared.cpp
@@ -144,3 +144,69 @@
         CHECK(driver.attempt_of(driver.submit()).server.str() == stuck);
     }
 }
+
+TEST_CASE("a backend server that refuses or loses attempts", "[scheduler]")
+{
+    scheduler_options options = shared_options();
+    options.failure_half_life = duration::from_ms(2000);
+    scheduler_driver driver(make_service(1, 2), options);
+    driver.warm_up(40);
+    // Refuses most, and answers the rest faster than the other one does.
+    const auto serve_one = [&]
+    {
+        const subquery_id id = driver.submit();
+        const auto begun = driver.attempt_of(id);
+        const bool refuses = begun.server.str() == "0a";
+        driver.pass(refuses ? 1 : 5);
+        refuses ? driver.fail(begun.attempt, attempt_status::shed) : driver.answer(begun.attempt);
+        driver.pass(20);
+        while (!driver.running.empty())
+        {
+            driver.answer(driver.running.begin()->first);
+        }
+        return begun.server.str();
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        serve_one();
+    }
+
+    SECTION("gets no first attempts while the other one has room")
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            CHECK(serve_one() == "0b");
+        }
+    }
+    SECTION("gets what the other one has more of")
+    {
+        const subquery_id first = driver.submit();
+        const subquery_id second = driver.submit();
+        CHECK(driver.attempt_of(first).server.str() == "0b");
+        CHECK(driver.attempt_of(second).server.str() == "0a");
+    }
+    SECTION("is tried again after a while")
+    {
+        driver.pass(20000);
+        driver.submit();
+        driver.submit();
+        CHECK(driver.running_on("0a") == 1);
+        CHECK(driver.running_on("0b") == 1);
+    }
+}
+
+TEST_CASE("the failure rate", "[scheduler]")
+{
+    const duration half_life = duration::from_ms(1000);
+    time_point now{duration::from_ms(5000)};
+    failure_rate rate;
+    CHECK(rate.at(now, half_life) == 0.0);
+    for (int i = 0; i < 100; ++i)
+    {
+        rate.note(true, now, half_life);
+    }
+    CHECK(rate.at(now, half_life) == Approx(1.0).margin(0.001));
+    CHECK(rate.at(now + half_life, half_life) == Approx(0.5).margin(0.001));
+    rate.note(false, now + half_life, half_life);
+    CHECK(rate.at(now + half_life, half_life) < 0.5);
+}
