--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -89,6 +89,9 @@
     /// @return the versions that the shard's backend servers are known to hold, sorted
     std::vector<index_version> held_versions(int shard) const;
 
+    /// @return the share of its recent attempts that a backend server refused or lost, as it counts now
+    double failure_rate_of(const backend_server_name& server, time_point now) const;
+
     /// @return the state of each backend server, by name
     std::vector<const server_state*> servers() const;
 
--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -77,6 +77,9 @@
     /// @return whether it leads and no other can lead now; only then may it answer from its state
     bool has_lease(time_point now) const;
 
+    /// @return whether it gives no vote yet, since its earlier life may be part of a lease
+    bool awaits_earlier_lease() const noexcept;
+
     /// @return whether it leads and an entry of its own term is committed
     bool is_ready_leader() const noexcept;
 
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -11,7 +11,7 @@
 /// @brief What can be turned in a @ref router.
 struct router_options
 {
-    dispatch::scheduler_options scheduling;
+    dispatch::scheduler_options scheduling = usual_scheduling();
     /// A fan-out answers with what is in once this share of the objective has passed: the rest is the way
     /// to and from the caller, counted from the caller's own start.
     double objective_share = 0.85;
@@ -51,6 +51,15 @@
     double owners_share = 0.7;
 
     bool operator==(const router_options&) const = default;
+
+  private:
+    static dispatch::scheduler_options usual_scheduling() noexcept
+    {
+        dispatch::scheduler_options options;
+        // An entry sends a backend server a few attempts a second, so that some ten of them count.
+        options.failure_half_life = duration::from_ms(2000);
+        return options;
+    }
 };
 
 } // namespace flaxtiller
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -135,6 +135,12 @@
 void control_process::implementation::note_changes()
 {
     quorum::replica* node = catalog.node();
+    if (node != nullptr && awaits_lease && !node->awaits_earlier_lease())
+    {
+        log(log_level::info, "earlier_lease_over",
+            {{"after_ms", (clock.now() - started_at).ms()}, {"leader", node->leader().str()}});
+    }
+    awaits_lease = node != nullptr && node->awaits_earlier_lease();
     const bool leads = node != nullptr && node->is_ready_leader();
     if (leads != led)
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -118,6 +118,8 @@
     /// The replicas that the hub was told of and that were linked to last.
     std::set<std::string> linked;
     bool pump_posted = false;
+    /// Whether the catalog's replica gave no vote yet, when last looked at.
+    bool awaits_lease = false;
     bool led = false;
     time_point led_since{};
     const time_point started_at = clock.now();
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -103,6 +103,12 @@
     return counts ? server.failures.at(now, m_options.failure_half_life) : 0.0;
 }
 
+double scheduler::failure_rate_of(const backend_server_name& server, time_point now) const
+{
+    const auto known = m_server_index.find(server);
+    return known == m_server_index.end() ? 0.0 : failing(m_servers[known->second], now);
+}
+
 duration scheduler::median_latency() const noexcept
 {
     return m_latency.median();
--- a/src/quorum/replica.cpp
+++ b/src/quorum/replica.cpp
@@ -86,6 +86,11 @@
     return std::exchange(m_output, output{});
 }
 
+bool replica::awaits_earlier_lease() const noexcept
+{
+    return m_hold.has_value();
+}
+
 bool replica::is_ready_leader() const noexcept
 {
     return m_role == role::leader && m_log.term_at(m_commit) == m_hard.term;
@@ -160,58 +165,6 @@
     m_hold.reset();
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// after a restart
-// ---------------------------------------------------------------------------------------------------------
-
-void replica::query_leadership(time_point now)
-{
-    if (!heard_leader_recently(now))
-    {
-        // Whatever lease its earlier life was part of is over.
-        m_hold.reset();
-        return;
-    }
-    m_query_due = now + m_timing.query_every;
-    for (const auto& [name, item] : m_log.members().members)
-    {
-        if (name != m_name && item.voter && m_hold->awaits(name))
-        {
-            // To whoever lives under that name now, be it on another disk.
-            send(name, 0, leadership_query{m_hold->life()}, false);
-        }
-    }
-}
-
-void replica::on_leadership_query(const message& received, const leadership_query& body)
-{
-    send(received.from, received.from_incarnation,
-         leadership_reply{body.life, m_role == role::leader, m_log.members()}, false);
-}
-
-void replica::on_leadership_reply(const message& received, const leadership_reply& body, time_point now)
-{
-    if (!m_hold)
-    {
-        return;
-    }
-    m_hold->take(received.from, received.from_incarnation, body, m_log.members());
-    if (!m_hold->is_ruled_out(m_name, m_log.members()))
-    {
-        return;
-    }
-    m_hold.reset();
-    m_leader_heard_at = now - m_timing.election_min;
-    m_stands_early_until = now + m_timing.election_min;
-    m_election_deadline = std::min(m_election_deadline, now + early_election_delay());
-}
-
-duration replica::early_election_delay()
-{
-    std::uniform_int_distribution<std::int64_t> draw(0, m_timing.early_election_spread.us());
-    return duration::from_us(draw(m_random));
-}
-
 void replica::check_quorum(time_point now)
 {
     const bool alive = m_log.members().majority_of(
@@ -227,149 +180,6 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// election
-// ---------------------------------------------------------------------------------------------------------
-
-void replica::become_follower(term_number term, const replica_name& leader, time_point now)
-{
-    if (term > m_hard.term)
-    {
-        m_hard.term = term;
-        m_hard.voted_for = {};
-        persist_hard();
-    }
-    m_role = role::follower;
-    m_leader = leader;
-    m_votes.clear();
-    m_progress.clear();
-    reset_election_deadline(now);
-}
-
-void replica::start_election(bool trial, time_point now)
-{
-    reset_election_deadline(now);
-    if (now < m_stands_early_until)
-    {
-        // The others may not have ruled out an earlier lease yet: answers to their queries are on their way.
-        m_election_deadline = now + m_timing.query_every + early_election_delay();
-    }
-    const bool may_lead = m_log.members().is_voter(m_name, m_incarnation);
-    const bool lost_entries = m_log.last_index() < m_hard.known_commit;
-    if (!may_lead || lost_entries)
-    {
-        return;
-    }
-    m_role = trial ? role::pre_candidate : role::candidate;
-    m_leader = {};
-    m_votes.clear();
-    if (!trial)
-    {
-        ++m_hard.term;
-        m_hard.voted_for = m_name;
-        persist_hard();
-    }
-    const vote_request request{trial, m_log.last_index(), m_log.last_term()};
-    for (const auto& [name, item] : m_log.members().members)
-    {
-        if (name != m_name && item.voter)
-        {
-            send(name, item.incarnation, request, !trial);
-        }
-    }
-    count_vote(m_name, now);
-}
-
-void replica::count_vote(const replica_name& voter, time_point now)
-{
-    m_votes.insert(voter);
-    const bool won = m_log.members().majority_of(
-        [&](const member& item)
-        {
-            return m_votes.count(item.name) > 0;
-        });
-    if (!won)
-    {
-        return;
-    }
-    if (m_role == role::pre_candidate)
-    {
-        start_election(false, now);
-    }
-    else if (m_role == role::candidate)
-    {
-        become_leader(now);
-    }
-}
-
-void replica::become_leader(time_point now)
-{
-    m_role = role::leader;
-    m_leader = m_name;
-    m_progress.clear();
-    refresh_progress(now);
-    log_entry opening;
-    opening.kind = entry_kind::no_operation;
-    append_own(std::move(opening));
-    replicate_to_all(now);
-    m_heartbeat_due = now + m_timing.heartbeat;
-}
-
-bool replica::is_up_to_date(const vote_request& body) const
-{
-    const auto theirs = std::pair(body.last_term, body.last_index);
-    const auto ours = std::pair(m_log.last_term(), m_log.last_index());
-    return theirs >= ours && body.last_index >= m_hard.known_commit;
-}
-
-void replica::on_vote_request(const message& received, const vote_request& body, time_point now)
-{
-    const auto answer = [&](bool granted)
-    {
-        send(received.from, received.from_incarnation, vote_reply{body.trial, granted},
-             granted && !body.trial);
-    };
-
-    if (m_role == role::leader || heard_leader_recently(now))
-    {
-        answer(false);
-        return;
-    }
-    if (body.trial)
-    {
-        answer(received.term > m_hard.term && is_up_to_date(body));
-        return;
-    }
-    if (received.term > m_hard.term)
-    {
-        become_follower(received.term, {}, now);
-    }
-    const bool free_to_vote = m_hard.voted_for.empty() || m_hard.voted_for == received.from;
-    const bool granted = received.term == m_hard.term && free_to_vote && is_up_to_date(body);
-    if (granted && m_hard.voted_for.empty())
-    {
-        m_hard.voted_for = received.from;
-        persist_hard();
-        m_stands_early_until = now;
-        reset_election_deadline(now);
-    }
-    answer(granted);
-}
-
-void replica::on_vote_reply(const message& received, const vote_reply& body, time_point now)
-{
-    const bool expected = body.trial ? m_role == role::pre_candidate : m_role == role::candidate;
-    const bool same_round = body.trial || received.term == m_hard.term;
-    if (!expected || !same_round || !body.granted)
-    {
-        return;
-    }
-    if (m_log.members().is_voter(received.from, received.from_incarnation))
-    {
-        count_vote(received.from, now);
-    }
-}
-
 // ---------------------------------------------------------------------------------------------------------
 // messages
 // ---------------------------------------------------------------------------------------------------------
--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -149,17 +149,20 @@
     const exchange_end end = reply.end;
     const int status = reply.status;
     routed_reply read = m_codec.read_reply(std::move(reply), sent.part);
-    if (read.result.status != dispatch::attempt_status::answered)
+    const bool failed = read.result.status != dispatch::attempt_status::answered;
+    m_router.attempt_ended(sent.attempt, read.result, std::move(read.answer), now);
+    if (failed)
     {
+        const dispatch::scheduler* scheduler = m_router.scheduler_of(sent.service);
         log(log_level::info, "attempt_failed",
             {{"request", sent.sent->id},
              {"service", sent.service.str()},
              {"backend_server", sent.server.str()},
              {"end", name_of(end)},
              {"status", status},
-             {"after_ms", (now - sent_at).ms()}});
+             {"after_ms", (now - sent_at).ms()},
+             {"failure_rate", scheduler == nullptr ? 0.0 : scheduler->failure_rate_of(sent.server, now)}});
     }
-    m_router.attempt_ended(sent.attempt, read.result, std::move(read.answer), now);
     carry_out();
 }
 
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -132,6 +132,7 @@
     reader.number("most_attempts", into.most_attempts, 1, 16);
     read_ms(reader, "first_late_after_ms", into.first_late_after, 1.0, hour_ms);
     read_ms(reader, "cancel_bound_ms", into.cancel_bound, 1.0, hour_ms);
+    read_ms(reader, "failure_half_life_ms", into.failure_half_life, 0.0, hour_ms);
     reader.number("eject_after", into.eject_after, 1, 1000);
     read_ms(reader, "eject_first_ms", into.eject_first, 1.0, hour_ms);
     read_ms(reader, "eject_most_ms", into.eject_most, 1.0, hour_ms);
@@ -146,6 +147,8 @@
     read_ms(reader, "heartbeat_ms", into.heartbeat, 1.0, hour_ms);
     read_ms(reader, "election_min_ms", into.election_min, 1.0, hour_ms);
     read_ms(reader, "election_max_ms", into.election_max, 1.0, hour_ms);
+    read_ms(reader, "query_every_ms", into.query_every, 1.0, hour_ms);
+    read_ms(reader, "early_election_spread_ms", into.early_election_spread, 0.0, hour_ms);
     reader.number("clock_drift", into.clock_drift, 0.0, 0.2);
     constexpr double heartbeats_per_election = 2.0;
     if (into.heartbeat * heartbeats_per_election > into.election_min)
@@ -176,6 +179,7 @@
     read_ms(reader, "way_back_ms", into.way_back, 0.0, hour_ms);
     reader.number("requests", into.most_requests, std::size_t{1}, std::size_t{1} << 30U);
     read_ms(reader, "least_retry_ms", into.least_retry, 0.0, hour_ms);
+    read_ms(reader, "registration_retry_ms", into.registration_retry, 0.0, hour_ms);
     reader.number("retry_ratio", into.retry_ratio, 0.0, 10.0);
     reader.number("retry_slack", into.retry_slack, 0.0, 1e6);
     read_ms(reader, "retry_window_ms", into.retry_window, 1.0, hour_ms);
