A hung dial lengthens the next pause; restored registrations are confirmed by word between replicas sooner

Found by reading the diff: a dial that hung was closed without the pause between tries growing, so that its bound never grew; and the first word on who was heard came 3 s after a restore, shortly before unheard ones are called lost at 3.6 s.

--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -2,6 +2,8 @@
 
 #include "log.hpp"
 
+#include <algorithm>
+
 namespace flaxtiller::shell
 {
 
@@ -131,6 +133,7 @@
                 m_endpoint.close(known.dialled);
                 known.links.erase(known.dialled);
                 known.dialled = 0;
+                known.dial_pause = std::min(known.dial_pause * 2.0, longest_dial_pause);
             }
             if (known.reachable && now - known.heard_at > m_timing.silence)
             {
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -43,6 +43,7 @@
     const std::size_t count = m_registry.restore(std::exchange(m_before, {}), now);
     log(log_level::info, "registrations_restored", {{"items", count}});
     m_spread_at = now;
+    m_tell_at = now + tell_unconfirmed_every;
     note_changes(true, now);
 }
 
