--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -43,6 +43,12 @@
 
     bool operator==(const registration&) const = default;
 
+    /// @return whether it neither deregistered nor was lost
+    bool is_present() const noexcept
+    {
+        return state == registration_state::ready || state == registration_state::draining;
+    }
+
     /// @return whether only the sequence and the warm-up differ
     bool same_standing(const registration& other) const
     {
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -94,7 +94,7 @@
     void confirm(known& item) noexcept;
     void lose(known& item);
     template <typename Condition>
-    bool drop_unconfirmed_if(Condition drops);
+    bool lose_if(Condition loses);
 
     std::map<backend_server_name, known> m_known;
     std::vector<registration> m_changes;
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -3,7 +3,6 @@
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
 #include <algorithm>
-#include <chrono>
 
 namespace flaxtiller::shell
 {
@@ -53,9 +52,13 @@
     const bool fell_behind = behind && behind_since == time_point::never();
     behind_since = behind ? std::min(behind_since, now) : time_point::never();
     note_confirmed();
-    if (fell_behind && confirmed_at_us.load(std::memory_order_relaxed) == 0)
+    if (fell_behind && !serves())
     {
-        report_after(first_revision_bound);
+        after(catch_up_timer, first_revision_bound,
+              [this]
+              {
+                  report();
+              });
     }
     if (word.instances != entries && word.instances > 0)
     {
@@ -72,7 +75,7 @@
     {
         return;
     }
-    const bool first = confirmed_at_us.load(std::memory_order_relaxed) == 0;
+    const bool first = !serves();
     confirmed_at_us.store((clock.now() - *age).since_start().us(), std::memory_order_release);
     if (first)
     {
@@ -226,8 +229,7 @@
 
 std::string entry_process::implementation::choose_followed(time_point now)
 {
-    const bool serves = confirmed_at_us.load(std::memory_order_relaxed) != 0;
-    if (now - behind_since >= (serves ? follow_lag_bound : first_revision_bound))
+    if (now - behind_since >= (serves() ? follow_lag_bound : first_revision_bound))
     {
         // It should have had the revision by now. The leader has it.
         not_followed_until[followed] = now + not_followed_for;
@@ -258,19 +260,6 @@
     return best.empty() ? leader : best;
 }
 
-void entry_process::implementation::report_after(duration pause)
-{
-    catch_up_timer.expires_after(std::chrono::microseconds(pause.us()));
-    catch_up_timer.async_wait(
-        [this](const boost::system::error_code& stopped)
-        {
-            if (!stopped)
-            {
-                report();
-            }
-        });
-}
-
 void entry_process::implementation::report()
 {
     const time_point now = clock.now();
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -243,7 +243,11 @@
 
     void report();
 
-    void report_after(duration pause);
+    /// @return whether its configuration was ever confirmed, so that it serves callers
+    bool serves() const noexcept
+    {
+        return confirmed_at_us.load(std::memory_order_relaxed) != 0;
+    }
 
     // ------------------------------------------------------------------ the platform's list
 
@@ -253,22 +257,45 @@
 
     // ------------------------------------------------------------------ life
 
-    /// @param every how long to wait until the next time
-    template <typename Interval, typename Work>
-    void repeat(net::steady_timer& timer, Interval every, Work work)
+    /// @brief Does @a work once, unless the timer is stopped or set anew before.
+    template <typename Work>
+    void after(net::steady_timer& timer, duration pause, Work work)
     {
-        timer.expires_after(std::chrono::microseconds(every().us()));
+        timer.expires_after(std::chrono::microseconds(pause.us()));
         timer.async_wait(
-            [this, &timer, every, work](const boost::system::error_code& stopped)
+            [work](const boost::system::error_code& stopped)
             {
                 if (!stopped)
                 {
                     work();
-                    repeat(timer, every, work);
                 }
             });
     }
 
+    /// @param every tells how long to wait until the next time
+    template <typename Interval, typename Work>
+    void repeat(net::steady_timer& timer, Interval every, Work work)
+    {
+        after(timer, every(),
+              [this, &timer, every, work]
+              {
+                  work();
+                  repeat(timer, every, work);
+              });
+    }
+
+    template <typename Work>
+    void repeat(net::steady_timer& timer, duration every, Work work)
+    {
+        repeat(
+            timer,
+            [every]
+            {
+                return every;
+            },
+            work);
+    }
+
     void on_signal();
 
     void drain();
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <chrono>
 
 namespace flaxtiller::shell
 {
@@ -157,15 +156,11 @@
         return;
     }
     view_due = true;
-    view_timer.expires_after(std::chrono::microseconds(gather.us()));
-    view_timer.async_wait(
-        [this](const boost::system::error_code& stopped)
-        {
-            if (!stopped)
-            {
-                update_routed();
-            }
-        });
+    after(view_timer, gather,
+          [this]
+          {
+              update_routed();
+          });
 }
 
 void entry_process::implementation::update_routed()
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -119,15 +119,11 @@
             routed->drain();
         }
     }
-    drain_timer.expires_after(std::chrono::microseconds(check_every.us()));
-    drain_timer.async_wait(
-        [this, quiet](const boost::system::error_code& stopped)
-        {
-            if (!stopped)
-            {
-                check_drained(quiet);
-            }
-        });
+    after(drain_timer, check_every,
+          [this, quiet]
+          {
+              check_drained(quiet);
+          });
 }
 
 entry_process::entry_process(entry_settings settings)
@@ -171,37 +167,27 @@
         [&self]
         {
             // Callers wait for the first link to control.
-            const bool serves = self.confirmed_at_us.load(std::memory_order_relaxed) != 0;
-            return serves ? std::max(link_tick, self.settings.links.heartbeat * link_tick_share) : link_tick;
+            return self.serves() ? std::max(link_tick, self.settings.links.heartbeat * link_tick_share)
+                                 : link_tick;
         },
         [&self]
         {
             self.links.tick();
         });
-    self.repeat(
-        self.report_timer,
-        [&self]
-        {
-            return self.settings.report_every;
-        },
-        [&self]
-        {
-            self.report();
-        });
-    self.repeat(
-        self.pools_timer,
-        []
-        {
-            return pools_every;
-        },
-        [&self]
-        {
-            const auto now_in_force = self.table.load();
-            if (now_in_force->placed)
-            {
-                self.configure_pools(*now_in_force->placed, nullptr);
-            }
-        });
+    self.repeat(self.report_timer, self.settings.report_every,
+                [&self]
+                {
+                    self.report();
+                });
+    self.repeat(self.pools_timer, pools_every,
+                [&self]
+                {
+                    const auto now_in_force = self.table.load();
+                    if (now_in_force->placed)
+                    {
+                        self.configure_pools(*now_in_force->placed, nullptr);
+                    }
+                });
     self.on_signal();
     if (self.settings.platform_list.port != 0)
     {
@@ -257,7 +243,7 @@
 bool entry_process::is_ready() const
 {
     const implementation& self = *m_implementation;
-    return !self.draining && self.confirmed_at_us.load(std::memory_order_relaxed) != 0;
+    return !self.draining && self.serves();
 }
 
 } // namespace flaxtiller::shell
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -14,9 +14,14 @@
 /// A word this fresh may just not have reached the other process yet.
 constexpr duration settle_bound = duration::from_ms(2000);
 
-bool is_present(const registration& said)
+std::set<backend_server_name> ids_of(const std::vector<registration>& items)
 {
-    return said.state == registration_state::ready || said.state == registration_state::draining;
+    std::set<backend_server_name> ids;
+    for (const registration& item : items)
+    {
+        ids.insert(item.id);
+    }
+    return ids;
 }
 
 } // namespace
@@ -99,7 +104,7 @@
     std::size_t taken = 0;
     for (const registration& said : before)
     {
-        if (!is_present(said) || m_known.count(said.id) > 0)
+        if (!said.is_present() || m_known.count(said.id) > 0)
         {
             continue;
         }
@@ -113,16 +118,12 @@
 }
 
 template <typename Condition>
-bool registry::drop_unconfirmed_if(Condition drops)
+bool registry::lose_if(Condition loses)
 {
-    if (m_unconfirmed == 0)
-    {
-        return false;
-    }
     bool changed = false;
     for (auto& [id, item] : m_known)
     {
-        if (item.unconfirmed && drops(id, item))
+        if (loses(id, item))
         {
             lose(item);
             changed = true;
@@ -133,24 +134,24 @@
 
 bool registry::drop_unconfirmed(duration age, time_point now)
 {
-    return drop_unconfirmed_if(
-        [&](const backend_server_name&, const known& item)
-        {
-            return now - item.heard_at > age;
-        });
+    return has_unconfirmed() && lose_if(
+                                    [&](const backend_server_name&, const known& item)
+                                    {
+                                        return item.unconfirmed && now - item.heard_at > age;
+                                    });
 }
 
 bool registry::drop_unconfirmed(const std::vector<registration>& all)
 {
-    std::set<backend_server_name> listed;
-    for (const registration& item : all)
+    if (!has_unconfirmed())
     {
-        listed.insert(item.id);
+        return false;
     }
-    return drop_unconfirmed_if(
-        [&](const backend_server_name& id, const known&)
+    const std::set<backend_server_name> listed = ids_of(all);
+    return lose_if(
+        [&](const backend_server_name& id, const known& item)
         {
-            return listed.count(id) == 0;
+            return item.unconfirmed && listed.count(id) == 0;
         });
 }
 
@@ -170,34 +171,21 @@
 
 bool registry::keep_only(const std::vector<registration>& all, time_point now)
 {
-    std::set<backend_server_name> listed;
-    for (const registration& item : all)
-    {
-        listed.insert(item.id);
-    }
-    bool changed = false;
-    for (auto& [id, item] : m_known)
-    {
-        if (is_present(item.said) && listed.count(id) == 0 && now - item.heard_at > settle_bound)
+    const std::set<backend_server_name> listed = ids_of(all);
+    return lose_if(
+        [&](const backend_server_name& id, const known& item)
         {
-            lose(item);
-            changed = true;
-        }
-    }
-    return changed;
+            return item.said.is_present() && listed.count(id) == 0 && now - item.heard_at > settle_bound;
+        });
 }
 
 bool registry::expire(duration silence, time_point now)
 {
-    bool changed = false;
-    for (auto& [id, item] : m_known)
-    {
-        if (is_present(item.said) && now - item.heard_at > silence)
+    const bool changed = lose_if(
+        [&](const backend_server_name&, const known& item)
         {
-            lose(item);
-            changed = true;
-        }
-    }
+            return item.said.is_present() && now - item.heard_at > silence;
+        });
     std::erase_if(m_known,
                   [&](const auto& entry)
                   {
@@ -247,7 +235,7 @@
     for (const auto& [id, item] : m_known)
     {
         // A sum, so that the order of arrival doesn't matter and forgotten ids don't show.
-        sum += is_present(item.said) ? hash64(id.str(), static_cast<std::uint64_t>(item.said.state)) : 0;
+        sum += item.said.is_present() ? hash64(id.str(), static_cast<std::uint64_t>(item.said.state)) : 0;
     }
     return sum;
 }
@@ -257,7 +245,7 @@
     std::vector<registration> items;
     for (const auto& [id, item] : m_known)
     {
-        if (is_present(item.said))
+        if (item.said.is_present())
         {
             items.push_back(item.said);
         }
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -133,7 +133,7 @@
                 m_endpoint.close(known.dialled);
                 known.links.erase(known.dialled);
                 known.dialled = 0;
-                known.dial_pause = std::min(known.dial_pause * 2.0, longest_dial_pause);
+                known.lengthen_dial_pause();
             }
             if (known.reachable && now - known.heard_at > m_timing.silence)
             {
@@ -168,7 +168,7 @@
             {
                 known.dialled = 0;
                 known.dial_at = m_clock.now() + known.dial_pause;
-                known.dial_pause = std::min(known.dial_pause * 2.0, longest_dial_pause);
+                known.lengthen_dial_pause();
             }
             if (known.links.erase(id) > 0 && known.links.empty() && known.reachable)
             {
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -7,6 +7,7 @@
 
 #include <flaxtiller/core/clock.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -85,6 +86,11 @@
         time_point heard_at{};
         time_point sent_at{};
         bool reachable = false;
+
+        void lengthen_dial_pause() noexcept
+        {
+            dial_pause = std::min(dial_pause * 2.0, longest_dial_pause);
+        }
     };
 
     struct link
--- a/src/shell/registration_file.cpp
+++ b/src/shell/registration_file.cpp
@@ -122,9 +122,7 @@
         for (const registration& item : changes)
         {
             lines += line_of(item);
-            const bool present =
-                item.state == registration_state::ready || item.state == registration_state::draining;
-            if (present)
+            if (item.is_present())
             {
                 m_kept.insert_or_assign(item.id, item);
             }
