Entries follow what changed: placement, plan and schedulers by difference

Cause: each registration, link or listed entry that changed made every entry place all backend servers anew, copy the whole view four times, plan every list of shards for every availability zone, and configure every scheduler and pool. Timers of attempts that had ended woke the process once more each, and router::next_time asked every service's scheduler after every event.

Ruled out: time for merging, JSON of links (4%), planning alone (1.6% direct).

Change: placer and live_placement place one backend server at a time; services that didn't change are shared values between views; shard_plan keeps its plans and rankings and replans a list only if a replica's zone or an entry came or went; the router configures only schedulers whose service or sharers changed, keeps due times in order, and finds a part by its position; pools are configured by service. Late timers go with their attempts.

Tests: counted work at 30, 300 and 3,300 services; incremental results equal those made from scratch.

--- a/include/flaxtiller/catalog/placement.hpp
+++ b/include/flaxtiller/catalog/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/catalog/configuration.hpp>
+#include <flaxtiller/core/shared_value.hpp>
 
 #include <cstdint>
 #include <map>
@@ -24,7 +25,8 @@
 struct placement
 {
     std::int64_t revision = 0;
-    std::map<service_name, placed_service> services;
+    /// Shared with the placements before and after as long as they don't change.
+    std::map<service_name, shared_value<placed_service>> services;
     std::map<instance_name, instance> instances;
 
     bool operator==(const placement&) const = default;
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -143,6 +143,8 @@
         bool cancelling = false;
         /// Whether it counts in its backend server's late attempts.
         bool is_late = false;
+        /// When its timer for being late was last set to go off.
+        time_point late_timer_at = time_point::never();
         time_point cancelled_at;
     };
 
--- a/include/flaxtiller/routing/group_choice.hpp
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -55,7 +55,7 @@
     std::optional<instance_name> first_of(const shard_plan::group& item, time_point now);
 
     instance_name m_self;
-    std::set<instance_name> m_unreachable;
+    shared_value<std::set<instance_name>> m_unreachable;
     shard_plan m_plan;
     struct failures
     {
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -75,6 +75,18 @@
     /// @return how many instances share the connections to the service's backend servers
     int sharers_of(const service_name& service) const;
 
+    /// @return how often a service's scheduler was configured since the beginning
+    std::uint64_t services_configured() const noexcept
+    {
+        return m_lanes_configured;
+    }
+
+    /// @return how often a list of shards was planned since the beginning
+    std::uint64_t lists_planned() const noexcept
+    {
+        return m_groups.plan().lists_planned();
+    }
+
     /// @return the scheduler of a service, or nothing
     const dispatch::scheduler* scheduler_of(const service_name& service) const;
 
@@ -85,6 +97,20 @@
     {
         service_name service;
         dispatch::scheduler scheduler;
+        /// What the scheduler was configured with last; no sharers before the first time.
+        shared_value<placed_service> placed{};
+        int sharers = 0;
+        double slack = 0.0;
+        /// When its scheduler is next looked at, as noted in @ref m_due.
+        time_point due = time_point::never();
+    };
+
+    /// Whose work a subquery is.
+    struct origin
+    {
+        request_number request = 0;
+        /// Position among the request's parts.
+        std::size_t part = 0;
     };
 
     struct part
@@ -213,6 +239,11 @@
     double least_share_of(const open_request& opened) const;
     duration time_to_answer(const route& by, const routed_request& request) const;
     void set_timer(request_number number, open_request& opened);
+    void configure_lane(lane& item, const shared_value<placed_service>& placed, bool near_changed,
+                        time_point now);
+    bool note_near_zones();
+    void note_due(lane_index at, lane& item);
+    void detach(const part& asked);
     void submit(open_request& opened, part& wanted, bool again, time_point now);
     void collect(lane_index at, time_point now);
     void take(lane_index at, const dispatch::start_attempt& action);
@@ -225,11 +256,10 @@
     void end_at_deadline(request_number number, open_request& opened);
     void fail(request_number number, open_request& opened, bool late);
     static std::vector<std::size_t> missing_shards(const open_request& opened);
-    static part& part_of(open_request& opened, dispatch::subquery_id subquery);
     void finish(request_number number, open_request& opened, routed_outcome outcome);
     bool enough_in(const open_request& opened) const;
     void on_timer(request_number number, time_point now);
-    void drop_unused_lanes();
+    void drop_undeclared_lanes(time_point now);
 
     router_options m_options;
     routing_view m_view;
@@ -239,12 +269,16 @@
     std::map<instance_name, entry_peer> m_peers;
     std::map<std::string, duration> m_ways;
     std::map<lane_index, lane> m_lanes;
-    std::map<service_name, lane_index> m_lane_of;
+    std::unordered_map<service_name, lane_index> m_lane_of;
+    /// Which scheduler has something to do when: hundreds of services, of which few are due at a time.
+    std::set<std::pair<time_point, lane_index>> m_due;
+    std::set<std::string> m_near_zones;
+    std::uint64_t m_lanes_configured = 0;
     lane_index m_next_lane = 1;
     std::unordered_map<request_number, open_request> m_open;
     std::set<std::pair<time_point, request_number>> m_timers;
     dispatch::subquery_id m_next_subquery = 1;
-    std::unordered_map<dispatch::subquery_id, request_number> m_origins;
+    std::unordered_map<dispatch::subquery_id, origin> m_origins;
     ask_number m_next_ask = 1;
     std::unordered_map<ask_number, request_number> m_asks;
     struct started
--- a/include/flaxtiller/routing/routing_view.hpp
+++ b/include/flaxtiller/routing/routing_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/core/shared_value.hpp>
 #include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/route_table.hpp>
 
@@ -14,6 +15,9 @@
 {
 
 /// @brief What routed requests are decided by: one revision's routes, and where its services run.
+///
+/// Parts that didn't change are shared with the view before, so that copies cost little and a reader sees at
+/// once what it needn't look at again.
 struct routing_view
 {
     std::shared_ptr<const placement> placed;
@@ -24,10 +28,10 @@
     instance_name self;
     std::string region;
     std::string zone;
-    std::map<std::string, std::string> region_of_zone;
+    shared_value<std::map<std::string, std::string>> region_of_zone;
     /// Other entries, and those of them that can't be reached now.
-    std::vector<entry_peer> peers;
-    std::set<instance_name> unreachable;
+    shared_value<std::vector<entry_peer>> peers;
+    shared_value<std::set<instance_name>> unreachable;
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -3,8 +3,13 @@
 #include <flaxtiller/routing/routing_view.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace flaxtiller
@@ -13,6 +18,10 @@
 /// @brief Which entry instances run which shards of a fan-out. A function of the view alone, so that all
 /// entries with the same view plan alike. Deterministic.
 ///
+/// Views follow one another many times a second while instances or backend servers come and go. Only lists of
+/// shards for which anything that matters changed are planned anew: a plan from scratch for each view, with
+/// its rankings, was a fifth of the processor time of 65 entries that started together.
+///
 /// *Direct*: where each entry may hold as many connections to a backend server as that has slots, the shards
 /// with a replica in the own region are run by the entry that has the caller. The others go, as one group for
 /// a region, to an entry there.
@@ -28,6 +37,8 @@
     /// Entries that may run a group, the first choice included: one may have failed, and another be passed
     /// over.
     static constexpr std::size_t most_owners = 4;
+    /// Availability zones; replicas in further ones are known to no plan.
+    static constexpr std::size_t most_places = 64;
 
     /// @brief Shards that are run together.
     struct group
@@ -43,10 +54,15 @@
     };
 
     shard_plan() = default;
-    explicit shard_plan(routing_view view);
+    explicit shard_plan(const routing_view& view);
+
+    /// @brief Another view.
+    /// @complexity O(services), and O(zones · (shards · replicas + groups · entries)) for each list of shards
+    /// of which a replica's availability zone, or any entry, came or went
+    void update(const routing_view& view);
 
     /// @return the groups of a fan-out by this route; shards in no group are run here
-    /// @complexity amortized O(1); O(shards · replicas + groups · entries) once for each list of shards
+    /// @complexity amortized O(shards)
     const std::vector<group>& groups_of(const route& by);
 
     /// @return whether this instance is among the entries that any availability zone asks first for the
@@ -62,36 +78,105 @@
     /// @return the first two owners of each group of all fan-out routes: whom to keep links to
     std::set<instance_name> first_owners() const;
 
+    /// @return how often a list of shards was planned since the beginning
+    std::uint64_t lists_planned() const noexcept
+    {
+        return m_lists_planned;
+    }
+
   private:
-    using shards_by_place = std::map<std::string, std::vector<std::size_t>>;
+    /// Availability zones or regions, by their positions in the order of their names.
+    using place_set = std::uint64_t;
+    /// An entry's position in the order of their names.
+    using entry_index = std::uint32_t;
+    static constexpr std::size_t nowhere = std::numeric_limits<std::size_t>::max();
+
+    struct availability_zone
+    {
+        std::string name;
+        std::size_t region = 0;
+        std::vector<entry_index> entries;
+    };
+
+    struct region
+    {
+        std::string name;
+        std::vector<entry_index> entries;
+    };
+
+    /// What the plan reads of a service's backend servers.
+    struct service_places
+    {
+        shared_value<placed_service> seen;
+        /// Those with a replica that isn't leaving.
+        place_set zones = 0;
+        /// With more entries than this, some can't hold as many connections as a backend server has slots.
+        int most_direct_entries = std::numeric_limits<int>::max();
+    };
+
+    struct planned_group
+    {
+        std::vector<std::size_t> shards;
+        std::vector<entry_index> runners;
+        bool in_turn = false;
+    };
+
+    /// The plan for one list of shards, and what it was made from.
+    struct list_plan
+    {
+        std::vector<place_set> zones;
+        bool owned = false;
+        std::vector<group> groups;
+        /// By shard: the entries that any availability zone asks first.
+        std::vector<std::vector<entry_index>> owners;
+    };
 
-    /// From where a plan is made.
-    struct viewpoint
+    struct ownership
     {
-        std::string zone;
-        std::string region;
+        std::size_t owners = 0;
+        bool mine = false;
     };
 
-    void find_owners(const route& by);
-    const std::set<std::string>& zones_with(const service_name& service);
-    std::string region_of(const std::string& zone) const;
-    bool is_owned(const route& by) const;
-    shards_by_place cover(const std::vector<std::set<std::string>>& places, const std::string& first) const;
-    std::vector<group> plan(const route& by, const viewpoint& from);
-    void add_far_groups(const route& by, const std::vector<std::size_t>& far, std::vector<group>& into);
-    void add_far_owned_groups(const route& by, const viewpoint& from, const std::vector<std::size_t>& far,
-                              std::size_t size, std::vector<group>& into);
-    void add_owned_groups(const route& by, const std::string& zone, const std::vector<std::size_t>& shards,
-                          std::size_t size, const std::string& salt, std::vector<group>& into) const;
-    std::vector<instance_name> entries_in_zone(const std::string& zone) const;
-    std::vector<instance_name> entries_in_region(const std::string& region) const;
-
-    routing_view m_view;
+    bool note_places(const routing_view& view);
+    bool note_entries(const routing_view& view);
+    void list_entries();
+    std::size_t region_index(const std::string& name) const;
+    void note_services(const routing_view& view);
+    void note_service(const shared_value<placed_service>& placed, service_places& into) const;
+    bool update_list(const route& by, bool entries_changed);
+    void count_owners();
+    std::size_t zone_index(const std::string& name) const;
+    place_set regions_of(place_set zones) const;
+    list_plan make_list(const route& by) const;
+    bool is_owned(const std::vector<service_name>& shards) const;
+    void plan(const route& by, list_plan& into);
+    std::vector<planned_group> plan_from(const route& by, const list_plan& list, std::size_t zone,
+                                         std::size_t own_region);
+    void add_far_groups(const list_plan& list, const std::vector<std::size_t>& far,
+                        std::vector<planned_group>& into) const;
+    void add_owned_groups(const route& by, std::size_t zone, const std::vector<std::size_t>& shards,
+                          const std::string& salt, std::vector<planned_group>& into);
+    std::vector<entry_index> ranked(const std::string& key, const std::vector<entry_index>& entries);
+    group named(const planned_group& item) const;
+
+    shared_value<std::map<std::string, std::string>> m_region_of_zone;
+    shared_value<std::vector<entry_peer>> m_peers;
+    instance_name m_self;
+    std::string m_zone_name;
+    std::string m_region_name;
+    int m_entry_count = 0;
+    /// All entries, this one too, by name.
+    std::vector<instance_name> m_names;
+    entry_index m_own_index = 0;
+    std::vector<availability_zone> m_zones;
+    std::vector<region> m_regions;
+    std::unordered_map<service_name, service_places> m_services;
     /// By the list of shards: routes often share one.
-    std::map<std::vector<service_name>, std::vector<group>> m_plans;
-    std::map<service_name, std::set<std::string>> m_zones;
-    /// Who is asked first, by all availability zones, for each service whose shard has owners.
-    std::map<service_name, std::set<instance_name>> m_owners;
+    std::map<std::vector<service_name>, list_plan> m_lists;
+    std::unordered_map<service_name, ownership> m_owners;
+    /// Rankings of entries by key, as long as no entry comes or goes.
+    std::unordered_map<std::string, std::vector<entry_index>> m_rankings;
+    std::uint64_t m_lists_planned = 0;
 };
 
 } // namespace flaxtiller
--- a/src/catalog/configuration_check.cpp
+++ b/src/catalog/configuration_check.cpp
@@ -96,9 +96,9 @@
     const placement placed = place(0, value);
     for (const auto& [name, entry] : placed.services)
     {
-        for (std::size_t shard = 0; shard < entry.shards.size(); ++shard)
+        for (std::size_t shard = 0; shard < entry->shards.size(); ++shard)
         {
-            if (entry.shards[shard].empty())
+            if (entry->shards[shard].empty())
             {
                 found.warning(errc::shard_without_backend_server, "/services/" + name.str(),
                               "shard " + std::to_string(shard) + " has no backend server");
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -217,10 +217,10 @@
     for (const auto& [name, service] : new_placed.services)
     {
         const auto known = old_placed.services.find(name);
-        for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
+        for (std::size_t shard = 0; shard < service->shards.size(); ++shard)
         {
-            const bool same = known != old_placed.services.end() && shard < known->second.shards.size() &&
-                              known->second.shards[shard] == service.shards[shard];
+            const bool same = known != old_placed.services.end() && shard < known->second->shards.size() &&
+                              known->second->shards[shard] == service->shards[shard];
             if (!same)
             {
                 moved.push_back({{"service", name}, {"shard", shard}});
--- a/src/coordinator/event_codec.cpp
+++ b/src/coordinator/event_codec.cpp
@@ -58,7 +58,7 @@
     nlohmann::json j = {{"revision", placed.revision}};
     for (const auto& [name, entry] : placed.services)
     {
-        j["services"].push_back({{"definition", entry.definition}, {"shards", entry.shards}});
+        j["services"].push_back({{"definition", entry->definition}, {"shards", entry->shards}});
     }
     for (const auto& [name, item] : placed.instances)
     {
--- a/src/coordinator/service_coordinator.cpp
+++ b/src/coordinator/service_coordinator.cpp
@@ -107,9 +107,9 @@
     m_placed = event.placed;
     const auto found = m_placed->services.find(m_service);
     const placed_service none;
-    const placed_service& placed = found == m_placed->services.end() ? none : found->second;
+    const placed_service& placed = found == m_placed->services.end() ? none : *found->second;
     if (before && before->services.count(m_service) > 0 &&
-        before->services.at(m_service).shards.size() != placed.shards.size())
+        before->services.at(m_service)->shards.size() != placed.shards.size())
     {
         m_versions.clear();
         m_peer_waits.clear();
@@ -127,7 +127,7 @@
     {
         return;
     }
-    const auto shards = static_cast<int>(found->second.shards.size());
+    const auto shards = static_cast<int>(found->second->shards.size());
     const int groups = (shards + dispatch::shards_per_owner - 1) / dispatch::shards_per_owner;
     for (int group = 0; group < groups; ++group)
     {
@@ -230,14 +230,14 @@
     {
         return request.shards;
     }
-    std::vector<int> all(m_placed->services.at(m_service).shards.size());
+    std::vector<int> all(m_placed->services.at(m_service)->shards.size());
     std::iota(all.begin(), all.end(), 0);
     return all;
 }
 
 bool service_coordinator::shards_known(const query_request& request) const
 {
-    const auto count = static_cast<int>(m_placed->services.at(m_service).shards.size());
+    const auto count = static_cast<int>(m_placed->services.at(m_service)->shards.size());
     return std::all_of(request.shards.begin(), request.shards.end(),
                        [&](int shard)
                        {
--- a/src/dispatch/owner_choice.cpp
+++ b/src/dispatch/owner_choice.cpp
@@ -58,7 +58,7 @@
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     const auto found = placed.services.find(service);
     const int instances = static_cast<int>(ranked.size());
-    const int most = found == placed.services.end() ? instances : candidate_count(found->second, instances);
+    const int most = found == placed.services.end() ? instances : candidate_count(*found->second, instances);
     std::vector<instance_name> candidates;
     for (const auto& [weight, name] : ranked)
     {
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -121,6 +121,7 @@
     if (at < item.wanted.deadline)
     {
         arm(at, timer_kind::late, id);
+        m_attempts.at(id).late_timer_at = at;
     }
 }
 
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -25,6 +25,8 @@
     }
     const attempt ended = found->second;
     m_attempts.erase(found);
+    // Most end before they are late; left behind, each of their timers would wake the process for nothing.
+    m_timers.erase({ended.late_timer_at, timer_kind::late, id});
     server_state& server = m_servers[ended.server];
     --server.in_use;
     server.late_in_use -= ended.is_late ? 1 : 0;
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -90,16 +90,20 @@
 void entry_process::implementation::put_in_force()
 {
     routes = std::make_shared<const route_table>(subscriber.current()->routes);
-    update_routed();
+    if (routed)
+    {
+        routed_placement.configure(subscriber.revision(), *subscriber.current(), registered.present());
+        update_routed();
+    }
     if (settings.callers.port == 0)
     {
         return;
     }
-    auto placed = std::make_shared<const placement>(place(subscriber.revision(), *subscriber.current()));
+    auto declared = std::make_shared<const placement>(place(subscriber.revision(), *subscriber.current()));
     auto next = std::make_shared<entry_routing>();
-    next->placed = placed;
+    next->placed = declared;
     const auto before = table.load();
-    for (const auto& [name, service] : placed->services)
+    for (const auto& [name, service] : declared->services)
     {
         const auto known = before->lanes.find(name);
         const bool fresh = known == before->lanes.end();
@@ -110,16 +114,16 @@
         }
         next->lanes.emplace(name, std::move(lane));
     }
-    configure_pools(*placed, before->placed.get());
+    configure_pools(*declared, before->placed.get());
     for (const auto& [name, lane] : before->lanes)
     {
-        lane->post(placement_changed{placed});
+        lane->post(placement_changed{declared});
     }
     for (const auto& [name, lane] : next->lanes)
     {
         if (before->lanes.count(name) == 0)
         {
-            lane->post(placement_changed{placed});
+            lane->post(placement_changed{declared});
             tell_list(*lane);
         }
     }
@@ -174,15 +178,15 @@
     for (const auto& [name, service] : placed.services)
     {
         const auto instances = static_cast<int>(placed.instances.size());
-        const int candidates = dispatch::candidate_count(service, std::max(instances, 1));
+        const int candidates = dispatch::candidate_count(*service, std::max(instances, 1));
         bool owned = false;
-        for (std::size_t shard = 0; shard < service.shards.size(); ++shard)
+        for (std::size_t shard = 0; shard < service->shards.size(); ++shard)
         {
             if (shard % dispatch::shards_per_owner == 0)
             {
                 owned = first_owner(name, static_cast<int>(shard), placed);
             }
-            for (const backend_server& server : service.shards[shard])
+            for (const backend_server& server : service->shards[shard])
             {
                 const auto at = parse_address(server.address);
                 const dispatch::connection_share share = dispatch::share_of(server, candidates);
@@ -199,7 +203,7 @@
     }
     for (const auto& [name, service] : before->services)
     {
-        for (const auto& replicas : service.shards)
+        for (const auto& replicas : service->shards)
         {
             for (const backend_server& server : replicas)
             {
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -14,6 +14,7 @@
 
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
+#include <flaxtiller/registration/live_placement.hpp>
 #include <flaxtiller/registration/registry.hpp>
 
 #include <utility>
@@ -78,6 +79,7 @@
                                             run_id,
                                             options_of(settings)},
           table(std::make_shared<const entry_routing>()), control(settings.control),
+          region_of_zone(settings.region_of_zone),
           routed(settings.routed.port == 0 ? nullptr
                                            : std::make_unique<routed_front>(
                                                  io, counted, settings.routing, settings.routed_names,
@@ -137,12 +139,18 @@
     time_point drained_at_least{};
     std::set<std::string> reachable;
     control_directory control;
+    const shared_value<std::map<std::string, std::string>> region_of_zone;
     std::unique_ptr<routed_front> routed;
     registry registered;
+    /// Where routed requests may go: the declared backend servers and the registered ones.
+    live_placement routed_placement;
     /// Entry instances that share the backend servers, as the leader counts them; 0 while that isn't known.
     int entries = 0;
     /// The other entries, by name, as a leader listed them.
     std::map<instance_name, entry_peer> listed_entries;
+    /// The same list as requests read it, and those of it that can't be reached.
+    shared_value<std::vector<entry_peer>> listed_peers;
+    shared_value<std::set<instance_name>> unreachable;
     /// Those that this one keeps links to, and when each was last needed.
     std::map<instance_name, time_point> linked_entries;
     /// The routes of the revision in force.
@@ -205,6 +213,9 @@
 
     void update_routed();
 
+    /// Notes which of the listed entries can't be reached.
+    void note_unreachable();
+
     /// Links to the owners of the shards that callers ask for, and to a few entries of each other region.
     void link_to_entries(const std::set<instance_name>& owners);
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -123,7 +123,9 @@
     {
         return;
     }
-    for (const registration& item : registered.take_changes())
+    const std::vector<registration> changes = registered.take_changes();
+    routed_placement.apply(changes);
+    for (const registration& item : changes)
     {
         log(log_level::info, "registration",
             {{"backend_server", item.id.str()},
@@ -166,28 +168,34 @@
 void entry_process::implementation::update_routed()
 {
     view_due = false;
-    if (!routed)
-    {
-        return;
-    }
-    const configuration& value = *subscriber.current();
     routing_view view;
-    view.placed = routed_front::place_with(subscriber.revision(), value, registered.present());
+    view.placed = routed_placement.current();
     view.routes = routes;
     view.entries = entries;
     view.self = instance_name(settings.instance.name);
     view.region = settings.instance.region;
     view.zone = settings.instance.availability_zone;
-    view.region_of_zone = settings.region_of_zone;
+    view.region_of_zone = region_of_zone;
+    view.peers = listed_peers;
+    note_unreachable();
+    view.unreachable = unreachable;
+    routed->update(view, subscriber.current()->limits);
+}
+
+void entry_process::implementation::note_unreachable()
+{
+    std::set<instance_name> next;
     for (const auto& [name, peer] : listed_entries)
     {
-        view.peers.push_back(peer);
         if (reachable.count(name.str()) == 0)
         {
-            view.unreachable.insert(name);
+            next.insert(name);
         }
     }
-    routed->update(view, value.limits);
+    if (next != *unreachable)
+    {
+        unreachable = std::move(next);
+    }
 }
 
 std::set<instance_name> entry_process::implementation::far_entries() const
@@ -261,6 +269,12 @@
     {
         listed_entries.erase(name);
     }
+    std::vector<entry_peer> peers;
+    for (const auto& [name, peer] : listed_entries)
+    {
+        peers.push_back(peer);
+    }
+    listed_peers = std::move(peers);
     update_routed_soon();
 }
 
--- /dev/null
+++ b/src/registration/live_placement.cpp
@@ -0,0 +1,57 @@
+#include <flaxtiller/registration/live_placement.hpp>
+
+namespace flaxtiller
+{
+
+void live_placement::configure(std::int64_t revision, const configuration& value,
+                               const std::vector<registration>& registered)
+{
+    m_placer = placer(revision, value);
+    m_services = value.services;
+    m_declared = value.backend_servers;
+    for (const auto& [name, server] : m_declared)
+    {
+        m_placer.put(server);
+    }
+    apply(registered);
+    m_placer.share_with(*m_current);
+}
+
+void live_placement::apply(const std::vector<registration>& changes)
+{
+    m_is_current = false;
+    for (const registration& change : changes)
+    {
+        take(change);
+    }
+}
+
+void live_placement::take(const registration& change)
+{
+    const auto service = m_services.find(change.service);
+    if (change.is_present() && service != m_services.end())
+    {
+        m_placer.put(to_backend_server(change, service->second));
+        return;
+    }
+    const auto declared = m_declared.find(change.id);
+    if (declared != m_declared.end())
+    {
+        m_placer.put(declared->second);
+        return;
+    }
+    m_placer.remove(change.id);
+}
+
+std::shared_ptr<const placement> live_placement::current()
+{
+    if (m_is_current)
+    {
+        return m_current;
+    }
+    m_current = std::make_shared<const placement>(m_placer.current());
+    m_is_current = true;
+    return m_current;
+}
+
+} // namespace flaxtiller
--- a/src/routing/group_choice.cpp
+++ b/src/routing/group_choice.cpp
@@ -8,22 +8,22 @@
 void group_choice::configure(const routing_view& view)
 {
     m_self = view.self;
-    for (const instance_name& peer : m_unreachable)
+    for (const instance_name& peer : *m_unreachable)
     {
-        if (view.unreachable.count(peer) == 0)
+        if (view.unreachable->count(peer) == 0)
         {
             // It is back.
             m_passed_over.erase(peer);
         }
     }
     m_unreachable = view.unreachable;
-    m_plan = shard_plan(view);
+    m_plan.update(view);
 }
 
 bool group_choice::may_ask(const instance_name& peer, time_point now) const
 {
     const auto passed_over = m_passed_over.find(peer);
-    return m_unreachable.count(peer) == 0 &&
+    return m_unreachable->count(peer) == 0 &&
            (passed_over == m_passed_over.end() || passed_over->second.until <= now);
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -51,37 +51,57 @@
     m_view = std::move(view);
     m_groups.configure(m_view);
     m_peers.clear();
-    for (const entry_peer& peer : m_view.peers)
+    for (const entry_peer& peer : *m_view.peers)
     {
         m_peers.emplace(peer.name, peer);
     }
+    const bool near_changed = note_near_zones();
     for (const auto& [name, placed] : m_view.placed->services)
     {
-        lane_of(name);
+        const lane_index at = lane_of(name);
+        lane& item = m_lanes.at(at);
+        configure_lane(item, placed, near_changed, now);
+        collect(at, now);
     }
+    drop_undeclared_lanes(now);
+}
+
+/// @return whether they changed
+bool router::note_near_zones()
+{
     std::set<std::string> near_zones;
-    for (const auto& [zone, region] : m_view.region_of_zone)
+    for (const auto& [zone, region] : *m_view.region_of_zone)
     {
         if (region == m_view.region)
         {
             near_zones.insert(zone);
         }
     }
-    const placed_service none{{}, {{}}};
-    for (auto& [at, item] : m_lanes)
+    const bool changed = near_zones != m_near_zones;
+    m_near_zones = std::move(near_zones);
+    return changed;
+}
+
+/// Only what changed is told: a scheduler that takes over its backend servers copies all of them.
+void router::configure_lane(lane& item, const shared_value<placed_service>& placed, bool near_changed,
+                            time_point now)
+{
+    const double slack = m_options.retry_slack * m_options.retry_share * allowance_of(item.service);
+    if (slack != item.slack)
     {
-        const auto found = m_view.placed->services.find(item.service);
-        const placed_service& placed = found == m_view.placed->services.end() ? none : found->second;
-        const double slack = m_options.retry_slack * m_options.retry_share * allowance_of(item.service);
+        item.slack = slack;
         item.scheduler.limit_budget(slack * at_once, slack * (1.0 - at_once) / m_options.retry_window.ms());
-        item.scheduler.set_near(near_zones);
-        item.scheduler.configure(placed, sharers_of(item.service), now);
     }
-    for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
+    const int sharers = sharers_of(item.service);
+    if (!near_changed && sharers == item.sharers && placed.is_same(item.placed))
     {
-        collect(at->first, now);
+        return;
     }
-    drop_unused_lanes();
+    item.placed = placed;
+    item.sharers = sharers;
+    item.scheduler.set_near(m_near_zones);
+    item.scheduler.configure(*placed, sharers, now);
+    ++m_lanes_configured;
 }
 
 std::set<instance_name> router::owners_asked() const
@@ -114,22 +134,55 @@
     return (1.0 - m_options.owners_share) / m_view.entries;
 }
 
-void router::drop_unused_lanes()
+/// Services that aren't declared any more keep what is under way and get nothing new.
+void router::drop_undeclared_lanes(time_point now)
 {
+    if (m_lanes.size() == m_view.placed->services.size())
+    {
+        return;
+    }
+    const shared_value<placed_service> none(placed_service{{}, {{}}});
     for (auto at = m_lanes.begin(); at != m_lanes.end();)
     {
-        const dispatch::scheduler& scheduler = at->second.scheduler;
-        const bool declared = m_view.placed->services.count(at->second.service) > 0;
-        if (declared || scheduler.queued() > 0 || scheduler.running() > 0)
+        const auto current = at++;
+        lane& item = current->second;
+        if (m_view.placed->services.count(item.service) > 0)
         {
-            ++at;
             continue;
         }
-        m_lane_of.erase(at->second.service);
-        at = m_lanes.erase(at);
+        configure_lane(item, none, false, now);
+        collect(current->first, now);
+        if (item.scheduler.queued() == 0 && item.scheduler.running() == 0)
+        {
+            m_due.erase({item.due, current->first});
+            m_lane_of.erase(item.service);
+            m_lanes.erase(current);
+        }
+    }
+}
+
+void router::note_due(lane_index at, lane& item)
+{
+    const time_point due = item.scheduler.next_time();
+    if (due == item.due)
+    {
+        return;
+    }
+    m_due.erase({item.due, at});
+    item.due = due;
+    if (due != time_point::never())
+    {
+        m_due.emplace(due, at);
     }
 }
 
+void router::detach(const part& asked)
+{
+    lane& item = m_lanes.at(asked.at);
+    item.scheduler.detach(asked.subquery);
+    note_due(asked.at, item);
+}
+
 void router::run_here(request_number number, const std::vector<std::size_t>& wanted, bool again,
                       time_point now)
 {
@@ -140,7 +193,7 @@
         part& item = opened.parts[at];
         item.at = lane_of(item.service);
         item.subquery = m_next_subquery++;
-        m_origins.emplace(item.subquery, number);
+        m_origins.emplace(item.subquery, origin{number, at});
         lanes.push_back(item.at);
     }
     for (const std::size_t at : wanted)
@@ -178,10 +231,10 @@
     const started ended = found->second;
     m_started.erase(found);
     m_number_of.erase({ended.at, ended.attempt});
-    const auto origin = m_origins.find(ended.subquery);
-    if (origin != m_origins.end() && answer)
+    const auto whose = m_origins.find(ended.subquery);
+    if (whose != m_origins.end() && answer)
     {
-        part_of(m_open.at(origin->second), ended.subquery).answer = std::move(answer);
+        m_open.at(whose->second.request).parts[whose->second.part].answer = std::move(answer);
     }
     const auto at = m_lanes.find(ended.at);
     if (at != m_lanes.end())
@@ -191,36 +244,29 @@
     }
 }
 
-router::part& router::part_of(open_request& opened, dispatch::subquery_id subquery)
-{
-    return *std::find_if(opened.parts.begin(), opened.parts.end(),
-                         [&](const part& asked)
-                         {
-                             return asked.subquery == subquery;
-                         });
-}
-
 void router::collect(lane_index at, time_point now)
 {
-    dispatch::scheduler& scheduler = m_lanes.at(at).scheduler;
+    lane& item = m_lanes.at(at);
+    dispatch::scheduler& scheduler = item.scheduler;
     for (auto todo = scheduler.take_actions(); !todo.empty(); todo = scheduler.take_actions())
     {
-        for (const dispatch::action& item : todo)
+        for (const dispatch::action& wanted : todo)
         {
-            if (const auto* start = std::get_if<dispatch::start_attempt>(&item))
+            if (const auto* start = std::get_if<dispatch::start_attempt>(&wanted))
             {
                 take(at, *start);
             }
-            else if (const auto* cancel = std::get_if<dispatch::cancel_attempt>(&item))
+            else if (const auto* cancel = std::get_if<dispatch::cancel_attempt>(&wanted))
             {
                 take(at, *cancel);
             }
             else
             {
-                take(at, std::get<dispatch::finish_subquery>(item), now);
+                take(at, std::get<dispatch::finish_subquery>(wanted), now);
             }
         }
     }
+    note_due(at, item);
 }
 
 void router::take(lane_index at, const dispatch::start_attempt& action)
@@ -228,11 +274,11 @@
     const routed_attempt_number number = m_next_attempt++;
     m_started.emplace(number, started{at, action.attempt, action.subquery});
     m_number_of.emplace(std::pair(at, action.attempt), number);
-    const request_number request = m_origins.at(action.subquery);
-    open_request& opened = m_open.at(request);
+    const origin& whose = m_origins.at(action.subquery);
+    open_request& opened = m_open.at(whose.request);
     ++opened.attempts;
-    const int ordinal = ++part_of(opened, action.subquery).attempts;
-    m_actions.emplace_back(start_routed_attempt{number, request, action.server, m_lanes.at(at).service,
+    const int ordinal = ++opened.parts[whose.part].attempts;
+    m_actions.emplace_back(start_routed_attempt{number, whose.request, action.server, m_lanes.at(at).service,
                                                 opened.by->fans_out(), ordinal, opened.by->repeatable,
                                                 opened.deadline, opened.request});
 }
@@ -248,15 +294,16 @@
 
 void router::take(lane_index, const dispatch::finish_subquery& action, time_point now)
 {
-    const auto origin = m_origins.find(action.subquery);
-    if (origin == m_origins.end())
+    const auto found = m_origins.find(action.subquery);
+    if (found == m_origins.end())
     {
         return;
     }
-    const request_number number = origin->second;
-    m_origins.erase(origin);
+    const origin whose = found->second;
+    m_origins.erase(found);
+    const request_number number = whose.request;
     open_request& opened = m_open.at(number);
-    part_of(opened, action.subquery).over = true;
+    opened.parts[whose.part].over = true;
     const subquery_result& result = action.result;
     opened.may_have_run = opened.may_have_run || result.outcome != outcome::not_run;
     if (result.outcome == outcome::run)
@@ -278,13 +325,11 @@
 
 void router::on_time(time_point now)
 {
-    for (auto at = m_lanes.begin(); at != m_lanes.end(); ++at)
+    while (!m_due.empty() && m_due.begin()->first <= now)
     {
-        if (at->second.scheduler.next_time() <= now)
-        {
-            at->second.scheduler.on_time(now);
-            collect(at->first, now);
-        }
+        const lane_index at = m_due.begin()->second;
+        m_lanes.at(at).scheduler.on_time(now);
+        collect(at, now);
     }
     while (!m_timers.empty() && m_timers.begin()->first <= now)
     {
@@ -330,12 +375,9 @@
 
 time_point router::next_time() const noexcept
 {
-    time_point next = m_timers.empty() ? time_point::never() : m_timers.begin()->first;
-    for (const auto& [at, item] : m_lanes)
-    {
-        next = std::min(next, item.scheduler.next_time());
-    }
-    return next;
+    const time_point request_due = m_timers.empty() ? time_point::never() : m_timers.begin()->first;
+    const time_point lane_due = m_due.empty() ? time_point::never() : m_due.begin()->first;
+    return std::min(request_due, lane_due);
 }
 
 std::vector<router_action> router::take_actions()
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -229,7 +229,7 @@
         if (!asked.over && asked.subquery != 0)
         {
             m_origins.erase(asked.subquery);
-            m_lanes.at(asked.at).scheduler.detach(asked.subquery);
+            detach(asked);
         }
     }
     m_open.erase(number);
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -103,7 +103,7 @@
                        {
                            const auto placed = m_view.placed->services.find(item.service);
                            return placed == m_view.placed->services.end() ||
-                                  static_cast<int>(placed->second.shards.at(0).size()) <=
+                                  static_cast<int>(placed->second->shards.at(0).size()) <=
                                       opened.by->most_attempts;
                        });
 }
@@ -115,12 +115,12 @@
     const auto placed = m_view.placed->services.find(service);
     backend_server_name chosen;
     int nearest = std::numeric_limits<int>::max();
-    for (std::size_t i = 0; placed != m_view.placed->services.end() && i < placed->second.shards.at(0).size();
-         ++i)
+    for (std::size_t i = 0;
+         placed != m_view.placed->services.end() && i < placed->second->shards.at(0).size(); ++i)
     {
-        const backend_server& server = placed->second.shards[0][i];
-        const auto region = m_view.region_of_zone.find(server.availability_zone);
-        const bool same_region = region != m_view.region_of_zone.end() && region->second == near.region;
+        const backend_server& server = placed->second->shards[0][i];
+        const auto region = m_view.region_of_zone->find(server.availability_zone);
+        const bool same_region = region != m_view.region_of_zone->end() && region->second == near.region;
         const int distance = (server.availability_zone == near.availability_zone ? 0
                               : same_region                                      ? 1
                                                                                  : 2) +
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -36,27 +36,6 @@
     return limits;
 }
 
-/// @return what placement reads of the declared configuration, with the registered backend servers of
-/// declared services beside its own. Routes aren't copied: there may be hundreds, and backend servers change
-/// often.
-configuration with_registered(const configuration& declared, const std::vector<registration>& registered)
-{
-    configuration merged;
-    merged.services = declared.services;
-    merged.backend_servers = declared.backend_servers;
-    merged.placement_rules = declared.placement_rules;
-    merged.instances = declared.instances;
-    for (const registration& item : registered)
-    {
-        const auto service = merged.services.find(item.service);
-        if (service != merged.services.end())
-        {
-            merged.backend_servers.insert_or_assign(item.id, to_backend_server(item, service->second));
-        }
-    }
-    return merged;
-}
-
 } // namespace
 
 routed_front::routed_front(net::io_context& io, metrics& counted, const router_options& options,
@@ -100,12 +79,6 @@
 // configuration
 // ---------------------------------------------------------------------------------------------------------
 
-std::shared_ptr<const placement> routed_front::place_with(std::int64_t revision, const configuration& value,
-                                                          const std::vector<registration>& registered)
-{
-    return std::make_shared<const placement>(place(revision, with_registered(value, registered)));
-}
-
 void routed_front::update(const routing_view& view, const request_limits& limits)
 {
     m_server.bound(limits_of(limits));
@@ -121,40 +94,78 @@
 
 void routed_front::configure_pools(const placement& placed)
 {
-    std::map<backend_server_name, pool_bounds> kept;
     for (const auto& [name, service] : placed.services)
     {
         const int sharers = m_router.sharers_of(name);
-        for (const auto& replicas : service.shards)
+        const auto [known, fresh] = m_pooled.try_emplace(name);
+        pooled_service& before = known->second;
+        if (!fresh && before.sharers == sharers && before.placed.is_same(service))
+        {
+            continue;
+        }
+        // Those that stay are counted before the earlier ones are released, so that their pools are kept.
+        for (const auto& replicas : service->shards)
         {
             for (const backend_server& server : replicas)
             {
-                const auto at = parse_address(server.address);
-                if (!at)
-                {
-                    log(log_level::warning, "address_malformed",
-                        {{"backend_server", server.name.str()}, {"address", server.address}});
-                    continue;
-                }
-                const pool_bounds bounds{server.address,
-                                         dispatch::direct_share_of(server, sharers).connections};
-                const auto before = m_servers.find(server.name);
-                if (before == m_servers.end() || !(before->second == bounds))
-                {
-                    m_pools.configure(server.name, *at, bounds.connections, 0);
-                }
-                kept.emplace(server.name, bounds);
+                configure_pool(server, sharers);
             }
         }
+        release(*before.placed);
+        before = {service, sharers};
+    }
+    if (m_pooled.size() == placed.services.size())
+    {
+        return;
+    }
+    std::erase_if(m_pooled,
+                  [&](const auto& item)
+                  {
+                      const bool declared = placed.services.count(item.first) > 0;
+                      if (!declared)
+                      {
+                          release(*item.second.placed);
+                      }
+                      return !declared;
+                  });
+}
+
+void routed_front::configure_pool(const backend_server& server, int sharers)
+{
+    pool_bounds& bounds = m_servers[server.name];
+    ++bounds.uses;
+    const int connections = dispatch::direct_share_of(server, sharers).connections;
+    if (bounds.address == server.address && bounds.connections == connections)
+    {
+        return;
     }
-    for (const auto& [server, bounds] : m_servers)
+    const auto at = parse_address(server.address);
+    if (!at)
     {
-        if (kept.count(server) == 0)
+        log(log_level::warning, "address_malformed",
+            {{"backend_server", server.name.str()}, {"address", server.address}});
+        return;
+    }
+    bounds.address = server.address;
+    bounds.connections = connections;
+    m_pools.configure(server.name, *at, connections, 0);
+}
+
+/// The pools of backend servers that nothing names any more are removed.
+void routed_front::release(const placed_service& service)
+{
+    for (const auto& replicas : service.shards)
+    {
+        for (const backend_server& server : replicas)
         {
-            m_pools.remove(server);
+            const auto known = m_servers.find(server.name);
+            if (known != m_servers.end() && --known->second.uses == 0)
+            {
+                m_pools.remove(server.name);
+                m_servers.erase(known);
+            }
         }
     }
-    m_servers = std::move(kept);
 }
 
 // ---------------------------------------------------------------------------------------------------------
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -8,7 +8,6 @@
 
 #include <flaxtiller/catalog/configuration.hpp>
 #include <flaxtiller/core/clock.hpp>
-#include <flaxtiller/registration/registry.hpp>
 #include <flaxtiller/routing/router.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -37,10 +36,6 @@
     routed_front(boost::asio::io_context& io, metrics& counted, const router_options& options,
                  routed_headers names, sender send, owners_handler owners);
 
-    /// @return which backend servers hold which shard: the declared ones and the registered ones
-    static std::shared_ptr<const placement> place_with(std::int64_t revision, const configuration& value,
-                                                       const std::vector<registration>& registered);
-
     std::error_code listen(const address& at);
 
     /// @brief Puts a configuration and the registered backend servers in force. Thread-safe; calls must not
@@ -85,8 +80,14 @@
     {
         std::string address;
         int connections = 0;
+        /// Shards of services that name the backend server.
+        int uses = 0;
+    };
 
-        bool operator==(const pool_bounds&) const = default;
+    struct pooled_service
+    {
+        shared_value<placed_service> placed;
+        int sharers = 0;
     };
 
     void on_request(const http_request& request, http_server::respond respond);
@@ -102,6 +103,8 @@
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void schedule();
     void configure_pools(const placement& placed);
+    void configure_pool(const backend_server& server, int sharers);
+    void release(const placed_service& service);
     void log_answer(const caller& from, const routed_outcome& outcome, duration took) const;
     nlohmann::json dump_state() const;
 
@@ -118,8 +121,10 @@
     // On the strand only.
     router m_router;
     pools_by_server<connection_pool> m_pools;
+    /// The services whose pools are configured.
+    std::map<service_name, pooled_service> m_pooled;
     /// What the pools were last told, by backend server.
-    std::map<backend_server_name, pool_bounds> m_servers;
+    std::unordered_map<backend_server_name, pool_bounds> m_servers;
     std::unordered_map<request_number, caller> m_callers;
     /// Requests that other entries asked for, by their name and number.
     std::map<std::pair<std::string, ask_number>, request_number> m_asked;
--- a/src/shell/service_lane.cpp
+++ b/src/shell/service_lane.cpp
@@ -130,7 +130,7 @@
         fmt::format("{}-{:x}-{}-{}", m_context.self.str(), m_context.run, m_service.str(), action.attempt);
     request.service = m_service.str();
     request.shard = action.shard;
-    request.shards = static_cast<int>(m_placed->services.at(m_service).shards.size());
+    request.shards = static_cast<int>(m_placed->services.at(m_service)->shards.size());
     request.version = action.version;
     request.left = action.deadline - now;
     request.body = action.body ? *action.body : std::string();
--- a/tests/src/unit-catalog.cpp
+++ b/tests/src/unit-catalog.cpp
@@ -36,7 +36,7 @@
         CHECK(found.items().empty());
         CHECK(validate(parsed).items().empty());
         const placement placed = place(1, parsed);
-        const auto& shards = placed.services.at(service_name("dispatch")).shards;
+        const auto& shards = placed.services.at(service_name("dispatch"))->shards;
         REQUIRE(shards.size() == 2);
         CHECK(shards[0].at(0).name.str() == "b0");
         CHECK(shards[1].at(0).name.str() == "b1");
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -59,9 +59,9 @@
         said.slots = 4;
         value.backend_servers.emplace(said.id, to_backend_server(said, value.services.at(said.service)));
         const placement placed = place(1, value);
-        CHECK(placed.services.at(service_name("s1")).shards.at(0).size() == 1);
-        CHECK(placed.services.at(service_name("s1")).shards.at(0).at(0).connection_limit == 26);
-        CHECK(placed.services.at(service_name("s2")).shards.at(0).empty());
+        CHECK(placed.services.at(service_name("s1"))->shards.at(0).size() == 1);
+        CHECK(placed.services.at(service_name("s1"))->shards.at(0).at(0).connection_limit == 26);
+        CHECK(placed.services.at(service_name("s2"))->shards.at(0).empty());
     }
     SECTION("the highest version wins; an equal or lower one is acknowledged and changes nothing")
     {
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -65,7 +65,7 @@
         view.placed = placed;
         view.routes = std::make_shared<const route_table>(routes);
         view.region = region;
-        view.region_of_zone = {{"near-zone", "near"}, {"far-zone", "far"}};
+        view.region_of_zone = std::map<std::string, std::string>{{"near-zone", "near"}, {"far-zone", "far"}};
         view.peers = peers;
         m_router.configure(view, now);
         take();
@@ -124,6 +124,11 @@
         now = until;
     }
 
+    time_point next_time() const
+    {
+        return m_router.next_time();
+    }
+
     void gone(request_number number)
     {
         m_router.caller_gone(number, now);
@@ -716,3 +721,52 @@
         CHECK(driver.ask_as_peer("/all/x", false) == routed_end::refused);
     }
 }
+
+TEST_CASE("a view costs what changed since the one before", "[router]")
+{
+    for (const int services : {30, 300, 3300})
+    {
+        auto placed = std::make_shared<placement>();
+        for (int i = 0; i < services; ++i)
+        {
+            placed_service item;
+            item.definition.name = service_name("s" + std::to_string(i));
+            item.shards.resize(1);
+            placed->services.emplace(item.definition.name, item);
+        }
+        routing_view view;
+        view.placed = placed;
+        view.routes = std::make_shared<const route_table>(
+            std::map<std::string, route>{{"all", fan_out_over(services, 0.9)}});
+        router decided{router_options{}};
+        const time_point now{duration::from_ms(1000)};
+        decided.configure(view, now);
+        REQUIRE(decided.services_configured() == static_cast<std::uint64_t>(services));
+
+        auto next = std::make_shared<placement>(*placed);
+        placed_service changed = *next->services.at(service_name("s7"));
+        backend_server server;
+        server.name = backend_server_name("b");
+        changed.shards[0].push_back(server);
+        next->services[service_name("s7")] = changed;
+        view.placed = next;
+        decided.configure(view, now);
+        CHECK(decided.services_configured() == static_cast<std::uint64_t>(services) + 1);
+        REQUIRE(decided.scheduler_of(service_name("s7")) != nullptr);
+        CHECK(decided.scheduler_of(service_name("s7"))->servers().size() == 1);
+    }
+}
+
+TEST_CASE("attempts that ended leave no timer behind", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(4, 0.5)}}, 4);
+    const request_number number = driver.ask("/all/x");
+    for (const char* service : {"s0", "s1", "s2", "s3"})
+    {
+        driver.end(service, attempt_status::answered);
+    }
+    REQUIRE(driver.answers.count(number) == 1);
+    // Each would wake the process for nothing, and an instance has a small part of a core.
+    CHECK(driver.next_time() == time_point::never());
+}
--- a/tests/src/unit-shard-plan.cpp
+++ b/tests/src/unit-shard-plan.cpp
@@ -43,18 +43,20 @@
         }
         m_view.placed = placed;
         m_view.routes = std::make_shared<const route_table>(std::map<std::string, route>{{"all", by}});
+        std::map<std::string, std::string> regions;
         for (const char* region : {"r1", "r2", "r3"})
         {
             for (const char* half : {"-a", "-b"})
             {
                 const std::string zone = std::string(region) + half;
-                m_view.region_of_zone[zone] = region;
+                regions[zone] = region;
                 for (int i = 0; i < entries_per_zone; ++i)
                 {
                     all.push_back({instance_name(zone + std::to_string(i)), region, zone, ""});
                 }
             }
         }
+        m_view.region_of_zone = regions;
         m_view.entries = static_cast<int>(all.size());
     }
 
@@ -62,6 +64,7 @@
     routing_view view_of(const std::string& name) const
     {
         routing_view view = m_view;
+        std::vector<entry_peer> peers;
         for (const entry_peer& item : all)
         {
             if (item.name.str() == name)
@@ -72,9 +75,10 @@
             }
             else
             {
-                view.peers.push_back(item);
+                peers.push_back(item);
             }
         }
+        view.peers = peers;
         return view;
     }
 
@@ -165,11 +169,13 @@
     {
         routing_view less = site.view_of("r1-b0");
         const instance_name gone = groups[0].runners[0];
-        std::erase_if(less.peers,
+        std::vector<entry_peer> peers = *less.peers;
+        std::erase_if(peers,
                       [&](const entry_peer& item)
                       {
                           return item.name == gone;
                       });
+        less.peers = peers;
         shard_plan next(less);
         std::size_t moved = 0;
         for (std::size_t i = 0; i < groups.size(); ++i)
@@ -185,7 +191,10 @@
         auto placed = std::make_shared<placement>(*view.placed);
         for (const char* service : {"s3", "s4", "s5"})
         {
-            placed->services.at(service_name(service)).shards[0][0].leaving = true;
+            auto& shared = placed->services.at(service_name(service));
+            placed_service changed = *shared;
+            changed.shards[0][0].leaving = true;
+            shared = changed;
         }
         view.placed = placed;
         shard_plan next(view);
@@ -220,7 +229,7 @@
     }
     SECTION("nor to one that can't be reached")
     {
-        view.unreachable = {first.peer};
+        view.unreachable = std::set<instance_name>{first.peer};
         choice.configure(view);
         CHECK(choice.groups_of(site.by, now).at(0).peer != first.peer);
     }
@@ -238,3 +247,60 @@
         CHECK(groups.size() == 9);
     }
 }
+
+TEST_CASE("lists of shards are planned anew only where something that matters changed", "[plan]")
+{
+    for (const int entries_per_zone : {5, 50})
+    {
+        const plan_fixture site(90, entries_per_zone, 2 * slots);
+        routing_view view = site.view_of("r1-b0");
+        shard_plan plan(view);
+        const std::vector<shard_plan::group> groups = plan.groups_of(site.by);
+        REQUIRE(plan.lists_planned() == 1);
+        const auto change_first = [&](auto edit)
+        {
+            auto placed = std::make_shared<placement>(*view.placed);
+            auto& shared = placed->services.at(service_name("s3"));
+            placed_service changed = *shared;
+            edit(changed.shards[0]);
+            shared = changed;
+            view.placed = placed;
+            plan.update(view);
+        };
+
+        // The same view again, links that break, and a second replica in a zone that has one.
+        plan.update(view);
+        view.unreachable = std::set<instance_name>{groups[0].runners[0]};
+        plan.update(view);
+        change_first(
+            [](std::vector<backend_server>& replicas)
+            {
+                replicas.push_back(replicas[0]);
+                replicas.back().name = backend_server_name("another");
+            });
+        CHECK(plan.lists_planned() == 1);
+        CHECK(plan.groups_of(site.by) == groups);
+
+        // The zone loses its last replica.
+        change_first(
+            [](std::vector<backend_server>& replicas)
+            {
+                replicas.erase(replicas.begin());
+                replicas.back().leaving = true;
+            });
+        CHECK(plan.lists_planned() == 2);
+        CHECK(shard_plan(view).groups_of(site.by) == plan.groups_of(site.by));
+
+        // An entry goes: the plan is as one made from scratch.
+        std::vector<entry_peer> peers = *view.peers;
+        peers.pop_back();
+        view.peers = peers;
+        plan.update(view);
+        CHECK(plan.lists_planned() == 3);
+        CHECK(shard_plan(view).groups_of(site.by) == plan.groups_of(site.by));
+        for (const service_name& service : site.by.fan_out)
+        {
+            CHECK(shard_plan(view).owners_of(service) == plan.owners_of(service));
+        }
+    }
+}
