Changes of routes alone don't place backend servers anew

Change: live_placement compares services, rules and declared backend servers first. Test: a revision with the same services leaves all of them shared. Not measured alone.

--- a/include/flaxtiller/catalog/placer.hpp
+++ b/include/flaxtiller/catalog/placer.hpp
@@ -24,6 +24,12 @@
     /// @brief Takes the services and rules of a configuration, but none of its backend servers.
     placer(std::int64_t revision, const configuration& value);
 
+    /// @brief Another revision, with the same services and rules.
+    void set_revision(std::int64_t revision) noexcept
+    {
+        m_placed.revision = revision;
+    }
+
     /// @brief Adds a backend server, or replaces the one of this name.
     /// @complexity O(rules that may match + services that it serves)
     void put(const backend_server& server);
--- a/include/flaxtiller/registration/live_placement.hpp
+++ b/include/flaxtiller/registration/live_placement.hpp
@@ -19,7 +19,7 @@
 {
   public:
     /// @brief Another configuration.
-    /// @param registered all backend servers that are registered now
+    /// @param registered all backend servers that are registered now; each change since was applied
     void configure(std::int64_t revision, const configuration& value,
                    const std::vector<registration>& registered);
 
@@ -34,6 +34,7 @@
 
     placer m_placer;
     std::map<service_name, service> m_services;
+    std::map<std::string, placement_rule> m_rules;
     /// A registered backend server stands before a declared one of the same name.
     std::map<backend_server_name, backend_server> m_declared;
     std::shared_ptr<const placement> m_current = std::make_shared<const placement>();
--- a/src/registration/live_placement.cpp
+++ b/src/registration/live_placement.cpp
@@ -6,8 +6,19 @@
 void live_placement::configure(std::int64_t revision, const configuration& value,
                                const std::vector<registration>& registered)
 {
+    // Most changes are to routes.
+    const bool places_alike = !m_services.empty() && value.services == m_services &&
+                              value.placement_rules == m_rules && value.backend_servers == m_declared &&
+                              value.instances == m_current->instances;
+    if (places_alike)
+    {
+        m_placer.set_revision(revision);
+        m_is_current = false;
+        return;
+    }
     m_placer = placer(revision, value);
     m_services = value.services;
+    m_rules = value.placement_rules;
     m_declared = value.backend_servers;
     for (const auto& [name, server] : m_declared)
     {
--- a/tests/src/unit-live-placement.cpp
+++ b/tests/src/unit-live-placement.cpp
@@ -114,6 +114,7 @@
         live.apply({registered("b", 5, registration_state::ready)});
         const auto after = live.current();
         live.configure(2, value, {registered("b", 5, registration_state::ready)});
+        CHECK(live.current()->revision == 2);
         const auto reconfigured = live.current();
         int changed = 0;
         int changed_by_revision = 0;
