--- a/include/flaxtiller/distribution/replica_choice.hpp
+++ b/include/flaxtiller/distribution/replica_choice.hpp
@@ -69,6 +69,9 @@
     std::string choose(const std::vector<candidate>& reachable, const std::string& leader, bool serves,
                        time_point now);
 
+    /// @return the revision that a replica last said it has; 0 if it said none
+    std::int64_t said(const std::string& replica) const;
+
     /// @return the replica that is followed
     const std::string& followed() const noexcept
     {
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flaxtiller/routing/place_set.hpp>
 #include <flaxtiller/routing/routing_view.hpp>
 
 #include <cstddef>
@@ -37,8 +38,10 @@
     /// Entries that may run a group, the first choice included: one may have failed, and another be passed
     /// over.
     static constexpr std::size_t most_owners = 4;
+    /// The owners of a group that also count what it may repeat: the first choice, and who stands in for it.
+    static constexpr std::size_t counting_owners = 2;
     /// Availability zones; replicas in further ones are known to no plan.
-    static constexpr std::size_t most_places = 64;
+    static constexpr std::size_t most_places = detail::most_places;
 
     /// @brief Shards that are run together.
     struct group
@@ -85,8 +88,7 @@
     }
 
   private:
-    /// Availability zones or regions, by their positions in the order of their names.
-    using place_set = std::uint64_t;
+    using place_set = detail::place_set;
     /// An entry's position in the order of their names.
     using entry_index = std::uint32_t;
     static constexpr std::size_t nowhere = std::numeric_limits<std::size_t>::max();
--- a/src/distribution/replica_choice.cpp
+++ b/src/distribution/replica_choice.cpp
@@ -32,14 +32,19 @@
     }
 }
 
+std::int64_t replica_choice::said(const std::string& replica) const
+{
+    const auto known = m_said.find(replica);
+    return known == m_said.end() ? 0 : known->second;
+}
+
 bool replica_choice::lags(bool serves, time_point now) const
 {
     if (m_followed.empty() || m_behind_since == time_point::never())
     {
         return false;
     }
-    const auto said = m_said.find(m_followed);
-    const bool has_it = said != m_said.end() && said->second >= m_wanted;
+    const bool has_it = said(m_followed) >= m_wanted;
     const duration bound = has_it ? transfer_bound : serves ? lag_bound : first_lag_bound;
     return now - m_behind_since >= bound;
 }
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -251,7 +251,11 @@
     if (followed != before)
     {
         log(log_level::info, "control_followed",
-            {{"replica", followed}, {"before", before}, {"revision", subscriber.revision()}});
+            {{"replica", followed},
+             {"before", before},
+             {"before_said_revision", control_choice.said(before)},
+             {"wanted_revision", leader_revision},
+             {"revision", subscriber.revision()}});
         distribution::revision_report farewell = subscriber.report();
         farewell.wants_updates = false;
         links.send(before, farewell);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -48,13 +48,16 @@
 
 void router::configure(routing_view view, time_point now)
 {
-    m_view = std::move(view);
-    m_groups.configure(m_view);
-    m_peers.clear();
-    for (const entry_peer& peer : *m_view.peers)
+    if (!view.peers.is_same(m_view.peers))
     {
-        m_peers.emplace(peer.name, peer);
+        m_peers.clear();
+        for (const entry_peer& peer : *view.peers)
+        {
+            m_peers.emplace(peer.name, peer);
+        }
     }
+    m_view = std::move(view);
+    m_groups.configure(m_view);
     const bool near_changed = note_near_zones();
     for (const auto& [name, placed] : m_view.placed->services)
     {
--- /dev/null
+++ b/src/routing/shard_plan_groups.cpp
@@ -0,0 +1,238 @@
+// How one list of shards is cut into groups, and who runs each.
+
+#include <flaxtiller/routing/shard_plan.hpp>
+
+#include "shard_cover.hpp"
+
+#include <flaxtiller/core/hash.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace flaxtiller
+{
+
+using detail::cover;
+using detail::holds;
+using detail::only;
+
+namespace
+{
+
+/// Rankings kept: some thousand bytes each at 50 entries a zone.
+constexpr std::size_t most_rankings = 2048;
+
+/// Shards go into as many groups as there are shards in each: the sum of what the asker and an owner send is
+/// least then.
+std::size_t group_size(std::size_t shards)
+{
+    return static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(shards))));
+}
+
+/// @return a number of groups that a shard more or less seldom changes
+std::size_t steady_count(std::size_t groups)
+{
+    constexpr std::size_t exact_up_to = 4;
+    return groups <= exact_up_to ? groups : groups + groups % 2;
+}
+
+} // namespace
+
+void shard_plan::plan(const route& by, list_plan& into)
+{
+    ++m_lists_planned;
+    into.owners.assign(by.fan_out.size(), {});
+    const std::size_t own_zone = zone_index(m_zone_name);
+    std::vector<planned_group> own;
+    for (std::size_t zone = 0; zone < m_zones.size(); ++zone)
+    {
+        if (!into.owned && zone != own_zone)
+        {
+            continue;
+        }
+        const std::vector<planned_group> groups = plan_from(by, into, zone, m_zones[zone].region);
+        for (const planned_group& item : groups)
+        {
+            const auto counting = static_cast<std::ptrdiff_t>(std::min(counting_owners, item.runners.size()));
+            for (const std::size_t shard : item.shards)
+            {
+                std::vector<entry_index>& owners = into.owners[shard];
+                owners.insert(owners.end(), item.runners.begin(), item.runners.begin() + counting);
+            }
+        }
+        own = zone == own_zone ? groups : std::move(own);
+    }
+    if (own_zone == nowhere)
+    {
+        own = plan_from(by, into, nowhere, region_index(m_region_name));
+    }
+    for (const planned_group& item : own)
+    {
+        into.groups.push_back(named(item));
+    }
+}
+
+shard_plan::place_set shard_plan::regions_of(place_set zones) const
+{
+    place_set regions = 0;
+    for (std::size_t zone = 0; zone < m_zones.size(); ++zone)
+    {
+        regions |= holds(zones, zone) ? only(m_zones[zone].region) : 0;
+    }
+    return regions;
+}
+
+/// @param zone where the asker is; @ref nowhere for one in no listed zone
+std::vector<shard_plan::planned_group> shard_plan::plan_from(const route& by, const list_plan& list,
+                                                             std::size_t zone, std::size_t own_region)
+{
+    place_set near = 0;
+    for (std::size_t other = 0; other < m_zones.size(); ++other)
+    {
+        near |= m_zones[other].region == own_region ? only(other) : 0;
+    }
+    std::vector<place_set> near_zones(list.zones.size());
+    std::vector<place_set> far_zones(list.zones.size());
+    std::vector<std::size_t> far;
+    for (std::size_t shard = 0; shard < list.zones.size(); ++shard)
+    {
+        near_zones[shard] = list.zones[shard] & near;
+        if (near_zones[shard] == 0)
+        {
+            far_zones[shard] = list.zones[shard];
+            far.push_back(shard);
+        }
+    }
+    std::vector<planned_group> groups;
+    if (!list.owned)
+    {
+        add_far_groups(list, far, groups);
+        return groups;
+    }
+    const auto near_cover = cover(near_zones, m_zones.size(), zone);
+    for (std::size_t at = 0; at < near_cover.size(); ++at)
+    {
+        add_owned_groups(by, at, near_cover[at], "", groups);
+    }
+    // Few entries beside the far replicas run them for all of the asking region, so that these keep
+    // connections and know the latencies.
+    const std::string region_name =
+        own_region < m_regions.size() ? m_regions[own_region].name : m_region_name;
+    const auto far_cover = cover(far_zones, m_zones.size(), nowhere);
+    for (std::size_t at = 0; at < far_cover.size(); ++at)
+    {
+        add_owned_groups(by, at, far_cover[at], region_name + '/', groups);
+    }
+    return groups;
+}
+
+/// Far shards that any entry of their region may run: one group a region.
+void shard_plan::add_far_groups(const list_plan& list, const std::vector<std::size_t>& far,
+                                std::vector<planned_group>& into) const
+{
+    std::vector<place_set> regions(list.zones.size());
+    for (const std::size_t shard : far)
+    {
+        regions[shard] = regions_of(list.zones[shard]);
+    }
+    const auto by_region = cover(regions, m_regions.size(), nowhere);
+    for (std::size_t at = 0; at < by_region.size(); ++at)
+    {
+        if (by_region[at].size() >= least_group && !m_regions[at].entries.empty())
+        {
+            into.push_back({by_region[at], m_regions[at].entries, true});
+        }
+    }
+}
+
+void shard_plan::add_owned_groups(const route& by, std::size_t zone, const std::vector<std::size_t>& shards,
+                                  const std::string& salt, std::vector<planned_group>& into)
+{
+    const std::vector<entry_index>& in_zone = m_zones[zone].entries;
+    const std::vector<entry_index>& entries =
+        in_zone.empty() ? m_regions[m_zones[zone].region].entries : in_zone;
+    if (entries.empty() || shards.empty())
+    {
+        return;
+    }
+    // By position in the whole fan-out, so that a shard that comes or goes leaves the other groups as they
+    // are.
+    const std::size_t all = by.fan_out.size();
+    const std::size_t size = group_size(all);
+    const std::size_t groups = steady_count((shards.size() + size - 1) / size);
+    const std::size_t most = (groups + entries.size() - 1) / entries.size();
+    std::unordered_map<entry_index, std::size_t> load;
+    std::size_t next = 0;
+    for (std::size_t at = 0; at < groups; ++at)
+    {
+        const std::size_t first = at * all / groups;
+        const std::size_t end = (at + 1) * all / groups;
+        planned_group item;
+        while (next < shards.size() && shards[next] < end)
+        {
+            item.shards.push_back(shards[next++]);
+        }
+        item.runners = ranked(salt + m_zones[zone].name + '/' + by.fan_out[first].str(), entries);
+        // None owns more groups than its share.
+        const auto owner = std::find_if(item.runners.begin(), item.runners.end(),
+                                        [&](entry_index name)
+                                        {
+                                            return load[name] < most;
+                                        });
+        if (owner != item.runners.end())
+        {
+            ++load[*owner];
+            std::rotate(item.runners.begin(), owner, owner + 1);
+        }
+        item.runners.resize(std::min(item.runners.size(), most_owners));
+        if (!item.shards.empty())
+        {
+            into.push_back(std::move(item));
+        }
+    }
+}
+
+/// @return entries in the order of rendezvous hashing
+std::vector<shard_plan::entry_index> shard_plan::ranked(const std::string& key,
+                                                        const std::vector<entry_index>& entries)
+{
+    const auto known = m_rankings.find(key);
+    if (known != m_rankings.end())
+    {
+        return known->second;
+    }
+    std::vector<std::pair<std::uint64_t, entry_index>> ranks;
+    ranks.reserve(entries.size());
+    for (const entry_index item : entries)
+    {
+        ranks.emplace_back(hash64(key + '/' + m_names[item].str()), item);
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<entry_index> order;
+    order.reserve(ranks.size());
+    for (const auto& [rank, item] : ranks)
+    {
+        order.push_back(item);
+    }
+    if (m_rankings.size() >= most_rankings)
+    {
+        m_rankings.clear();
+    }
+    m_rankings.emplace(key, order);
+    return order;
+}
+
+shard_plan::group shard_plan::named(const planned_group& item) const
+{
+    group result;
+    result.shards = item.shards;
+    result.in_turn = item.in_turn;
+    for (const entry_index runner : item.runners)
+    {
+        result.runners.push_back(m_names[runner]);
+    }
+    return result;
+}
+
+} // namespace flaxtiller
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.hpp"
 
 #include <flaxtiller/core/json_reader.hpp>
+#include <flaxtiller/routing/shard_plan.hpp>
 
 #include <algorithm>
 #include <fstream>
@@ -279,6 +280,12 @@
                              "must be an object of strings");
         return;
     }
+    if (zones->size() > shard_plan::most_places)
+    {
+        reader.found().error(errc::out_of_range, reader.at("availability_zones"),
+                             "must be at most " + std::to_string(shard_plan::most_places));
+        return;
+    }
     into = zones->get<std::map<std::string, std::string>>();
 }
 
