--- a/src/routing/shard_plan_groups.cpp
+++ b/src/routing/shard_plan_groups.cpp
@@ -61,7 +61,10 @@
                 owners.insert(owners.end(), item.runners.begin(), item.runners.begin() + counting);
             }
         }
-        own = zone == own_zone ? groups : std::move(own);
+        if (zone == own_zone)
+        {
+            own = groups;
+        }
     }
     if (own_zone == nowhere)
     {
