The stand-in's crashed backend servers answer on no connection

Cause of the failed run of test_every_final_answer_is_explained_by_its_lines ('s0' != 's2'): crash() of the Python stand-in closed the listening socket only. Connections that were open went on being answered, so that s2 could be in although both of its backend servers had crashed, and the check assumed that it couldn't.

A test of the stand-in itself failed before; no check was loosened.

--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -6,6 +6,7 @@
 import os
 import re
 import shutil
+import socket
 import socketserver
 import tempfile
 import threading
@@ -103,6 +104,29 @@
             allow_reuse_address, daemon_threads = True, True
             request_queue_size = 64
 
+            def __init__(self, *arguments):
+                self.open_connections, self.lock = set(), threading.Lock()
+                super().__init__(*arguments)
+
+            def process_request(self, connection, client_address):
+                with self.lock:
+                    self.open_connections.add(connection)
+                super().process_request(connection, client_address)
+
+            def shutdown_request(self, connection):
+                with self.lock:
+                    self.open_connections.discard(connection)
+                super().shutdown_request(connection)
+
+            def handle_error(self, *_):
+                # Connections that a crash cut.
+                pass
+
+            def cut_connections(self):
+                with self.lock:
+                    for connection in self.open_connections:
+                        connection.shutdown(socket.SHUT_RDWR)
+
         host, port = address.split(":")
         self.server = Server((host, int(port)), Handler)
         threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
@@ -143,9 +167,11 @@
         return False
 
     def crash(self):
+        """Ends as a process that is killed does: neither new nor open connections are answered any more."""
         self.alive = False
         self.server.shutdown()
         self.server.server_close()
+        self.server.cut_connections()
 
 
 class Machine:
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -1,5 +1,6 @@
 """The whole path on a stand-in of the users' platform, in real processes, under the failures it is meant for."""
 
+import http.client
 import os
 import socket
 import sys
@@ -79,6 +80,19 @@
                 if answers[0]["missing"] != "0":
                     self.assertEqual(answers[0]["missing_services"], "s2", request)
 
+    def test_a_crashed_backend_answers_on_no_connection(self):
+        with Platform(entries=0) as platform:
+            backend = platform.add_backend("s0")
+            host, port = backend.address.split(":")
+            kept = http.client.HTTPConnection(host, int(port), timeout=3)
+            kept.request("GET", "/x", headers={"X-Expect-Instance": backend.id})
+            self.assertEqual(kept.getresponse().read()[-4:], b"rest")
+            backend.crash()
+            with self.assertRaises((OSError, http.client.HTTPException)):
+                kept.sock.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+                if not kept.sock.recv(100):
+                    raise ConnectionResetError
+
     def test_calm_day(self):
         with Platform() as platform:
             backends = self.serve(platform)
