--- /dev/null
+++ b/src/coordinator/service_coordinator_queries.cpp
@@ -0,0 +1,250 @@
+// What happens to a query from its arrival to its answer.
+
+#include <flaxtiller/coordinator/service_coordinator.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace flaxtiller
+{
+
+namespace
+{
+
+/// Each query has this many numbers for its parts.
+constexpr unsigned part_number_bits = 20;
+
+} // namespace
+
+void service_coordinator::refuse(const query_arrived& event, errc why, duration retry_after)
+{
+    query_answer told;
+    told.refusal = why;
+    told.retry_after = retry_after;
+    told.revision = m_placed ? m_placed->revision : 0;
+    // This sending wasn't run, but only the register knows of earlier ones with the same key.
+    told.outcome = event.request.repeatable ? outcome::not_run : outcome::unknown;
+    m_actions.emplace_back(answer_caller{event.query, std::move(told)});
+}
+
+std::vector<int> service_coordinator::shards_of(const query_request& request) const
+{
+    if (!request.shards.empty())
+    {
+        return request.shards;
+    }
+    std::vector<int> all(m_placed->services.at(m_service)->shards.size());
+    std::iota(all.begin(), all.end(), 0);
+    return all;
+}
+
+bool service_coordinator::shards_known(const query_request& request) const
+{
+    const auto count = static_cast<int>(m_placed->services.at(m_service)->shards.size());
+    return std::all_of(request.shards.begin(), request.shards.end(),
+                       [&](int shard)
+                       {
+                           return shard >= 0 && shard < count;
+                       });
+}
+
+duration service_coordinator::longest_wait(const std::vector<int>& shards, time_point now) const
+{
+    duration longest{};
+    for (const int shard : shards)
+    {
+        if (owner_of(shard) == m_self)
+        {
+            longest = std::max(longest, m_scheduler.estimated_wait(shard));
+            continue;
+        }
+        const auto heard = m_peer_waits.find(shard);
+        if (heard != m_peer_waits.end() && now - heard->second.heard_at < m_options.wait_age)
+        {
+            longest = std::max(longest, heard->second.wait);
+        }
+    }
+    return longest;
+}
+
+void service_coordinator::on(const query_arrived& event, time_point now)
+{
+    if (!m_placed || m_placed->services.count(m_service) == 0)
+    {
+        refuse(event, errc::unknown_service, {});
+        return;
+    }
+    if (!shards_known(event.request))
+    {
+        refuse(event, errc::unknown_shard, {});
+        return;
+    }
+    if (m_queries.size() >= m_options.most_queries)
+    {
+        refuse(event, errc::overloaded, dispatch::admission::least_retry);
+        return;
+    }
+    const std::vector<int> shards = shards_of(event.request);
+    const duration wait = longest_wait(shards, now);
+    // A short deadline alone is no reason to refuse: it may be met. A queue is.
+    const duration usual = wait > duration{} ? m_scheduler.median_latency() : duration{};
+    if (!m_admission.admits(wait, usual, event.request.deadline))
+    {
+        refuse(event, errc::overloaded, m_admission.retry_after(wait, event.request.deadline));
+        return;
+    }
+    const std::uint64_t serial = m_next_serial++;
+    query_execution execution(shards, m_placed->revision, serial << part_number_bits);
+    const time_point deadline = now + event.request.deadline;
+    auto body = std::make_shared<const std::string>(event.request.body);
+    open_query opened{event.request, std::move(body), std::move(execution), deadline, false, false};
+    auto& query = m_queries.emplace(event.query, std::move(opened)).first->second;
+    m_deadlines.emplace(deadline, event.query);
+    if (query.request.repeatable)
+    {
+        run(event.query, query, now);
+        return;
+    }
+    query.awaits_register = true;
+    m_actions.emplace_back(register_begin{event.query, query.request});
+}
+
+void service_coordinator::run(query_id id, open_query& query, time_point now)
+{
+    query.execution.start(m_versions);
+    send_parts(id, query, now);
+    settle(id, query, now);
+}
+
+void service_coordinator::send_parts(query_id id, open_query& query, time_point now)
+{
+    drop_parts(query.execution.take_abandoned(), now);
+    for (const query_execution::part& part : query.execution.take_parts())
+    {
+        route(id, query, part, now);
+    }
+}
+
+void service_coordinator::route(query_id id, const open_query& query, const query_execution::part& part,
+                                time_point now)
+{
+    const time_point deadline = query.deadline - m_options.way_there_and_back;
+    const instance_name owner = owner_of(part.shard);
+    if (owner == m_self)
+    {
+        route_local({id, {}, part.number, query.request.repeatable, query.body}, part, deadline, now);
+        return;
+    }
+    m_remote.emplace(part.number, remote_part{id, owner, part});
+    ask_peer& batch = m_asks[owner];
+    batch.peer = owner;
+    batch.subqueries.push_back(
+        {part.number, part.shard, part.version, deadline - now, query.request.repeatable, query.body});
+}
+
+void service_coordinator::route_local(const origin& from, const query_execution::part& part,
+                                      time_point deadline, time_point now)
+{
+    const dispatch::subquery_id id = m_next_subquery++;
+    m_origins.emplace(id, from);
+    if (from.peer.empty())
+    {
+        m_local.emplace(from.number, id);
+    }
+    else
+    {
+        m_for_peers[{from.peer, from.number}] = id;
+    }
+    dispatch::subquery wanted;
+    wanted.id = id;
+    wanted.shard = part.shard;
+    wanted.version = part.version;
+    wanted.deadline = deadline;
+    wanted.repeatable = from.repeatable;
+    wanted.body = from.body;
+    m_scheduler.submit(wanted, now);
+}
+
+void service_coordinator::drop_parts(const std::vector<std::uint64_t>& numbers, time_point now)
+{
+    for (const std::uint64_t number : numbers)
+    {
+        const auto local = m_local.find(number);
+        if (local != m_local.end())
+        {
+            m_scheduler.abandon(local->second, now);
+            m_origins.erase(local->second);
+            m_local.erase(local);
+        }
+        const auto remote = m_remote.find(number);
+        if (remote != m_remote.end())
+        {
+            abandon_at_peer& batch = m_abandons[remote->second.owner];
+            batch.peer = remote->second.owner;
+            batch.numbers.push_back(number);
+            m_remote.erase(remote);
+        }
+    }
+}
+
+void service_coordinator::part_over(query_id id, std::uint64_t number, const subquery_result& result,
+                                    time_point now)
+{
+    m_versions.note(result.shard, result.held_versions);
+    const auto found = m_queries.find(id);
+    if (found == m_queries.end())
+    {
+        return;
+    }
+    open_query& query = found->second;
+    if (query.execution.on_result(number, result, m_versions))
+    {
+        send_parts(id, query, now);
+        settle(id, query, now);
+    }
+}
+
+void service_coordinator::settle(query_id id, open_query& query, time_point now)
+{
+    if (query.awaits_register && now >= query.deadline)
+    {
+        // The register's word didn't come in time. Nothing was sent, but an earlier sending may have been
+        // run.
+        query_answer told = query.execution.answer().value_or(query_answer{});
+        if (!query.recorded)
+        {
+            told.refusal = errc::register_unreachable;
+            told.outcome = outcome::unknown;
+            m_late_begins.emplace(id, query.request);
+        }
+        tell(id, std::move(told));
+        return;
+    }
+    if (query.awaits_register || !query.execution.answer())
+    {
+        return;
+    }
+    drop_parts(query.execution.take_abandoned(), now);
+    if (query.request.repeatable)
+    {
+        tell(id, *query.execution.answer());
+        return;
+    }
+    query.awaits_register = true;
+    query.recorded = true;
+    m_deadlines.erase({query.deadline, id});
+    query.deadline = now + m_options.record_bound;
+    m_deadlines.emplace(query.deadline, id);
+    m_actions.emplace_back(register_finish{id, query.request, *query.execution.answer()});
+}
+
+void service_coordinator::tell(query_id id, query_answer answer)
+{
+    const auto found = m_queries.find(id);
+    m_deadlines.erase({found->second.deadline, id});
+    m_queries.erase(found);
+    m_actions.emplace_back(answer_caller{id, std::move(answer)});
+}
+
+} // namespace flaxtiller
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -1,7 +1,5 @@
 #include <flaxtiller/dispatch/scheduler.hpp>
 
-#include <flaxtiller/dispatch/owner_choice.hpp>
-
 #include "scheduler_detail.hpp"
 
 #include <algorithm>
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -1,11 +1,8 @@
 #include <flaxtiller/dispatch/scheduler.hpp>
 
-#include <flaxtiller/dispatch/owner_choice.hpp>
-
 #include "scheduler_detail.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace flaxtiller::dispatch
 {
