--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -161,7 +161,8 @@
              {"end", name_of(end)},
              {"status", status},
              {"after_ms", (now - sent_at).ms()},
-             {"failure_rate", scheduler == nullptr ? 0.0 : scheduler->failure_rate_of(sent.server, now)}});
+             {"failure_rate", scheduler == nullptr ? 0.0 : scheduler->failure_rate_of(sent.server, now)},
+             {"allowance", scheduler == nullptr ? 0.0 : scheduler->budget()}});
     }
     carry_out();
 }
