--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -13,6 +13,9 @@
 # A process is calm this long after the last fault that touched it or the core.
 CALM_AFTER_S = 6.0
 NOT_RUN = (408, 421, 429, 503)
+# Names under which disturbances are noted, beside those of single processes.
+CORE = "core"
+EVERYTHING = "everything"
 
 
 class Call:
@@ -37,7 +40,7 @@
         self.violations, self.calls = [], []
         # By entry and life: the greatest version seen there, and when its answer had come.
         self.seen = {}
-        # By time: processes that were disturbed, by name; "core" for control.
+        # What was disturbed, and when.
         self.disturbed = []
         # Versions acknowledged: number, and when.
         self.acknowledged = []
@@ -52,9 +55,10 @@
             self.disturbed.append((time.monotonic(), name))
 
     def calm(self, name, since, until):
-        """Whether neither the named process nor the core was disturbed in that time, or shortly before."""
+        """Whether neither the named process nor the core was disturbed in that time, or shortly before; with EVERYTHING,
+        whether nothing at all was."""
         with self.lock:
-            return not any(name in (who, "all") or who in ("core", "all", name)
+            return not any(name == EVERYTHING or who in (name, CORE, EVERYTHING)
                            for at, who in self.disturbed if since - CALM_AFTER_S <= at <= until)
 
     # -- as each call ends
@@ -139,13 +143,11 @@
 
     def check_drained(self, backend, acknowledged_at):
         for at, request in list(backend.arrivals):
-            if at > acknowledged_at + DRAIN_S and self.calm("all", acknowledged_at, at):
+            if at > acknowledged_at + DRAIN_S and self.calm(EVERYTHING, acknowledged_at, at):
                 self.violate("%s: sent to %s %.1f s after it left" % (request, backend.id, at - acknowledged_at))
 
     def check_planned_stop(self, machine, life, begun_at, backends):
-        """A planned stop of a calm entry cuts nothing that it had passed on."""
-        if not self.calm("all", begun_at, time.monotonic()):
-            return
+        """A planned stop cuts nothing that the entry had passed on, whatever else is disturbed meanwhile."""
         ran = {request for backend in backends for request in list(backend.served)}
         for call in list(self.calls):
             mine = call.machine == machine and call.life == life and call.ended_at >= begun_at
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "faults"))
 from cluster import eventually
 from platform_stand_in import Platform, call
-from promises import Call, Promises
+from promises import CORE, EVERYTHING, Call, Promises
 
 ENTRIES = 4
 ZONES = 3
@@ -54,7 +54,7 @@
         self.lives = {machine.number: 0 for machine in platform.machines}
         self.busy, self.lock = set(), threading.Lock()
         self.sent = {}
-        self.drains, self.background = [], []
+        self.drains, self.stops, self.background = [], [], []
         self.counts = {}
 
     # -- callers
@@ -133,7 +133,7 @@
         name = "%s-%d" % (role, machine.number)
         if not self.take(name):
             return
-        disturbed = "core" if role == "control" else name
+        disturbed = CORE if role == "control" else name
         self.promises.disturb(disturbed)
         act(machine, machine.processes[role])
         self.promises.disturb(disturbed)
@@ -178,7 +178,7 @@
         if not self.take("disk"):
             return
         taken = [name for name in names if self.take(name)]
-        self.promises.disturb("all")
+        self.promises.disturb(EVERYTHING)
         if len(taken) == len(names):
             for machine in self.platform.machines:
                 for process in machine.processes.values():
@@ -186,7 +186,7 @@
             for machine in self.platform.machines:
                 for role in machine.processes:
                     self.restart(machine, role)
-        self.promises.disturb("all")
+        self.promises.disturb(EVERYTHING)
         for name in taken:
             self.give_back(name)
         self.give_back("disk")
@@ -196,7 +196,7 @@
             life, begun_at = self.lives[machine.number], time.monotonic()
             if process.stop() != 0:
                 self.promises.violate("entry %d didn't end well when told to stop" % machine.number)
-            self.promises.check_planned_stop(machine.number, life, begun_at, self.platform.backends)
+            self.stops.append((machine.number, life, begun_at))
             self.restart(machine, "entry")
         self.on_process("entry", act)
 
@@ -212,7 +212,7 @@
         if not self.take(backend.service):
             return
         backend.crash()
-        self.promises.disturb("all")
+        self.promises.disturb(EVERYTHING)
         time.sleep(self.random.uniform(0.5, 3.0))
         self.platform.add_backend(backend.service, backend.zone)
         time.sleep(1.0)
@@ -280,6 +280,8 @@
     def check_end(self):
         for backend, acknowledged_at in self.drains:
             self.promises.check_drained(backend, acknowledged_at)
+        for stop in self.stops:
+            self.promises.check_planned_stop(*stop, self.platform.backends)
         self.promises.check_runs(self.platform.backends)
         held = self.platform.read()
         self.promises.check_read(held["version"], time.monotonic())
