--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -132,7 +132,11 @@
             def cut_connections(self):
                 with self.lock:
                     for connection in self.open_connections:
-                        connection.shutdown(socket.SHUT_RDWR)
+                        try:
+                            connection.shutdown(socket.SHUT_RDWR)
+                        except OSError:
+                            # Its peer has closed it already.
+                            continue
 
         host, port = address.split(":")
         self.server = Server((host, int(port)), Handler)
