Routes bound to regions

Ruled out: checking at the connection (the choice of another backend server would come too late, and a refusal would be a lost attempt); a filter in the plan alone (single requests, hedges and further attempts choose in the scheduler). Change: region_set, a value (any region, or these), its intersection where an asker's and an owner's revision both bind; asked by the scheduler for each choice of a backend server (first attempts, hedges, replacements, what waits), by the plan of shards (owners and far groups only where the route may run), by the choice of a designated replica, and by an entry that is asked (it refuses what shouldn't have come). Where no region serves, the answer is a refusal at once, not run, with when to come back.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -37,9 +37,9 @@
     /// @param candidates how many instances may own the service; bounds the connections of each
     void configure(const placed_service& placed, int candidates, time_point now);
 
-    /// @brief Tells which availability zones are near: of two backend servers about as fast, a near one is
-    /// preferred. Holds from the next @ref configure on.
-    void set_near(std::set<std::string> zones);
+    /// @brief Tells the regions of the availability zones, and which region is this instance's: of two
+    /// backend servers about as fast, a near one is preferred. Holds from the next @ref configure on.
+    void set_places(shared_value<std::map<std::string, std::string>> region_of_zone, std::string own_region);
 
     /// @brief Changes how many extra attempts may pile up, and how many come with time, whatever is finished.
     void limit_budget(double burst, double per_ms = 0.0);
@@ -77,8 +77,10 @@
     duration estimated_wait(int shard) const;
 
     /// @return why a new subquery of this shard can't be run at all now, or @ref missing_reason::none
+    /// @param regions see @ref subquery::regions
     /// @param retry_after set to when that ends, as far as it is known
-    missing_reason why_unavailable(int shard, time_point now, duration& retry_after) const;
+    missing_reason why_unavailable(int shard, const std::shared_ptr<const region_set>& regions,
+                                   time_point now, duration& retry_after) const;
 
     /// @return after how long an attempt now counts as late, on a backend server without a tail of its own
     duration late_after_now() const;
@@ -183,6 +185,7 @@
     // Choice of a backend server.
     bool eligible(const server_state& server, const work& item, time_point now) const;
     bool is_allowed(const server_state& server, const work& item) const;
+    static bool is_in_region(const server_state& server, const work& item);
     bool may_have_come_back(const server_state& server, const work& item, time_point now) const;
     bool usable(const server_state& server, time_point now) const;
     connection_share own_share(const server_state& server) const;
@@ -241,7 +244,8 @@
     scheduler_options m_options;
     token_budget m_budget;
     int m_candidates = 1;
-    std::set<std::string> m_near_zones;
+    shared_value<std::map<std::string, std::string>> m_region_of_zone;
+    std::string m_own_region;
     std::deque<server_state> m_servers;
     std::map<backend_server_name, server_index> m_server_index;
     std::vector<shard_state> m_shards;
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -7,6 +7,7 @@
 #include <flaxtiller/dispatch/subquery.hpp>
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace flaxtiller::dispatch
@@ -44,7 +45,9 @@
     bool said_leaving = false;
     /// No longer in the placement; kept until its last attempt ended.
     bool retired = false;
-    /// It stands in a near availability zone.
+    /// Its availability zone's region; empty where that isn't known.
+    std::string region;
+    /// It stands in this instance's region.
     bool near = false;
     /// The versions it said it holds; nothing before its first answer.
     std::optional<std::vector<index_version>> versions;
--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/core/time_point.hpp>
 
 #include <cstdint>
@@ -34,6 +35,8 @@
     /// server and at most one other, and the one that runs it again only this one. Together they stay within
     /// two.
     backend_server_name designated;
+    /// The regions whose backend servers it may be sent to; null for all.
+    std::shared_ptr<const region_set> regions;
     /// How long it takes, as a multiple of what is usual for the service; latencies are compared by it.
     double size = 1.0;
     /// What is sent; not looked at.
--- a/include/flaxtiller/query/missing_reason.hpp
+++ b/include/flaxtiller/query/missing_reason.hpp
@@ -23,6 +23,8 @@
     overloaded,
     /// The instance that owns the shard's backend servers can't be reached.
     owner_unreachable,
+    /// Backend servers hold the shard, but none in a region where the request may be run.
+    no_allowed_region,
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(missing_reason, {{missing_reason::none, "none"},
@@ -32,6 +34,7 @@
                                               {missing_reason::wrong_version, "wrong_version"},
                                               {missing_reason::cut, "cut"},
                                               {missing_reason::overloaded, "overloaded"},
-                                              {missing_reason::owner_unreachable, "owner_unreachable"}})
+                                              {missing_reason::owner_unreachable, "owner_unreachable"},
+                                              {missing_reason::no_allowed_region, "no_allowed_region"}})
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/route.hpp
+++ b/include/flaxtiller/routing/route.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/json_reader.hpp>
+#include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/routing/weighted_service.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -39,6 +40,8 @@
     int top_records = 10;
     /// An answer that covers a smaller share of the fan-out is a failure.
     double least_share = 1.0;
+    /// Where its requests may be run and passed on to.
+    region_set allowed_regions;
 
     bool operator==(const route&) const = default;
 
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
 #include <cstddef>
@@ -41,6 +42,8 @@
     duration progress_within{};
     /// Set with it: another entry may have run it already, so that all of it counts as repeated.
     bool asked_again = false;
+    /// Set with it: where the asker's route lets it run. The route that this entry knows binds, too.
+    region_set asked_regions;
 
     bool operator==(const routed_request&) const = default;
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -185,6 +185,8 @@
         std::uint64_t list = 0;
         std::shared_ptr<const routed_request> request;
         std::shared_ptr<const route> by;
+        /// Where it may run; null for anywhere.
+        std::shared_ptr<const region_set> regions;
         time_point arrived_at;
         time_point deadline;
         /// When a fan-out answers with what is in.
@@ -211,7 +213,10 @@
     lane_index lane_of(const service_name& service);
     std::vector<part> parts_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason, duration retry_after = {});
-    bool refuse_unservable(request_number number, const route& by, time_point now);
+    bool refuse_unservable(request_number number, const route& by,
+                           const std::shared_ptr<const region_set>& regions, time_point now);
+    static std::shared_ptr<const region_set> regions_of(const route& by, const routed_request& request);
+    bool is_outside(const routed_request& request, const std::shared_ptr<const region_set>& regions) const;
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
                  bool again, time_point now);
@@ -230,16 +235,16 @@
     void note_way(const instance_name& peer, duration way);
     bool can_pay_again(const open_request& opened, const group& wanted) const;
     bool may_run_twice(const open_request& opened) const;
-    backend_server_name designated_of(const service_name& service, const entry_peer& near) const;
+    backend_server_name designated_of(const open_request& opened, const service_name& service,
+                                      const entry_peer& near) const;
     static std::size_t parts_in(const open_request& opened);
     routed_outcome merged_so_far(const open_request& opened) const;
     double allowance_of(const service_name& service) const;
     double least_share_of(const open_request& opened) const;
     duration time_to_answer(const route& by, const routed_request& request) const;
     void set_timer(request_number number, open_request& opened);
-    void configure_lane(lane_index at, const shared_value<placed_service>& placed, bool near_changed,
+    void configure_lane(lane_index at, const shared_value<placed_service>& placed, bool places_changed,
                         time_point now);
-    bool note_near_zones();
     void note_due(lane_index at, lane& item);
     void detach(const part& asked);
     void submit(open_request& opened, part& wanted, double size, bool again, time_point now);
@@ -270,7 +275,6 @@
     std::unordered_map<service_name, lane_index> m_lane_of;
     /// Which scheduler has something to do when: hundreds of services, of which few are due at a time.
     std::set<std::pair<time_point, lane_index>> m_due;
-    std::set<std::string> m_near_zones;
     std::uint64_t m_lanes_configured = 0;
     lane_index m_next_lane = 1;
     std::unordered_map<request_number, open_request> m_open;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/routing/routed_outcome.hpp>
 #include <flaxtiller/routing/routed_request.hpp>
@@ -67,6 +68,8 @@
     duration progress_within{};
     /// Whether another entry may have run it already.
     bool again = false;
+    /// Where the request may run; the asked entry stands in one of them.
+    region_set regions;
     std::shared_ptr<const routed_request> sent;
 };
 
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -122,9 +122,24 @@
         bool in_turn = false;
     };
 
+    /// A list of shards, and where its requests may run. Routes often share both.
+    struct list_key
+    {
+        std::vector<service_name> shards;
+        region_set regions;
+
+        auto operator<=>(const list_key&) const = default;
+    };
+
+    static list_key key_of(const route& by)
+    {
+        return {by.fan_out, by.allowed_regions};
+    }
+
     /// The plan for one list of shards, and what it was made from.
     struct list_plan
     {
+        /// By shard: the availability zones that hold it and where it may run.
         std::vector<place_set> zones;
         bool owned = false;
         std::vector<group> groups;
@@ -147,6 +162,7 @@
     bool update_list(const route& by, bool entries_changed);
     void count_owners();
     std::size_t zone_index(const std::string& name) const;
+    place_set zones_in(const region_set& regions) const;
     place_set regions_of(place_set zones) const;
     list_plan make_list(const route& by) const;
     bool is_owned(const std::vector<service_name>& shards) const;
@@ -172,8 +188,7 @@
     std::vector<availability_zone> m_zones;
     std::vector<region> m_regions;
     std::unordered_map<service_name, service_places> m_services;
-    /// By the list of shards: routes often share one.
-    std::map<std::vector<service_name>, list_plan> m_lists;
+    std::map<list_key, list_plan> m_lists;
     std::unordered_map<service_name, ownership> m_owners;
     /// Rankings of entries by key, as long as no entry comes or goes.
     std::unordered_map<std::string, std::vector<entry_index>> m_rankings;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -64,7 +64,9 @@
             const server_index index = take_server_index(definition.name);
             server_state& server = m_servers[index];
             server.definition = definition;
-            server.near = m_near_zones.count(definition.availability_zone) > 0;
+            const auto region = m_region_of_zone->find(definition.availability_zone);
+            server.region = region == m_region_of_zone->end() ? std::string() : region->second;
+            server.near = !server.region.empty() && server.region == m_own_region;
             server.latency.track(m_options.late_quantile, m_options.late_gain);
             server.retired = false;
             server.shards.push_back(static_cast<int>(shard));
@@ -77,9 +79,11 @@
     }
 }
 
-void scheduler::set_near(std::set<std::string> zones)
+void scheduler::set_places(shared_value<std::map<std::string, std::string>> region_of_zone,
+                           std::string own_region)
 {
-    m_near_zones = std::move(zones);
+    m_region_of_zone = std::move(region_of_zone);
+    m_own_region = std::move(own_region);
 }
 
 void scheduler::limit_budget(double burst, double per_ms)
--- a/src/dispatch/scheduler_choice.cpp
+++ b/src/dispatch/scheduler_choice.cpp
@@ -45,9 +45,14 @@
     return !item.wanted.again && (!item.other || &m_servers[*item.other] == &server);
 }
 
+bool scheduler::is_in_region(const server_state& server, const work& item)
+{
+    return !item.wanted.regions || item.wanted.regions->allows(server.region);
+}
+
 bool scheduler::eligible(const server_state& server, const work& item, time_point now) const
 {
-    if (!is_allowed(server, item))
+    if (!is_in_region(server, item) || !is_allowed(server, item))
     {
         return false;
     }
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -281,7 +281,8 @@
     m_work.erase(found);
 }
 
-missing_reason scheduler::why_unavailable(int shard, time_point now, duration& retry_after) const
+missing_reason scheduler::why_unavailable(int shard, const std::shared_ptr<const region_set>& regions,
+                                          time_point now, duration& retry_after) const
 {
     if (!is_known_shard(shard))
     {
@@ -289,6 +290,7 @@
     }
     work any;
     any.wanted.shard = shard;
+    any.wanted.regions = regions;
     return why_not_runnable(any, now, retry_after);
 }
 
@@ -296,11 +298,13 @@
 {
     const auto& replicas = m_shards[static_cast<std::size_t>(item.wanted.shard)].replicas;
     bool any_staying = false;
+    bool any_in_region = false;
     time_point soonest = time_point::never();
     for (const server_index index : replicas)
     {
         const server_state& server = m_servers[index];
         any_staying = any_staying || !server.is_leaving();
+        any_in_region = any_in_region || (!server.is_leaving() && is_in_region(server, item));
         if (!eligible(server, item, now))
         {
             continue;
@@ -316,7 +320,11 @@
         retry_after = soonest - now;
         return missing_reason::no_backend_server;
     }
-    return any_staying ? missing_reason::wrong_version : missing_reason::no_backend_server;
+    if (!any_staying)
+    {
+        return missing_reason::no_backend_server;
+    }
+    return any_in_region ? missing_reason::wrong_version : missing_reason::no_allowed_region;
 }
 
 void scheduler::give_up(work& item, missing_reason reason, time_point now)
--- a/src/routing/route.cpp
+++ b/src/routing/route.cpp
@@ -54,12 +54,13 @@
     }
 }
 
-void read_fan_out(json_reader& reader, std::vector<service_name>& into)
+/// @return the list of names under a key; nothing where it is missing or anything else
+const nlohmann::json* take_names(json_reader& reader, const char* key)
 {
-    const nlohmann::json* list = reader.take("fan_out");
+    const nlohmann::json* list = reader.take(key);
     if (list == nullptr)
     {
-        return;
+        return nullptr;
     }
     const bool names = list->is_array() && std::all_of(list->begin(), list->end(),
                                                        [](const nlohmann::json& item)
@@ -68,13 +69,36 @@
                                                        });
     if (!names)
     {
-        reader.found().error(errc::wrong_type, reader.at("fan_out"), "must be a list of names");
+        reader.found().error(errc::wrong_type, reader.at(key), "must be a list of names");
+        return nullptr;
+    }
+    return list;
+}
+
+void read_fan_out(json_reader& reader, std::vector<service_name>& into)
+{
+    const nlohmann::json* list = take_names(reader, "fan_out");
+    for (std::size_t i = 0; list != nullptr && i < list->size(); ++i)
+    {
+        into.emplace_back((*list)[i].get<std::string>());
+    }
+}
+
+void read_allowed_regions(json_reader& reader, region_set& into)
+{
+    const nlohmann::json* list = take_names(reader, "allowed_regions");
+    if (list == nullptr)
+    {
         return;
     }
-    for (const auto& item : *list)
+    if (list->empty())
     {
-        into.emplace_back(item.get<std::string>());
+        // Whether it means nowhere or anywhere is for the operator to say.
+        reader.found().error(errc::out_of_range, reader.at("allowed_regions"),
+                             "must name a region; leave it out for any region");
+        return;
     }
+    into = list->get<region_set>();
 }
 
 void check_targets(json_reader& reader, const route& value)
@@ -129,6 +153,10 @@
         j["top_records"] = value.top_records;
         j["least_share"] = value.least_share;
     }
+    if (!value.allowed_regions.is_any())
+    {
+        j["allowed_regions"] = value.allowed_regions;
+    }
 }
 
 void read_item(json_reader& reader, route& into)
@@ -147,6 +175,7 @@
     reader.number("most_attempts", into.most_attempts, 1, most_attempts_allowed);
     read_targets(reader, into.targets);
     read_fan_out(reader, into.fan_out);
+    read_allowed_regions(reader, into.allowed_regions);
     reader.number("top_records", into.top_records, 0, most_records);
     reader.number("least_share", into.least_share, 0.0, 1.0);
     const bool slashes =
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -56,34 +56,19 @@
             m_peers.emplace(peer.name, peer);
         }
     }
+    const bool places_changed =
+        !view.region_of_zone.is_same(m_view.region_of_zone) || view.region != m_view.region;
     m_view = std::move(view);
     m_groups.configure(m_view);
-    const bool near_changed = note_near_zones();
     for (const auto& [name, placed] : m_view.placed->services)
     {
-        configure_lane(lane_of(name), placed, near_changed, now);
+        configure_lane(lane_of(name), placed, places_changed, now);
     }
     drop_undeclared_lanes(now);
 }
 
-/// @return whether they changed
-bool router::note_near_zones()
-{
-    std::set<std::string> near_zones;
-    for (const auto& [zone, region] : *m_view.region_of_zone)
-    {
-        if (region == m_view.region)
-        {
-            near_zones.insert(zone);
-        }
-    }
-    const bool changed = near_zones != m_near_zones;
-    m_near_zones = std::move(near_zones);
-    return changed;
-}
-
 /// Only what changed is told: a scheduler that takes over its backend servers copies all of them.
-void router::configure_lane(lane_index at, const shared_value<placed_service>& placed, bool near_changed,
+void router::configure_lane(lane_index at, const shared_value<placed_service>& placed, bool places_changed,
                             time_point now)
 {
     lane& item = m_lanes.at(at);
@@ -94,13 +79,13 @@
         item.scheduler.limit_budget(slack * at_once, slack * (1.0 - at_once) / m_options.retry_window.ms());
     }
     const int sharers = sharers_of(item.service);
-    if (!near_changed && sharers == item.sharers && placed.is_same(item.placed))
+    if (!places_changed && sharers == item.sharers && placed.is_same(item.placed))
     {
         return;
     }
     item.placed = placed;
     item.sharers = sharers;
-    item.scheduler.set_near(m_near_zones);
+    item.scheduler.set_places(m_view.region_of_zone, m_view.region);
     item.scheduler.configure(*placed, sharers, now);
     ++m_lanes_configured;
     collect(at, now);
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -22,16 +22,22 @@
 /// Refuses a fan-out of which too many shards have no backend server that could be asked: running the others
 /// would only take their time.
 /// @return whether it was refused
-bool router::refuse_unservable(request_number number, const route& by, time_point now)
+bool router::refuse_unservable(request_number number, const route& by,
+                               const std::shared_ptr<const region_set>& regions, time_point now)
 {
     std::vector<duration> returns;
+    missing_reason reason = missing_reason::no_backend_server;
     for (const service_name& service : by.fan_out)
     {
         duration retry_after = m_options.registration_retry;
         const dispatch::scheduler* scheduler = scheduler_of(service);
-        if (scheduler == nullptr || scheduler->why_unavailable(0, now, retry_after) != missing_reason::none)
+        const missing_reason blocked = scheduler == nullptr
+                                           ? missing_reason::no_backend_server
+                                           : scheduler->why_unavailable(0, regions, now, retry_after);
+        if (blocked != missing_reason::none)
         {
             returns.push_back(retry_after);
+            reason = blocked;
         }
     }
     const auto all = static_cast<double>(by.fan_out.size());
@@ -43,7 +49,7 @@
     // It can be served once enough of them are back.
     std::sort(returns.begin(), returns.end());
     const auto may_miss = std::min(static_cast<std::size_t>(all - needed), returns.size() - 1);
-    refuse(number, &by, missing_reason::no_backend_server, returns[returns.size() - 1 - may_miss]);
+    refuse(number, &by, reason, returns[returns.size() - 1 - may_miss]);
     return true;
 }
 
@@ -93,6 +99,19 @@
     return std::max(by.objective * m_options.objective_share - m_options.way_back, duration{});
 }
 
+/// Both the asker's route and this entry's bind: they may be of different revisions.
+std::shared_ptr<const region_set> router::regions_of(const route& by, const routed_request& request)
+{
+    region_set allowed = by.allowed_regions.both(request.asked_regions);
+    return allowed.is_any() ? nullptr : std::make_shared<const region_set>(std::move(allowed));
+}
+
+/// @return whether another entry passed the request on to a region where it may not run
+bool router::is_outside(const routed_request& request, const std::shared_ptr<const region_set>& regions) const
+{
+    return request.is_asked() && regions && !regions->allows(m_view.region);
+}
+
 void router::arrive(request_number number, std::shared_ptr<const routed_request> request, time_point now)
 {
     if (!m_view.placed)
@@ -120,17 +139,24 @@
         refuse(number, by.get(), missing_reason::wrong_version);
         return;
     }
+    const auto regions = regions_of(*by, *request);
+    if (is_outside(*request, regions))
+    {
+        refuse(number, by.get(), missing_reason::no_allowed_region);
+        return;
+    }
     if (m_open.size() >= m_options.most_requests)
     {
         refuse(number, by.get(), missing_reason::overloaded);
         return;
     }
-    if (by->fans_out() && !request->is_asked() && refuse_unservable(number, *by, now))
+    if (by->fans_out() && !request->is_asked() && refuse_unservable(number, *by, regions, now))
     {
         return;
     }
     open_request& opened = m_open[number];
     opened.by = by;
+    opened.regions = regions;
     opened.list = list;
     opened.revision = m_view.placed->revision;
     opened.arrived_at = now;
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -43,6 +43,7 @@
     sent.answer_within = std::max(opened.answer_at - now - way, duration::from_ms(1));
     sent.progress_within = sent.answer_within * m_options.progress_share;
     sent.again = again;
+    sent.regions = opened.by->allowed_regions;
     sent.sent = opened.request;
     const auto listed = m_peers.find(peer);
     const bool first = wanted.asks.empty();
@@ -52,7 +53,7 @@
         sent.shards.push_back(opened.parts[at].shard);
         if (designates)
         {
-            wanted.designated.push_back(designated_of(opened.parts[at].service, listed->second));
+            wanted.designated.push_back(designated_of(opened, opened.parts[at].service, listed->second));
         }
     }
     sent.designated = wanted.designated;
@@ -108,8 +109,10 @@
                        });
 }
 
-/// The backend server that is nearest to an entry; of several the first by name. One that leaves comes last.
-backend_server_name router::designated_of(const service_name& service, const entry_peer& near) const
+/// The backend server nearest to an entry that the request may be sent to; of several the first by name. One
+/// that leaves comes last.
+backend_server_name router::designated_of(const open_request& opened, const service_name& service,
+                                          const entry_peer& near) const
 {
     constexpr int leaves = 3;
     const auto placed = m_view.placed->services.find(service);
@@ -120,7 +123,12 @@
     {
         const backend_server& server = placed->second->shards[0][i];
         const auto region = m_view.region_of_zone->find(server.availability_zone);
-        const bool same_region = region != m_view.region_of_zone->end() && region->second == near.region;
+        const std::string where = region == m_view.region_of_zone->end() ? std::string() : region->second;
+        if (opened.regions && !opened.regions->allows(where))
+        {
+            continue;
+        }
+        const bool same_region = !where.empty() && where == near.region;
         const int distance = (server.availability_zone == near.availability_zone ? 0
                               : same_region                                      ? 1
                                                                                  : 2) +
@@ -359,6 +367,7 @@
     asked.most_attempts = opened.by->most_attempts;
     asked.again = again;
     asked.designated = wanted.designated;
+    asked.regions = opened.regions;
     asked.size = size;
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -21,16 +21,17 @@
 {
     const bool entries_changed = note_entries(view);
     note_services(view);
-    std::map<std::vector<service_name>, list_plan> before = std::exchange(m_lists, {});
+    std::map<list_key, list_plan> before = std::exchange(m_lists, {});
     bool changed = false;
     for (const auto& by : view.routes->fan_outs())
     {
-        if (m_lists.count(by->fan_out) > 0)
+        const list_key key = key_of(*by);
+        if (m_lists.count(key) > 0)
         {
             // Another route shares the list.
             continue;
         }
-        auto kept = before.extract(by->fan_out);
+        auto kept = before.extract(key);
         if (!kept.empty())
         {
             m_lists.insert(std::move(kept));
@@ -184,7 +185,7 @@
 bool shard_plan::update_list(const route& by, bool entries_changed)
 {
     list_plan next = make_list(by);
-    const auto known = m_lists.find(by.fan_out);
+    const auto known = m_lists.find(key_of(by));
     const bool same = known != m_lists.end() && !entries_changed && known->second.zones == next.zones &&
                       known->second.owned == next.owned;
     if (same)
@@ -192,7 +193,7 @@
         return false;
     }
     plan(by, next);
-    m_lists.insert_or_assign(by.fan_out, std::move(next));
+    m_lists.insert_or_assign(key_of(by), std::move(next));
     return true;
 }
 
@@ -201,14 +202,25 @@
     list_plan list;
     list.owned = is_owned(by.fan_out);
     list.zones.reserve(by.fan_out.size());
+    const place_set allowed = zones_in(by.allowed_regions);
     for (const service_name& service : by.fan_out)
     {
         const auto known = m_services.find(service);
-        list.zones.push_back(known == m_services.end() ? 0 : known->second.zones);
+        list.zones.push_back(known == m_services.end() ? 0 : known->second.zones & allowed);
     }
     return list;
 }
 
+shard_plan::place_set shard_plan::zones_in(const region_set& regions) const
+{
+    place_set zones = 0;
+    for (std::size_t zone = 0; zone < m_zones.size(); ++zone)
+    {
+        zones |= regions.allows(m_regions[m_zones[zone].region].name) ? only(zone) : 0;
+    }
+    return zones;
+}
+
 bool shard_plan::is_owned(const std::vector<service_name>& shards) const
 {
     return m_entry_count > 0 && std::any_of(shards.begin(), shards.end(),
@@ -225,11 +237,11 @@
 void shard_plan::count_owners()
 {
     std::unordered_map<service_name, std::vector<entry_index>> owners;
-    for (const auto& [shards, list] : m_lists)
+    for (const auto& [key, list] : m_lists)
     {
-        for (std::size_t shard = 0; list.owned && shard < shards.size(); ++shard)
+        for (std::size_t shard = 0; list.owned && shard < key.shards.size(); ++shard)
         {
-            std::vector<entry_index>& all = owners[shards[shard]];
+            std::vector<entry_index>& all = owners[key.shards[shard]];
             all.insert(all.end(), list.owners[shard].begin(), list.owners[shard].end());
         }
     }
@@ -249,7 +261,7 @@
 
 const std::vector<shard_plan::group>& shard_plan::groups_of(const route& by)
 {
-    const auto known = m_lists.find(by.fan_out);
+    const auto known = m_lists.find(key_of(by));
     if (known != m_lists.end())
     {
         return known->second.groups;
@@ -257,7 +269,7 @@
     // A route that isn't in force any more, for a request that began with it.
     list_plan list = make_list(by);
     plan(by, list);
-    return m_lists.emplace(by.fan_out, std::move(list)).first->second.groups;
+    return m_lists.emplace(key_of(by), std::move(list)).first->second.groups;
 }
 
 std::size_t shard_plan::owners_of(const service_name& service) const
@@ -280,7 +292,7 @@
 std::set<instance_name> shard_plan::first_owners() const
 {
     std::set<instance_name> names;
-    for (const auto& [shards, list] : m_lists)
+    for (const auto& [key, list] : m_lists)
     {
         for (const group& item : list.groups)
         {
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -18,7 +18,7 @@
 {
 
 /// @brief The version of the protocol between our processes; a peer with another one is refused.
-inline constexpr int link_protocol_version = 4;
+inline constexpr int link_protocol_version = 5;
 
 /// @brief The first message on each link, in both directions.
 struct hello
--- a/src/shell/routed_front_entries.cpp
+++ b/src/shell/routed_front_entries.cpp
@@ -88,6 +88,7 @@
     asked.request.answer_within = action.answer_within;
     asked.request.progress_within = action.progress_within;
     asked.request.asked_again = action.again;
+    asked.request.asked_regions = action.regions;
     m_send(action.peer.str(), asked);
 }
 
