Evacuated availability zones

Cause: /api/evacuations/ was answered 404 and never acknowledged. Chosen: a part of the replicated configuration that only its own change writes. So it is on a majority's disks before it is acknowledged, comes back after all power was lost, reaches every entry as a patch, and is in force by the same confirmation as any revision. Every order goes through the log, also one that changes nothing: of two opposite ones that race, the one committed last counts. Effect: the placer marks backend servers of an evacuated zone as leaving; plan, owners, designated replicas, first attempts, hedges and replacements leave it by that, and what is in flight ends.

--- a/include/flaxtiller/catalog/catalog_state.hpp
+++ b/include/flaxtiller/catalog/catalog_state.hpp
@@ -60,6 +60,9 @@
 
     change_result decide(const change& requested, configuration& next) const;
     configuration next_configuration(const change& requested, findings& found) const;
+    configuration kept_configuration(const nlohmann::json& body, findings& found) const;
+    configuration evacuated(const nlohmann::json& order, findings& found) const;
+    void keep_evacuated(configuration& next, findings& found) const;
     void drop_old_revisions();
     void remember(const change_id& id, const change_result& result);
 
--- a/include/flaxtiller/catalog/change.hpp
+++ b/include/flaxtiller/catalog/change.hpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace flaxtiller
 {
@@ -19,6 +20,10 @@
     patch,
     /// The body is `{"revision": n}`: the configuration of that revision becomes a new revision.
     roll_back,
+    /// The body is `{"availability_zone": name, "evacuated": true or false}`: from now on backend servers of
+    /// the zone get nothing new, or they do again. Whatever the base revision; of two orders for one zone
+    /// the one that was committed last counts.
+    evacuate,
 };
 
 /// @brief A change that an operator asks for. Sent again with the same id it has no second effect.
@@ -59,9 +64,13 @@
     bool operator==(const change_result&) const = default;
 };
 
+/// @return the order to evacuate an availability zone, or to take that back
+change evacuation_order(change_id id, const std::string& zone, bool evacuated);
+
 NLOHMANN_JSON_SERIALIZE_ENUM(change_kind, {{change_kind::replace, "replace"},
                                            {change_kind::patch, "patch"},
-                                           {change_kind::roll_back, "roll_back"}})
+                                           {change_kind::roll_back, "roll_back"},
+                                           {change_kind::evacuate, "evacuate"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(change_status, {{change_status::invalid, "invalid"},
                                              {change_status::accepted, "accepted"},
                                              {change_status::conflict, "conflict"},
--- a/include/flaxtiller/catalog/configuration.hpp
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace flaxtiller
@@ -24,6 +25,9 @@
     std::map<instance_name, instance> instances;
     std::map<std::string, route> routes;
     request_limits limits;
+    /// Availability zones whose backend servers get nothing new. Set by orders of their own
+    /// (change_kind::evacuate); a whole document or an earlier revision leaves it as it is.
+    std::set<std::string> evacuated_zones;
     /// The operator's own number of this configuration; it only grows. 0 where operators don't number them.
     std::int64_t version = 0;
 
--- a/include/flaxtiller/catalog/placer.hpp
+++ b/include/flaxtiller/catalog/placer.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,7 +32,8 @@
         m_placed.revision = revision;
     }
 
-    /// @brief Adds a backend server, or replaces the one of this name.
+    /// @brief Adds a backend server, or replaces the one of this name. One in an evacuated availability zone
+    /// is placed as leaving.
     /// @complexity O(rules that may match + services that it serves)
     void put(const backend_server& server);
 
@@ -74,6 +76,8 @@
     void remove_at(const held_shard& held, const backend_server_name& server);
 
     placement m_placed;
+    /// Backend servers in these count as leaving.
+    std::set<std::string> m_evacuated_zones;
     std::vector<rule_targets> m_rules;
     /// Rules by the first label for which they ask a single value.
     std::map<std::string, rules_by_value> m_rules_by_label;
--- a/include/flaxtiller/registration/live_placement.hpp
+++ b/include/flaxtiller/registration/live_placement.hpp
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace flaxtiller
@@ -35,6 +37,7 @@
     placer m_placer;
     std::map<service_name, service> m_services;
     std::map<std::string, placement_rule> m_rules;
+    std::set<std::string> m_evacuated_zones;
     /// A registered backend server stands before a declared one of the same name.
     std::map<backend_server_name, backend_server> m_declared;
     std::shared_ptr<const placement> m_current = std::make_shared<const placement>();
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -1,8 +1,21 @@
 #include <flaxtiller/catalog/catalog_state.hpp>
 
+#include <flaxtiller/core/json_reader.hpp>
+
+#include <utility>
+
 namespace flaxtiller
 {
 
+change evacuation_order(change_id id, const std::string& zone, bool evacuated)
+{
+    change order;
+    order.id = std::move(id);
+    order.kind = change_kind::evacuate;
+    order.body = {{"availability_zone", zone}, {"evacuated", evacuated}};
+    return order;
+}
+
 change_result catalog_state::apply(const change& requested)
 {
     const auto known = m_results.find(requested.id);
@@ -16,7 +29,7 @@
     }
     configuration next;
     change_result result = decide(requested, next);
-    if (result.status == change_status::accepted)
+    if (result.status == change_status::accepted && result.revision > m_revision)
     {
         m_current = std::move(next);
         m_revision = result.revision;
@@ -52,7 +65,8 @@
 {
     change_result result;
     result.revision = m_revision;
-    if (requested.version == 0 && requested.base_revision != m_revision)
+    const bool evacuates = requested.kind == change_kind::evacuate;
+    if (requested.version == 0 && requested.base_revision != m_revision && !evacuates)
     {
         result.status = change_status::conflict;
         result.winner = m_made_by;
@@ -60,6 +74,12 @@
     }
     next = next_configuration(requested, result.found);
     next.version = requested.version > 0 ? requested.version : m_current.version;
+    if (evacuates && !result.found.has_errors() && next == m_current)
+    {
+        // Ordered before: it holds by the revision in force.
+        result.status = change_status::accepted;
+        return result;
+    }
     if (result.found.has_errors())
     {
         result.status = change_status::invalid;
@@ -76,16 +96,59 @@
 
 configuration catalog_state::next_configuration(const change& requested, findings& found) const
 {
+    configuration next;
     switch (requested.kind)
     {
+    case change_kind::evacuate:
+        return evacuated(requested.body, found);
     case change_kind::replace:
-        return parse_configuration(requested.body, found);
+        next = parse_configuration(requested.body, found);
+        break;
     case change_kind::patch:
-        return apply_patch(m_current, requested.body, found);
+        next = apply_patch(m_current, requested.body, found);
+        break;
     case change_kind::roll_back:
+        next = kept_configuration(requested.body, found);
         break;
     }
-    const auto wanted = requested.body.is_object() ? requested.body.value("revision", std::int64_t{-1}) : -1;
+    keep_evacuated(next, found);
+    return next;
+}
+
+/// An operator may send back the whole document that was read while a zone was evacuated, or long after.
+void catalog_state::keep_evacuated(configuration& next, findings& found) const
+{
+    if (!next.evacuated_zones.empty() && next.evacuated_zones != m_current.evacuated_zones)
+    {
+        found.warning(errc::key_clash, "/evacuated_zones",
+                      "stays as it is: zones are evacuated by orders of their own");
+    }
+    next.evacuated_zones = m_current.evacuated_zones;
+}
+
+configuration catalog_state::evacuated(const nlohmann::json& order, findings& found) const
+{
+    configuration next = m_current;
+    json_reader reader(order, "", found);
+    std::string zone;
+    bool is_evacuated = true;
+    reader.require("availability_zone");
+    reader.text("availability_zone", zone);
+    reader.require("evacuated");
+    reader.flag("evacuated", is_evacuated);
+    reader.finish();
+    if (zone.empty())
+    {
+        found.error(errc::out_of_range, reader.at("availability_zone"), "must not be empty");
+        return next;
+    }
+    is_evacuated ? (void)next.evacuated_zones.insert(zone) : (void)next.evacuated_zones.erase(zone);
+    return next;
+}
+
+configuration catalog_state::kept_configuration(const nlohmann::json& body, findings& found) const
+{
+    const auto wanted = body.is_object() ? body.value("revision", std::int64_t{-1}) : -1;
     for (const revision_record& record : m_history)
     {
         if (record.revision == wanted)
--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -222,6 +222,21 @@
     into.idle_timeout = duration::from_ms(idle_ms);
 }
 
+void read_evacuated_zones(json_reader& reader, std::set<std::string>& into)
+{
+    const nlohmann::json* list = reader.take(evacuated_zones_key);
+    if (list == nullptr)
+    {
+        return;
+    }
+    if (!list->is_array() || !std::all_of(list->begin(), list->end(), is_label_value))
+    {
+        reader.found().error(errc::wrong_type, reader.at(evacuated_zones_key), "must be a list of names");
+        return;
+    }
+    into = list->get<std::set<std::string>>();
+}
+
 void read_document(json_reader& reader, configuration& into)
 {
     read_list(reader, services_key, into.services);
@@ -230,6 +245,7 @@
     read_list(reader, instances_key, into.instances);
     read_list(reader, routes_key, into.routes);
     read_limits(reader, into.limits);
+    read_evacuated_zones(reader, into.evacuated_zones);
     reader.number(version_key, into.version, std::int64_t{0}, highest_version);
     reader.finish();
 }
@@ -310,6 +326,7 @@
          {instances_key, values_of(value.instances)},
          {routes_key, values_of(value.routes)},
          {limits_key, value.limits},
+         {evacuated_zones_key, value.evacuated_zones},
          {version_key, value.version}};
 }
 
--- a/src/catalog/configuration_digest.cpp
+++ b/src/catalog/configuration_digest.cpp
@@ -38,7 +38,8 @@
 
 std::uint64_t digest_of_rest(const configuration& value)
 {
-    return item_digest(limits_key, value.limits) + item_digest(version_key, value.version);
+    return item_digest(limits_key, value.limits) + item_digest(evacuated_zones_key, value.evacuated_zones) +
+           item_digest(version_key, value.version);
 }
 
 /// @return by how much the items that a patch names change the digest
--- a/src/catalog/configuration_keys.hpp
+++ b/src/catalog/configuration_keys.hpp
@@ -10,6 +10,7 @@
 inline constexpr const char* instances_key = "instances";
 inline constexpr const char* routes_key = "routes";
 inline constexpr const char* limits_key = "request_limits";
+inline constexpr const char* evacuated_zones_key = "evacuated_zones";
 inline constexpr const char* version_key = "version";
 
 } // namespace flaxtiller::detail
--- a/src/catalog/diff.cpp
+++ b/src/catalog/diff.cpp
@@ -40,6 +40,10 @@
     {
         patch["upsert"]["request_limits"] = to.limits;
     }
+    if (from.evacuated_zones != to.evacuated_zones)
+    {
+        patch["upsert"]["evacuated_zones"] = to.evacuated_zones;
+    }
     if (from.version != to.version)
     {
         patch["upsert"]["version"] = to.version;
--- a/src/catalog/placer.cpp
+++ b/src/catalog/placer.cpp
@@ -23,6 +23,7 @@
 {
     m_placed.revision = revision;
     m_placed.instances = value.instances;
+    m_evacuated_zones = value.evacuated_zones;
     for (const auto& [name, definition] : value.services)
     {
         placed_service entry{definition, {}};
@@ -144,8 +145,10 @@
     }
 }
 
-void placer::put(const backend_server& server)
+void placer::put(const backend_server& given)
 {
+    backend_server server = given;
+    server.leaving = server.leaving || m_evacuated_zones.count(server.availability_zone) > 0;
     std::vector<held_shard> held = shards_of(server);
     std::vector<held_shard>& before = m_held[server.name];
     for (const held_shard& item : before)
--- a/src/command/commands.hpp
+++ b/src/command/commands.hpp
@@ -14,6 +14,7 @@
 int run_check(const std::vector<std::string>& arguments);
 int run_apply(const std::vector<std::string>& arguments);
 int run_status(const std::vector<std::string>& arguments);
+int run_evacuate(const std::vector<std::string>& arguments);
 int run_members(const std::vector<std::string>& arguments);
 int run_dump(const std::vector<std::string>& arguments);
 int run_query(const std::vector<std::string>& arguments);
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -34,6 +34,8 @@
                ""},
     subcommand{"apply", run_apply, "FILE", "change the configuration",
                "control,id,base,kind,dry_run,timeout_ms"},
+    subcommand{"evacuate", run_evacuate, "ZONE start|stop, or list",
+               "send nothing new to a zone's backend servers, or do again", "control,id,timeout_ms"},
     subcommand{"status", run_status, "", "show replicas, revisions in force and their age",
                "control,timeout_ms"},
     subcommand{"members", run_members, "add|replace|remove NAME", "change the control replicas",
--- a/src/command/operate.cpp
+++ b/src/command/operate.cpp
@@ -1,4 +1,4 @@
-// The subcommands of operators that talk to the control replicas: apply, status, members.
+// The subcommands of operators that talk to the control replicas: apply, evacuate, status, members.
 
 #include "commands.hpp"
 #include "control_client.hpp"
@@ -138,6 +138,35 @@
     return report(call_leader({"GET", "/status", "", {}}));
 }
 
+int run_evacuate(const std::vector<std::string>& arguments)
+{
+    const std::string action = arguments.empty() ? std::string() : arguments.back();
+    if (arguments.size() == 1 && action == "list")
+    {
+        const auto reply = call_leader({"GET", "/status", "", {}});
+        if (!reply || reply->status != shell::http_ok)
+        {
+            return report(reply);
+        }
+        fmt::print("{}\n", body_of(*reply).at("evacuated_zones").dump(2));
+        return success;
+    }
+    if (arguments.size() != 2 || (action != "start" && action != "stop"))
+    {
+        fmt::print(stderr, "needs an availability zone and start or stop; or list\n");
+        return usage;
+    }
+    const change_id id(FLAGS_id.empty() ? draw_id() : FLAGS_id);
+    const change wanted = evacuation_order(id, arguments[0], action == "start");
+    const int status = report(call_leader({"POST", "/changes", nlohmann::json(wanted).dump(), {}}));
+    if (status == unreachable)
+    {
+        fmt::print(stderr, "it isn't known whether it took effect; send it again with --id={}\n", id.str());
+        return unknown_outcome;
+    }
+    return status;
+}
+
 int run_members(const std::vector<std::string>& arguments)
 {
     if (arguments.size() != 2)
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -222,6 +222,9 @@
 
     static std::optional<change> read_change(const http_request& request, http_reply& refusal);
 
+    /// @return a finding where an evacuation names an availability zone that the settings don't
+    findings check_zone(const change& wanted) const;
+
     static int status_of(const change_result& result);
 
     void on_change(const http_request& request, const http_server::respond& respond);
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -83,6 +83,23 @@
     }
 }
 
+findings control_process::implementation::check_zone(const change& wanted) const
+{
+    findings found;
+    if (wanted.kind != change_kind::evacuate || !wanted.body.is_object())
+    {
+        return found;
+    }
+    const auto zone = wanted.body.find("availability_zone");
+    const bool names = zone != wanted.body.end() && zone->is_string();
+    if (names && !settings.region_of_zone.empty() && settings.region_of_zone.count(*zone) == 0)
+    {
+        found.error(errc::unknown_name, "/body/availability_zone",
+                    "no availability zone of this name is in the settings");
+    }
+    return found;
+}
+
 int control_process::implementation::status_of(const change_result& result)
 {
     switch (result.status)
@@ -108,6 +125,12 @@
         respond(refusal);
         return;
     }
+    const findings found = check_zone(*wanted);
+    if (found.has_errors())
+    {
+        respond(json_reply(http_bad_request, change_result{change_status::invalid, 0, {}, found}));
+        return;
+    }
     submit(*wanted,
            [this, respond](std::error_code failed, const change_result& decided)
            {
@@ -265,6 +288,7 @@
     }
     respond(json_reply(http_ok, {{"leader", settings.replica.name},
                                  {"revision", catalog.state().revision()},
+                                 {"evacuated_zones", catalog.state().current().evacuated_zones},
                                  {"instances", std::move(instances)},
                                  {"catalog", dump_of(catalog, clock.now())},
                                  {"register", dump_of(registers, clock.now())}}));
@@ -309,6 +333,7 @@
                         {"region", settings.replica.region},
                         {"availability_zone", settings.replica.availability_zone},
                         {"revision", catalog.state().revision()},
+                        {"evacuated_zones", catalog.state().current().evacuated_zones},
                         {"register_keys", registers.state().size()},
                         {"reachable_peers", links.reachable()},
                         {"catalog", dump_of(catalog, clock.now())},
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -125,6 +125,12 @@
     return node == nullptr ? std::string() : node->leader().str();
 }
 
+bool control_process::knows_zone(const std::string& zone) const
+{
+    const auto& known = m_implementation->settings.region_of_zone;
+    return !zone.empty() && (known.empty() || known.count(zone) > 0);
+}
+
 void control_process::heartbeat(const registration& said)
 {
     m_implementation->hub.on_heartbeat(said, m_implementation->clock.now());
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -53,6 +53,9 @@
     /// @return the name of the replica that leads as far as this one knows; empty if none does
     std::string leader() const;
 
+    /// @return whether the settings name this availability zone; true for all where they name none
+    bool knows_zone(const std::string& zone) const;
+
     /// @brief A backend server's heartbeat.
     void heartbeat(const registration& said);
 
--- a/src/entry/entry_callers.cpp
+++ b/src/entry/entry_callers.cpp
@@ -219,6 +219,7 @@
                         {"run", run_id},
                         {"draining", draining.load()},
                         {"revision", subscriber.revision()},
+                        {"evacuated_zones", subscriber.current()->evacuated_zones},
                         {"reachable_peers", reachable},
                         {"services", services},
                         {"registered_backend_servers", registered.present().size()},
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -79,8 +79,37 @@
     }
 }
 
+/// Which zones are evacuated, and which routes no availability zone may serve: what an operator asks first
+/// where requests are refused.
+void entry_process::implementation::note_places()
+{
+    const configuration& current = *subscriber.current();
+    if (current.evacuated_zones != evacuated_zones)
+    {
+        evacuated_zones = current.evacuated_zones;
+        log(log_level::info, "zones_evacuated",
+            {{"zones", nlohmann::json(evacuated_zones).dump()}, {"revision", subscriber.revision()}});
+    }
+    for (const auto& [name, item] : current.routes)
+    {
+        const bool served = std::any_of(region_of_zone->begin(), region_of_zone->end(),
+                                        [&](const auto& zone)
+                                        {
+                                            return item.allowed_regions.allows(zone.second);
+                                        });
+        if (!item.allowed_regions.is_any() && !served)
+        {
+            log(log_level::warning, "route_without_region",
+                {{"route", name},
+                 {"allowed_regions", nlohmann::json(item.allowed_regions).dump()},
+                 {"revision", subscriber.revision()}});
+        }
+    }
+}
+
 void entry_process::implementation::put_in_force()
 {
+    note_places();
     routes = std::make_shared<const route_table>(subscriber.current()->routes);
     if (routed)
     {
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -160,6 +160,8 @@
     /// The routes of the revision in force.
     std::shared_ptr<const route_table> routes = std::make_shared<const route_table>();
     bool view_due = false;
+    /// As of the revision in force.
+    std::set<std::string> evacuated_zones;
     /// The replica that last said under its lease what the present revision is, and when.
     std::string leader;
     time_point leader_heard_at{};
@@ -241,6 +243,8 @@
 
     void note_confirmed();
 
+    void note_places();
+
     void put_in_force();
 
     void tell_peers(service_lane& lane);
--- a/src/registration/live_placement.cpp
+++ b/src/registration/live_placement.cpp
@@ -9,6 +9,7 @@
     // Most changes are to routes.
     const bool places_alike = !m_services.empty() && value.services == m_services &&
                               value.placement_rules == m_rules && value.backend_servers == m_declared &&
+                              value.evacuated_zones == m_evacuated_zones &&
                               value.instances == m_current->instances;
     if (places_alike)
     {
@@ -19,6 +20,7 @@
     m_placer = placer(revision, value);
     m_services = value.services;
     m_rules = value.placement_rules;
+    m_evacuated_zones = value.evacuated_zones;
     m_declared = value.backend_servers;
     for (const auto& [name, server] : m_declared)
     {
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -445,6 +445,7 @@
                  {
                      read_links(r, settings.links);
                  });
+    read_zones(reader, settings.region_of_zone);
     read_ms(reader, "registration_silence_ms", settings.registration_silence, 1.0, hour_ms);
     reader.require("data_folder");
     reader.text("data_folder", settings.data_folder);
--- a/src/shell/settings.hpp
+++ b/src/shell/settings.hpp
@@ -105,6 +105,9 @@
     /// Whether this is the very first start: the replicas in @ref replicas make the logs' first voters.
     bool founding = false;
     link_timing links;
+    /// The regions of the availability zones, to refuse orders for one that doesn't exist; empty where any
+    /// name may be one.
+    std::map<std::string, std::string> region_of_zone;
     /// A registered backend server that wasn't heard for this long is lost: several of its heartbeats.
     duration registration_silence = duration::from_ms(8000);
     quorum::member_keeper::options keeper;
--- a/tests/src/unit-catalog.cpp
+++ b/tests/src/unit-catalog.cpp
@@ -1,4 +1,5 @@
 #include <flaxtiller/catalog/catalog_state.hpp>
+#include <flaxtiller/catalog/diff.hpp>
 #include <flaxtiller/catalog/placement.hpp>
 
 #include <catch2/catch.hpp>
@@ -136,3 +137,111 @@
         CHECK(state.current().services.size() == 1);
     }
 }
+
+TEST_CASE("evacuated availability zones", "[catalog]")
+{
+    catalog_state state;
+    nlohmann::json body = document();
+    body["backend_servers"][0]["availability_zone"] = "a";
+    body["backend_servers"][1]["availability_zone"] = "b";
+    REQUIRE(state.apply(replacement("c1", 0, body)).revision == 1);
+    const auto order = [&](const std::string& id, const std::string& zone, bool evacuated)
+    {
+        return state.apply(evacuation_order(change_id(id), zone, evacuated));
+    };
+    const auto leaving = [&]
+    {
+        std::set<std::string> names;
+        const placement placed = place(0, state.current());
+        for (const auto& replicas : placed.services.at(service_name("dispatch"))->shards)
+        {
+            for (const backend_server& server : replicas)
+            {
+                if (server.leaving)
+                {
+                    names.insert(server.name.str());
+                }
+            }
+        }
+        return names;
+    };
+    REQUIRE(order("e1", "a", true).revision == 2);
+    const std::set<std::string> a{"a"};
+
+    SECTION("their backend servers get nothing new, until that is taken back")
+    {
+        CHECK(state.current().evacuated_zones == a);
+        CHECK(leaving() == std::set<std::string>{"b0"});
+        CHECK(order("e2", "b", true).revision == 3);
+        CHECK(leaving() == std::set<std::string>{"b0", "b1"});
+        CHECK(order("e3", "a", false).revision == 4);
+        CHECK(leaving() == std::set<std::string>{"b1"});
+    }
+    SECTION("an order that was taken is taken again, and changes nothing")
+    {
+        const change_result again = order("e1", "a", true);
+        CHECK(again.status == change_status::accepted);
+        const change_result other_call = order("e2", "a", true);
+        CHECK(other_call.status == change_status::accepted);
+        CHECK(state.revision() == 2);
+        CHECK(order("e3", "b", false).status == change_status::accepted);
+        CHECK(state.revision() == 2);
+    }
+    SECTION("of two opposite orders the one that was committed last counts, whatever its base")
+    {
+        order("e2", "a", false);
+        order("e3", "a", true);
+        CHECK(state.current().evacuated_zones == a);
+    }
+    SECTION("no other change takes it back: neither a whole document, a numbered one, nor a roll-back")
+    {
+        REQUIRE(state.apply(replacement("c2", 2, body)).revision == 3);
+        CHECK(state.current().evacuated_zones == a);
+        change numbered = replacement("c3", 0, body);
+        numbered.version = 9;
+        REQUIRE(state.apply(numbered).revision == 4);
+        CHECK(state.current().evacuated_zones == a);
+        REQUIRE(state.apply({change_id("back"), 4, change_kind::roll_back, {{"revision", 1}}}).revision == 5);
+        CHECK(state.current().evacuated_zones == a);
+        order("e2", "a", false);
+        CHECK(state.current().evacuated_zones.empty());
+        CHECK(state.current().version == 9);
+    }
+    SECTION("a document that says otherwise is told so")
+    {
+        body["evacuated_zones"] = {"b"};
+        const change_result result = state.apply(replacement("c2", 2, body));
+        CHECK(result.status == change_status::accepted);
+        CHECK(result.found.to_text().find("/evacuated_zones") != std::string::npos);
+        CHECK(state.current().evacuated_zones == a);
+    }
+    SECTION("they are in a snapshot, in a patch to an instance, and in its digest")
+    {
+        CHECK(catalog_state::deserialize(state.serialize()) == state);
+        configuration before = state.current();
+        before.evacuated_zones.clear();
+        const nlohmann::json patch = diff(before, state.current());
+        findings found;
+        CHECK(apply_patch(before, patch, found) == state.current());
+        CHECK_FALSE(found.has_errors());
+        CHECK(before.digest() != state.current().digest());
+        CHECK(digest_after(before, before.digest(), state.current(), patch) == state.current().digest());
+    }
+    SECTION("a malformed order is refused with its place")
+    {
+        const std::vector<nlohmann::json> bodies{{{"evacuated", true}},
+                                                 {{"availability_zone", 3}, {"evacuated", true}},
+                                                 {{"availability_zone", "a"}},
+                                                 {{"availability_zone", ""}, {"evacuated", true}},
+                                                 "a"};
+        for (std::size_t i = 0; i < bodies.size(); ++i)
+        {
+            change wanted = evacuation_order(change_id("bad-" + std::to_string(i)), "", true);
+            wanted.body = bodies[i];
+            const change_result refused = state.apply(wanted);
+            CHECK(refused.status == change_status::invalid);
+            CHECK(refused.found.has_errors());
+            CHECK(state.revision() == 2);
+        }
+    }
+}
