Backend servers that start again under their name; heartbeats of other writers

Cause: nothing read when a backend server's life began, so that one which starts again with counts from 1 was ignored until it caught up, and its earlier life's latencies, failures and connections counted on. Change: words are ordered by life, then by sequence; that an earlier life was heard says nothing of this one; a last word ends only its own life. The scheduler forgets what it observed of the earlier life and takes no late end for this one's; the pool drops its connections.

--- a/include/flaxtiller/catalog/backend_server.hpp
+++ b/include/flaxtiller/catalog/backend_server.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace flaxtiller
@@ -24,6 +25,9 @@
     int connection_limit = 25;
     /// An operator's word that it is going away: it gets no new work.
     bool leaving = false;
+    /// When its present life began, as it said when it registered; 0 where it didn't. In no document: what is
+    /// declared has no life.
+    std::int64_t born_ms = 0;
 
     bool operator==(const backend_server&) const = default;
 };
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -142,6 +142,8 @@
     {
         subquery_id subquery = 0;
         server_index server = 0;
+        /// See @ref server_state::life.
+        int life = 0;
         time_point started_at;
         /// See @ref subquery::size.
         double size = 1.0;
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -20,6 +20,8 @@
 struct server_state
 {
     backend_server definition;
+    /// Counts the lives of it that were seen, so that an end of an earlier one isn't taken for this one's.
+    int life = 0;
     /// The shards that it holds.
     std::vector<int> shards;
     /// Attempts that hold one of its slots, those being cancelled included.
@@ -61,6 +63,9 @@
     int cancel_failures_in_row = 0;
     time_point replace_paused_until{};
 
+    /// @brief Forgets what was observed of an earlier life; attempts that hold a slot still end.
+    void begin_life();
+
     /// @return whether new work must not go there, by any of the three sources
     bool is_leaving() const noexcept
     {
--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -24,7 +24,7 @@
     lost,
 };
 
-/// @brief What a backend server says of itself in a heartbeat. Each start of one is another id.
+/// @brief What a backend server says of itself in a heartbeat.
 struct registration
 {
     backend_server_name id;
@@ -38,7 +38,9 @@
     registration_state state = registration_state::ready;
     /// How much longer it is slow after its start, as of this heartbeat.
     duration warmup_left{};
-    /// Grows with each heartbeat of this id.
+    /// When this life of it began, in milliseconds of the Unix clock; 0 where each life has an id of its own.
+    std::int64_t born_ms = 0;
+    /// Grows with each heartbeat of this life.
     std::int64_t sequence = 0;
 
     bool operator==(const registration&) const = default;
@@ -49,11 +51,17 @@
         return state == registration_state::ready || state == registration_state::draining;
     }
 
+    /// @return whether this is a later word than @a other, of the same life or a later one
+    bool is_later_than(const registration& other) const noexcept
+    {
+        return born_ms == other.born_ms ? sequence > other.sequence : born_ms > other.born_ms;
+    }
+
     /// @return whether only the sequence and the warm-up differ
     bool same_standing(const registration& other) const
     {
-        return service == other.service && address == other.address && slots == other.slots &&
-               state == other.state && availability_zone == other.availability_zone &&
+        return born_ms == other.born_ms && service == other.service && address == other.address &&
+               slots == other.slots && state == other.state && availability_zone == other.availability_zone &&
                software == other.software;
     }
 };
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -10,15 +10,31 @@
 namespace flaxtiller
 {
 
+/// @brief That a backend server's heartbeat was received.
+struct sign_of_life
+{
+    backend_server_name id;
+    std::int64_t sequence = 0;
+    std::int64_t born_ms = 0;
+
+    bool operator==(const sign_of_life&) const = default;
+};
+
+void to_json(nlohmann::json& j, const sign_of_life& value);
+void from_json(const nlohmann::json& j, sign_of_life& value);
+
 /// @brief The backend servers that register themselves, as one process knows them. Soft state: after a loss
 /// of everything it fills again from the heartbeats. Deterministic.
 ///
 /// Only changes travel between processes (@ref take_changes, @ref merge); that an unchanged backend server
-/// still lives travels as its id and sequence (@ref take_heard, @ref on_heard). Of two words on one id the
-/// one with the greater sequence counts; `gone` is final.
+/// still lives travels as a @ref sign_of_life (@ref take_heard, @ref on_heard). Of two words on one id that
+/// of the later life counts, and within a life the one with the greater sequence; `gone` ends a life.
 class registry
 {
   public:
+    /// A warm-up that ends this much sooner or later than was told is told on.
+    static constexpr duration warmup_tolerance = duration::from_ms(250);
+
     /// How long an id that is gone is remembered, so that late heartbeats don't bring it back.
     static constexpr duration gone_kept = duration::from_ms(60000);
 
@@ -27,7 +43,8 @@
     bool on_heartbeat(const registration& said, time_point now);
 
     /// @brief A backend server deregistered. An unknown id is remembered as gone, too.
-    bool on_leave(const backend_server_name& id, time_point now);
+    /// @param born_ms which of its lives ends; 0 for the one that is known
+    bool on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now);
 
     /// @brief Another process's word on a backend server.
     /// @return whether the standing changed here
@@ -55,7 +72,7 @@
     bool has_unconfirmed() const noexcept;
 
     /// @brief Another process heard these backend servers lately.
-    void on_heard(const std::vector<std::pair<backend_server_name, std::int64_t>>& heard, time_point now);
+    void on_heard(const std::vector<sign_of_life>& heard, time_point now);
 
     /// @brief Calls lost what wasn't heard for @a silence, and forgets what is long gone.
     /// @return whether any standing changed
@@ -65,10 +82,10 @@
     std::vector<registration> take_changes();
 
     /// @return whose own heartbeats were received since the last call
-    std::vector<std::pair<backend_server_name, std::int64_t>> take_heard();
+    std::vector<sign_of_life> take_heard();
 
-    /// @return all that is known, for a process that starts or fell behind
-    std::vector<registration> all() const;
+    /// @return all that is known, for a process that starts or fell behind, with the warm-ups as of now
+    std::vector<registration> all(time_point now) const;
 
     /// @return a hash of all standings, equal on processes that agree
     std::uint64_t digest() const;
@@ -83,6 +100,8 @@
     {
         registration said;
         time_point heard_at{};
+        /// When its warm-up is over, by its last word.
+        time_point cold_until{};
         time_point gone_at{};
         /// Whether its own heartbeat came since @ref take_heard.
         bool fresh = false;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -136,9 +136,9 @@
     m_implementation->hub.on_heartbeat(said, m_implementation->clock.now());
 }
 
-void control_process::leave(const backend_server_name& id)
+void control_process::leave(const backend_server_name& id, std::int64_t born_ms)
 {
-    m_implementation->hub.on_leave(id, m_implementation->clock.now());
+    m_implementation->hub.on_leave(id, born_ms, m_implementation->clock.now());
 }
 
 } // namespace flaxtiller::shell
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -60,7 +60,8 @@
     void heartbeat(const registration& said);
 
     /// @brief A backend server's last word.
-    void leave(const backend_server_name& id);
+    /// @param born_ms which of its lives ends; 0 for the one that is known
+    void leave(const backend_server_name& id, std::int64_t born_ms);
 
   private:
     struct implementation;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -63,6 +63,10 @@
         {
             const server_index index = take_server_index(definition.name);
             server_state& server = m_servers[index];
+            if (server.definition.born_ms != definition.born_ms)
+            {
+                server.begin_life();
+            }
             server.definition = definition;
             const auto region = m_region_of_zone->find(definition.availability_zone);
             server.region = region == m_region_of_zone->end() ? std::string() : region->second;
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -40,7 +40,10 @@
     {
         slot_got_free(server, now);
     }
-    observe(server, ended, result, now);
+    if (ended.life == server.life)
+    {
+        observe(server, ended, result, now);
+    }
 
     const auto work_found = m_work.find(ended.subquery);
     if (work_found != m_work.end())
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -183,6 +183,7 @@
     attempt begun;
     begun.subquery = item.wanted.id;
     begun.server = index;
+    begun.life = server.life;
     begun.size = item.wanted.size;
     // One that waits ahead is expected to begin about when the next slot gets free.
     begun.ahead = ahead;
--- a/src/registration/registration.cpp
+++ b/src/registration/registration.cpp
@@ -23,6 +23,7 @@
          {"slots", value.slots},
          {"state", value.state},
          {"warmup_ms", value.warmup_left.ms()},
+         {"born_ms", value.born_ms},
          {"sequence", value.sequence}};
 }
 
@@ -36,6 +37,8 @@
     value.slots = j.at("slots").get<int>();
     value.state = j.at("state").get<registration_state>();
     value.warmup_left = duration::from_ms(j.at("warmup_ms").get<double>());
+    // Missing in a file that an earlier version wrote.
+    value.born_ms = j.value("born_ms", std::int64_t{0});
     value.sequence = j.at("sequence").get<std::int64_t>();
 }
 
@@ -53,6 +56,7 @@
     server.connection_limit =
         declared.connection_limit > 0 ? declared.connection_limit : unlimited_connections;
     server.leaving = value.state != registration_state::ready;
+    server.born_ms = value.born_ms;
     return server;
 }
 
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -14,6 +14,11 @@
 /// A word this fresh may just not have reached the other process yet.
 constexpr duration settle_bound = duration::from_ms(2000);
 
+bool is_gone(const registration& item) noexcept
+{
+    return item.state == registration_state::gone;
+}
+
 std::set<backend_server_name> ids_of(const std::vector<registration>& items)
 {
     std::set<backend_server_name> ids;
@@ -26,25 +31,43 @@
 
 } // namespace
 
+void to_json(nlohmann::json& j, const sign_of_life& value)
+{
+    // A list, not an object: each replica tells the others hundreds of them every few seconds.
+    j = nlohmann::json::array({value.id, value.sequence, value.born_ms});
+}
+
+void from_json(const nlohmann::json& j, sign_of_life& value)
+{
+    value.id = j.at(0).get<backend_server_name>();
+    value.sequence = j.at(1).get<std::int64_t>();
+    value.born_ms = j.at(2).get<std::int64_t>();
+}
+
 bool registry::take(known& item, const registration& said, time_point now)
 {
     const bool unseen = item.said.id.empty();
-    if (!unseen && (item.said.state == registration_state::gone || said.sequence <= item.said.sequence))
+    const bool same_life = said.born_ms == item.said.born_ms;
+    if (!unseen && !(said.is_later_than(item.said) && !(same_life && is_gone(item.said))))
     {
-        const bool leaves =
-            said.state == registration_state::gone && item.said.state != registration_state::gone;
+        // Its last word needs no number of its own, but must be of the life that is known.
+        const bool leaves = same_life && is_gone(said) && !is_gone(item.said);
         if (!leaves)
         {
             return false;
         }
     }
     confirm(item);
-    const bool changed = unseen || !item.said.same_standing(said);
+    const time_point cold_until = now + said.warmup_left;
+    const bool colder = cold_until > std::max(item.cold_until, now) + warmup_tolerance;
+    const bool warmer = cold_until + warmup_tolerance < item.cold_until;
+    const bool changed = unseen || colder || warmer || !item.said.same_standing(said);
     if (said.state == registration_state::gone)
     {
         item.gone_at = now;
     }
-    const std::int64_t sequence = std::max(item.said.sequence, said.sequence);
+    const std::int64_t sequence = same_life ? std::max(item.said.sequence, said.sequence) : said.sequence;
+    item.cold_until = changed ? cold_until : item.cold_until;
     item.said = said;
     item.said.sequence = sequence;
     item.heard_at = now;
@@ -63,11 +86,12 @@
     return changed;
 }
 
-bool registry::on_leave(const backend_server_name& id, time_point now)
+bool registry::on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now)
 {
     known& item = m_known[id];
     registration said = item.said;
     said.id = id;
+    said.born_ms = born_ms != 0 ? born_ms : said.born_ms;
     said.state = registration_state::gone;
     return take(item, said, now);
 }
@@ -77,16 +101,17 @@
     return take(m_known[said.id], said, now);
 }
 
-void registry::on_heard(const std::vector<std::pair<backend_server_name, std::int64_t>>& heard,
-                        time_point now)
+void registry::on_heard(const std::vector<sign_of_life>& heard, time_point now)
 {
-    for (const auto& [id, sequence] : heard)
+    for (const sign_of_life& sign : heard)
     {
-        const auto found = m_known.find(id);
-        if (found != m_known.end() && sequence > found->second.said.sequence &&
+        const auto found = m_known.find(sign.id);
+        // A number of another life tells nothing of this one.
+        if (found != m_known.end() && sign.born_ms == found->second.said.born_ms &&
+            sign.sequence > found->second.said.sequence &&
             found->second.said.state != registration_state::lost)
         {
-            found->second.said.sequence = sequence;
+            found->second.said.sequence = sign.sequence;
             found->second.heard_at = now;
             confirm(found->second);
         }
@@ -204,27 +229,28 @@
     return std::exchange(m_changes, {});
 }
 
-std::vector<std::pair<backend_server_name, std::int64_t>> registry::take_heard()
+std::vector<sign_of_life> registry::take_heard()
 {
-    std::vector<std::pair<backend_server_name, std::int64_t>> heard;
+    std::vector<sign_of_life> heard;
     for (auto& [id, item] : m_known)
     {
         if (item.fresh)
         {
             item.fresh = false;
-            heard.emplace_back(id, item.said.sequence);
+            heard.push_back({id, item.said.sequence, item.said.born_ms});
         }
     }
     return heard;
 }
 
-std::vector<registration> registry::all() const
+std::vector<registration> registry::all(time_point now) const
 {
     std::vector<registration> items;
     items.reserve(m_known.size());
     for (const auto& [id, item] : m_known)
     {
         items.push_back(item.said);
+        items.back().warmup_left = std::max(item.cold_until - now, duration{});
     }
     return items;
 }
@@ -235,7 +261,9 @@
     for (const auto& [id, item] : m_known)
     {
         // A sum, so that the order of arrival doesn't matter and forgotten ids don't show.
-        sum += item.said.is_present() ? hash64(id.str(), static_cast<std::uint64_t>(item.said.state)) : 0;
+        const std::uint64_t life = hash64(id.str(), static_cast<std::uint64_t>(item.said.born_ms));
+        sum +=
+            item.said.is_present() ? hash64(id.str(), life + static_cast<std::uint64_t>(item.said.state)) : 0;
     }
     return sum;
 }
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -5,7 +5,7 @@
 #include <flaxtiller/quorum/message.hpp>
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
-#include <flaxtiller/registration/registration.hpp>
+#include <flaxtiller/registration/registry.hpp>
 #include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 
@@ -100,10 +100,10 @@
     bool settled = false;
 };
 
-/// @brief Backend servers whose own heartbeat the sender received lately, with its sequence.
+/// @brief Backend servers whose own heartbeat the sender received lately.
 struct registration_heard
 {
-    std::vector<std::pair<backend_server_name, std::int64_t>> items;
+    std::vector<sign_of_life> items;
 };
 
 /// @brief The hash of the backend servers that the sender knows; where the receiver's differs for a while, it
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -65,9 +65,9 @@
     }
 }
 
-void registration_hub::on_leave(const backend_server_name& id, time_point now)
+void registration_hub::on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now)
 {
-    if (m_registry.on_leave(id, now))
+    if (m_registry.on_leave(id, born_ms, now))
     {
         note_changes(true, now);
     }
@@ -135,13 +135,13 @@
 {
     if (!m_registry.empty())
     {
-        m_links.send(peer, registration_update{false, m_registry.all(), is_settled(now)});
+        m_links.send(peer, registration_update{false, m_registry.all(now), is_settled(now)});
     }
 }
 
 void registration_hub::send_all(const std::string& to, time_point now)
 {
-    m_links.send(to, registration_update{is_settled(now), m_registry.all(), is_settled(now)});
+    m_links.send(to, registration_update{is_settled(now), m_registry.all(now), is_settled(now)});
 }
 
 void registration_hub::note_changes(bool own, time_point now)
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -29,7 +29,7 @@
 
     /// @brief A backend server's own word.
     void on_heartbeat(const registration& said, time_point now);
-    void on_leave(const backend_server_name& id, time_point now);
+    void on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now);
 
     /// @brief Another process's word.
     void on_update(const std::string& from, const registration_update& update, time_point now);
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -145,6 +145,13 @@
     pool_bounds& bounds = m_servers[server.name];
     ++bounds.uses;
     const int connections = dispatch::direct_share_of(server, sharers).connections;
+    if (bounds.born_ms != server.born_ms)
+    {
+        // Connections to its earlier life may hang: it crashed, and a machine without power says nothing.
+        m_pools.remove(server.name);
+        bounds.address.clear();
+        bounds.born_ms = server.born_ms;
+    }
     if (bounds.address == server.address && bounds.connections == connections)
     {
         return;
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -83,6 +83,7 @@
     {
         std::string address;
         int connections = 0;
+        std::int64_t born_ms = 0;
         /// Shards of services that name the backend server.
         int uses = 0;
     };
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -78,16 +78,16 @@
         SECTION("one that left meanwhile isn't brought back")
         {
             registry knows;
-            knows.on_leave(backend_server_name("a"), now);
+            knows.on_leave(backend_server_name("a"), 0, now);
             CHECK(knows.restore({said_by("a", 5)}, now) == 0);
             CHECK(knows.present().empty());
         }
     }
     SECTION("gone is final, also before the first heartbeat arrived")
     {
-        CHECK(known.on_leave(backend_server_name("a"), now));
+        CHECK(known.on_leave(backend_server_name("a"), 0, now));
         CHECK_FALSE(known.on_heartbeat(said_by("a", 9), now));
-        known.on_leave(backend_server_name("b"), now);
+        known.on_leave(backend_server_name("b"), 0, now);
         CHECK_FALSE(known.on_heartbeat(said_by("b", 1), now));
         CHECK(known.present().empty());
     }
@@ -110,11 +110,11 @@
         other.on_heartbeat(said_by("c", 1), now);
         other.on_heartbeat(said_by("a", 4, registration_state::draining), now);
         CHECK(known.digest() != other.digest());
-        for (const registration& item : known.all())
+        for (const registration& item : known.all(now))
         {
             other.merge(item, now);
         }
-        for (const registration& item : other.all())
+        for (const registration& item : other.all(now))
         {
             known.merge(item, now);
         }
@@ -132,3 +132,89 @@
         CHECK(known.present()[1].id.str() == "c");
     }
 }
+
+TEST_CASE("a backend server that starts again under its name", "[registration]")
+{
+    registry known;
+    time_point now(duration::from_ms(1000));
+    const auto said = [](std::int64_t born_ms, std::int64_t sequence, registration_state state)
+    {
+        registration item = said_by("a", sequence, state);
+        item.born_ms = born_ms;
+        return item;
+    };
+    known.on_heartbeat(said(100, 50, registration_state::draining), now);
+
+    SECTION("its counts start anew, and nothing of the earlier life holds")
+    {
+        CHECK(known.on_heartbeat(said(200, 1, registration_state::ready), now));
+        CHECK(known.present().at(0).state == registration_state::ready);
+        CHECK_FALSE(known.on_heartbeat(said(100, 51, registration_state::draining), now));
+        CHECK(known.present().at(0).born_ms == 200);
+        CHECK(known.on_heartbeat(said(200, 2, registration_state::draining), now));
+    }
+    SECTION("also after it deregistered, or was called lost")
+    {
+        known.on_leave(backend_server_name("a"), 0, now);
+        CHECK_FALSE(known.on_heartbeat(said(100, 60, registration_state::ready), now));
+        CHECK(known.on_heartbeat(said(200, 1, registration_state::ready), now));
+        CHECK(known.present().size() == 1);
+        now = now + silence * 2.0;
+        CHECK(known.expire(silence, now));
+        CHECK(known.on_heartbeat(said(300, 1, registration_state::ready), now));
+        CHECK(known.present().size() == 1);
+    }
+    SECTION("an earlier life's last word doesn't end it")
+    {
+        known.on_heartbeat(said(200, 1, registration_state::ready), now);
+        CHECK_FALSE(known.on_leave(backend_server_name("a"), 100, now));
+        CHECK(known.present().size() == 1);
+        CHECK(known.on_leave(backend_server_name("a"), 200, now));
+        CHECK(known.present().empty());
+    }
+    SECTION("that its earlier life was heard doesn't hide its own words")
+    {
+        known.on_heartbeat(said(200, 1, registration_state::ready), now);
+        known.on_heard({{backend_server_name("a"), 70, 100}}, now);
+        CHECK(known.on_heartbeat(said(200, 2, registration_state::draining), now));
+    }
+    SECTION("processes that know different lives differ")
+    {
+        registry other;
+        other.on_heartbeat(said(200, 1, registration_state::draining), now);
+        CHECK(other.digest() != known.digest());
+    }
+}
+
+TEST_CASE("a backend server's warm-up", "[registration]")
+{
+    registry known;
+    time_point now(duration::from_ms(1000));
+    std::int64_t sequence = 0;
+    const auto say = [&](double warmup_ms)
+    {
+        registration said = said_by("a", ++sequence);
+        said.warmup_left = duration::from_ms(warmup_ms);
+        return known.on_heartbeat(said, now);
+    };
+    REQUIRE(say(3000.0));
+
+    SECTION("is told once, while it ends when it was said to")
+    {
+        now = now + duration::from_ms(1200);
+        CHECK_FALSE(say(1850.0));
+        CHECK(known.all(now).at(0).warmup_left == duration::from_ms(1800));
+        now = now + duration::from_ms(1900);
+        CHECK_FALSE(say(0.0));
+        CHECK(known.all(now).at(0).warmup_left == duration{});
+    }
+    SECTION("is told anew when it begins again, or ends sooner")
+    {
+        now = now + duration::from_ms(1000);
+        CHECK(say(0.0));
+        CHECK_FALSE(say(0.0));
+        now = now + duration::from_ms(9000);
+        CHECK(say(2500.0));
+        CHECK(say(6000.0));
+    }
+}
