What a cold backend server bears, from all instances together

Cause: warmupRemainingMs was stored and used by no decision, and what a service's cold backend servers bear by nothing. Weighed: each instance sends 1/n of the bound (under one a second at 65 instances: it can't be spent, or all together overspend it); a lease from a leader for each request (a message for each); the owners alone (single requests have none); whole shares for the first instances of an order that all agree on. Chosen: the last. Where there are fewer whole requests than senders, the first ones by rendezvous hashing get one each, others none. Owners of a shard are its only senders where there are any. Cold: by a backend server's own word, which is told on when it changes by 250 ms; late words make one cold for longer. In a zone that may get work again each counts as cold for as long as its service says: it may have turned cold a moment ago. Health answers also tell it; they aren't asked for, since each is priced and a heartbeat says the same.

--- a/include/flaxtiller/catalog/service.hpp
+++ b/include/flaxtiller/catalog/service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/core/labels.hpp>
 
@@ -19,6 +20,10 @@
     double extra_load_share = 0.045;
     /// Connections that each of its registered backend servers accepts; 0 where they aren't limited.
     int connection_limit = 0;
+    /// How long each of its registered backend servers is cold after a start, unless it says so itself.
+    duration warmup{};
+    /// Requests a second that a cold one bears from all instances together; 0 where that isn't limited.
+    double warmup_requests_per_s = 0.0;
 
     bool operator==(const service&) const = default;
 };
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -44,6 +44,11 @@
     /// @brief Changes how many extra attempts may pile up, and how many come with time, whatever is finished.
     void limit_budget(double burst, double per_ms = 0.0);
 
+    /// @brief A backend server is cold until then: it gets no more than this share from this instance. One
+    /// that isn't known yet is so from the start.
+    void limit_cold(const backend_server_name& server, time_point until, const warmup_share& share,
+                    time_point now);
+
     /// @brief A subquery to run.
     void submit(const subquery& wanted, time_point now);
 
@@ -177,6 +182,12 @@
         std::vector<server_index> tried;
     };
 
+    struct cold_limit
+    {
+        time_point until;
+        warmup_share share;
+    };
+
     struct shard_state
     {
         std::vector<server_index> replicas;
@@ -190,6 +201,9 @@
     static bool is_in_region(const server_state& server, const work& item);
     bool may_have_come_back(const server_state& server, const work& item, time_point now) const;
     bool usable(const server_state& server, time_point now) const;
+    static bool is_cold_without_share(const server_state& server, time_point now);
+    void pay_cold(server_state& server, server_index index, time_point now);
+    void apply_cold(server_state& server, server_index index, time_point now);
     connection_share own_share(const server_state& server) const;
     int slots_of(const server_state& server) const;
     bool has_slot(const server_state& server, time_point now) const;
@@ -250,6 +264,7 @@
     std::string m_own_region;
     std::deque<server_state> m_servers;
     std::map<backend_server_name, server_index> m_server_index;
+    std::map<backend_server_name, cold_limit> m_cold;
     std::vector<shard_state> m_shards;
     std::unordered_map<subquery_id, work> m_work;
     std::unordered_map<attempt_id, attempt> m_attempts;
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -5,6 +5,8 @@
 #include <flaxtiller/dispatch/failure_rate.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/subquery.hpp>
+#include <flaxtiller/dispatch/token_budget.hpp>
+#include <flaxtiller/dispatch/warmup_share.hpp>
 
 #include <optional>
 #include <string>
@@ -60,6 +62,11 @@
     int ejections_in_row = 0;
     time_point ejected_until{};
 
+    /// It is cold until then, and gets no more than this instance's share of what it bears.
+    time_point cold_until{};
+    warmup_share cold_share;
+    token_budget cold_tokens{0.0, 0.0};
+
     int cancel_failures_in_row = 0;
     time_point replace_paused_until{};
 
--- a/include/flaxtiller/dispatch/token_budget.hpp
+++ b/include/flaxtiller/dispatch/token_budget.hpp
@@ -47,10 +47,27 @@
     /// @brief Takes in what came with time since the last call.
     void advance(time_point now) noexcept
     {
-        m_tokens = std::min(m_burst, m_tokens + std::max((now - m_advanced_to).ms(), 0.0) * m_per_ms);
+        m_tokens = tokens_at(now);
         m_advanced_to = now;
     }
 
+    /// @return the tokens that there will be if none is spent or earned until then
+    double tokens_at(time_point then) const noexcept
+    {
+        return std::min(m_burst, m_tokens + std::max((then - m_advanced_to).ms(), 0.0) * m_per_ms);
+    }
+
+    /// @return when time alone will have brought a whole token; never if it won't
+    time_point next_token_at() const noexcept
+    {
+        if (m_burst < 1.0 || (m_per_ms <= 0.0 && m_tokens < 1.0))
+        {
+            return time_point::never();
+        }
+        return m_tokens >= 1.0 ? m_advanced_to
+                               : m_advanced_to + duration::from_ms((1.0 - m_tokens) / m_per_ms);
+    }
+
     /// @return whether there is a token
     bool can_spend() const noexcept
     {
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -245,6 +245,8 @@
     void set_timer(request_number number, open_request& opened);
     void configure_lane(lane_index at, const shared_value<placed_service>& placed, bool places_changed,
                         time_point now);
+    void limit_cold_servers(const cold_servers& before, time_point now);
+    void limit_cold(const backend_server_name& name, const cold_server& cold, time_point now);
     void note_due(lane_index at, lane& item);
     void detach(const part& asked);
     void submit(open_request& opened, part& wanted, double size, bool again, time_point now);
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -50,6 +50,11 @@
     /// shards because no owner can.
     double owners_share = 0.7;
 
+    /// In any one second a cold backend server may get this many times what its service says, and so many
+    /// requests more, from all instances together.
+    double warmup_overage = 1.0;
+    double warmup_slack = 0.0;
+
     bool operator==(const router_options&) const = default;
 
   private:
--- a/include/flaxtiller/routing/routing_view.hpp
+++ b/include/flaxtiller/routing/routing_view.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/catalog/placement.hpp>
 #include <flaxtiller/core/shared_value.hpp>
+#include <flaxtiller/registration/warmup_tracker.hpp>
 #include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/route_table.hpp>
 
@@ -22,6 +23,8 @@
 {
     std::shared_ptr<const placement> placed;
     std::shared_ptr<const route_table> routes;
+    /// Registered backend servers that bear little for now.
+    shared_value<cold_servers> cold;
     /// Entry instances that share the backend servers' connections; 0 while that isn't known.
     int entries = 1;
     /// This instance, where it stands, and where the availability zones are.
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -77,6 +77,18 @@
     /// @return the number of entries that any availability zone asks first for the service
     std::size_t owners_of(const service_name& service) const;
 
+    /// @brief One of the entries that send to a service's backend servers.
+    struct sender
+    {
+        std::size_t senders = 0;
+        /// Its place among them; @ref senders if it isn't one of them.
+        std::size_t rank = 0;
+    };
+
+    /// @return this instance's place among the senders, in an order that all agree on and that @a key varies
+    /// @complexity O(senders)
+    sender rank_of(const service_name& service, const std::string& key) const;
+
     /// @return the first two owners of each group of all fan-out routes: whom to keep links to
     std::set<instance_name> first_owners() const;
 
@@ -149,7 +161,7 @@
 
     struct ownership
     {
-        std::size_t owners = 0;
+        std::vector<entry_index> owners;
         bool mine = false;
     };
 
@@ -161,6 +173,7 @@
     void note_service(const shared_value<placed_service>& placed, service_places& into) const;
     bool update_list(const route& by, bool entries_changed);
     void count_owners();
+    sender rank_among(const std::vector<entry_index>& senders, const std::string& key) const;
     std::size_t zone_index(const std::string& name) const;
     place_set zones_in(const region_set& regions) const;
     place_set regions_of(place_set zones) const;
--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -19,6 +19,7 @@
 constexpr int most_shards = 4096;
 constexpr int most_slots = 1024;
 constexpr int most_connections = 65535;
+constexpr double most_requests_per_s = 1e9;
 constexpr std::size_t most_request_bytes = std::size_t{1} << 30U;
 constexpr double hour_ms = 3600000.0;
 /// Beyond this a JSON number is no longer exact everywhere.
@@ -143,6 +144,10 @@
     reader.number("shards", into.shards, 1, most_shards);
     reader.number("extra_load_share", into.extra_load_share, 0.0, 1.0);
     reader.number("connection_limit", into.connection_limit, 0, most_connections);
+    double warmup_ms = into.warmup.ms();
+    reader.number("warmup_ms", warmup_ms, 0.0, hour_ms);
+    into.warmup = duration::from_ms(warmup_ms);
+    reader.number("warmup_requests_per_s", into.warmup_requests_per_s, 0.0, most_requests_per_s);
 }
 
 void read_item(json_reader& reader, backend_server& into)
@@ -282,7 +287,9 @@
          {"labels", value.labels},
          {"shards", value.shards},
          {"extra_load_share", value.extra_load_share},
-         {"connection_limit", value.connection_limit}};
+         {"connection_limit", value.connection_limit},
+         {"warmup_ms", value.warmup.ms()},
+         {"warmup_requests_per_s", value.warmup_requests_per_s}};
 }
 
 void to_json(nlohmann::json& j, const backend_server& value)
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -49,6 +49,11 @@
 void scheduler::configure(const placed_service& placed, int candidates, time_point now)
 {
     m_candidates = candidates;
+    std::erase_if(m_cold,
+                  [&](const auto& item)
+                  {
+                      return item.second.until <= now;
+                  });
     for (server_state& server : m_servers)
     {
         server.shards.clear();
@@ -72,6 +77,7 @@
             server.region = region == m_region_of_zone->end() ? std::string() : region->second;
             server.near = !server.region.empty() && server.region == m_own_region;
             server.latency.track(m_options.late_quantile, m_options.late_gain);
+            apply_cold(server, index, now);
             server.retired = false;
             server.shards.push_back(static_cast<int>(shard));
             replicas.push_back(index);
@@ -95,6 +101,68 @@
     m_budget.limit(burst, per_ms);
 }
 
+void scheduler::limit_cold(const backend_server_name& name, time_point until, const warmup_share& share,
+                           time_point now)
+{
+    if (until > now)
+    {
+        m_cold.insert_or_assign(name, cold_limit{until, share});
+    }
+    else
+    {
+        m_cold.erase(name);
+    }
+    const auto found = m_server_index.find(name);
+    if (found != m_server_index.end())
+    {
+        apply_cold(m_servers[found->second], found->second, now);
+        run_queues_at(found->second, now);
+    }
+}
+
+void scheduler::apply_cold(server_state& server, server_index index, time_point now)
+{
+    const auto limit = m_cold.find(server.definition.name);
+    if (limit == m_cold.end())
+    {
+        server.cold_until = std::min(server.cold_until, now);
+        return;
+    }
+    if (server.cold_until != limit->second.until)
+    {
+        server.cold_until = limit->second.until;
+        arm(server.cold_until, timer_kind::server_back, index);
+    }
+    if (server.cold_share != limit->second.share)
+    {
+        constexpr double ms_per_s = 1000.0;
+        server.cold_share = limit->second.share;
+        server.cold_tokens.advance(now);
+        server.cold_tokens.limit(server.cold_share.burst, server.cold_share.requests_per_s / ms_per_s);
+    }
+}
+
+/// Whether this instance must leave it alone until it is warm.
+bool scheduler::is_cold_without_share(const server_state& server, time_point now)
+{
+    return now < server.cold_until && server.cold_share.burst < 1.0;
+}
+
+void scheduler::pay_cold(server_state& server, server_index index, time_point now)
+{
+    if (now >= server.cold_until)
+    {
+        return;
+    }
+    server.cold_tokens.advance(now);
+    // There is one: it was usable.
+    (void)server.cold_tokens.spend();
+    if (!server.cold_tokens.can_spend())
+    {
+        arm(std::min(server.cold_tokens.next_token_at(), server.cold_until), timer_kind::server_back, index);
+    }
+}
+
 bool scheduler::pay(time_point now)
 {
     m_budget.advance(now);
--- a/src/dispatch/scheduler_choice.cpp
+++ b/src/dispatch/scheduler_choice.cpp
@@ -70,7 +70,8 @@
 
 bool scheduler::usable(const server_state& server, time_point now) const
 {
-    return server.ejected_until <= now && server.busy_until <= now;
+    const bool bears = now >= server.cold_until || server.cold_tokens.tokens_at(now) >= 1.0;
+    return server.ejected_until <= now && server.busy_until <= now && bears;
 }
 
 connection_share scheduler::own_share(const server_state& server) const
--- a/src/dispatch/scheduler_ends.cpp
+++ b/src/dispatch/scheduler_ends.cpp
@@ -312,11 +312,14 @@
         {
             continue;
         }
-        if (server.ejected_until <= now)
+        const time_point back = is_cold_without_share(server, now)
+                                    ? std::max(server.ejected_until, server.cold_until)
+                                    : server.ejected_until;
+        if (back <= now)
         {
             return missing_reason::none;
         }
-        soonest = std::min(soonest, server.ejected_until);
+        soonest = std::min(soonest, back);
     }
     if (soonest != time_point::never())
     {
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -179,6 +179,7 @@
 {
     unqueue(item);
     server_state& server = m_servers[index];
+    pay_cold(server, index, now);
     const attempt_id id = m_next_attempt++;
     attempt begun;
     begun.subquery = item.wanted.id;
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace flaxtiller::shell
 {
@@ -86,6 +87,10 @@
     const configuration& current = *subscriber.current();
     if (current.evacuated_zones != evacuated_zones)
     {
+        std::set<std::string> back;
+        std::set_difference(evacuated_zones.begin(), evacuated_zones.end(), current.evacuated_zones.begin(),
+                            current.evacuated_zones.end(), std::inserter(back, back.end()));
+        warmups.on_zones_back(back, registered.present(), current.services, clock.now());
         evacuated_zones = current.evacuated_zones;
         log(log_level::info, "zones_evacuated",
             {{"zones", nlohmann::json(evacuated_zones).dump()}, {"revision", subscriber.revision()}});
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -146,6 +146,7 @@
     const shared_value<std::map<std::string, std::string>> region_of_zone;
     std::unique_ptr<routed_front> routed;
     registry registered;
+    warmup_tracker warmups;
     /// Where routed requests may go: the declared backend servers and the registered ones.
     live_placement routed_placement;
     /// Entry instances that share the backend servers, as the leader counts them; 0 while that isn't known.
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -131,11 +131,14 @@
     routed_placement.apply(changes);
     for (const registration& item : changes)
     {
+        warmups.on_registration(item, now);
         log(log_level::info, "registration",
             {{"backend_server", item.id.str()},
              {"service", item.service.str()},
              {"state", nlohmann::json(item.state).get<std::string>()},
              {"sequence", item.sequence},
+             {"born_ms", item.born_ms},
+             {"warmup_ms", item.warmup_left.ms()},
              {"from", from.name}});
     }
     update_routed_soon();
@@ -175,6 +178,7 @@
     routing_view view;
     view.placed = routed_placement.current();
     view.routes = routes;
+    view.cold = warmups.current(clock.now());
     view.entries = entries;
     view.self = instance_name(settings.instance.name);
     view.region = settings.instance.region;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -58,8 +58,11 @@
     }
     const bool places_changed =
         !view.region_of_zone.is_same(m_view.region_of_zone) || view.region != m_view.region;
+    const shared_value<cold_servers> cold_before = m_view.cold;
     m_view = std::move(view);
     m_groups.configure(m_view);
+    // Before the schedulers see a new backend server, lest what waits for one is sent to it all at once.
+    limit_cold_servers(*cold_before, now);
     for (const auto& [name, placed] : m_view.placed->services)
     {
         configure_lane(lane_of(name), placed, places_changed, now);
@@ -67,6 +70,39 @@
     drop_undeclared_lanes(now);
 }
 
+void router::limit_cold_servers(const cold_servers& before, time_point now)
+{
+    for (const auto& [name, cold] : before)
+    {
+        if (m_view.cold->count(name) == 0)
+        {
+            limit_cold(name, {cold.service, now}, now);
+        }
+    }
+    for (const auto& [name, cold] : *m_view.cold)
+    {
+        limit_cold(name, cold, now);
+    }
+}
+
+/// Each second a cold backend server gets from all instances together no more than its service says: beyond
+/// that it falls over, and with it the part of the load that it could have borne.
+void router::limit_cold(const backend_server_name& name, const cold_server& cold, time_point now)
+{
+    const auto placed = m_view.placed->services.find(cold.service);
+    if (placed == m_view.placed->services.end() || placed->second->definition.warmup_requests_per_s <= 0.0)
+    {
+        return;
+    }
+    const dispatch::warmup_bound bound{placed->second->definition.warmup_requests_per_s,
+                                       m_options.warmup_overage, m_options.warmup_slack};
+    const shard_plan::sender own = m_groups.plan().rank_of(cold.service, name.str());
+    const lane_index at = lane_of(cold.service);
+    m_lanes.at(at).scheduler.limit_cold(name, cold.until,
+                                        dispatch::warmup_share_of(bound, own.senders, own.rank), now);
+    collect(at, now);
+}
+
 /// Only what changed is told: a scheduler that takes over its backend servers copies all of them.
 void router::configure_lane(lane_index at, const shared_value<placed_service>& placed, bool places_changed,
                             time_point now)
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -1,6 +1,9 @@
 #include <flaxtiller/routing/shard_plan.hpp>
 
+#include <flaxtiller/core/hash.hpp>
+
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace flaxtiller
@@ -251,7 +254,7 @@
         std::sort(all.begin(), all.end());
         all.erase(std::unique(all.begin(), all.end()), all.end());
         const bool mine = std::binary_search(all.begin(), all.end(), m_own_index);
-        m_owners.emplace(service, ownership{all.size(), mine});
+        m_owners.emplace(service, ownership{std::move(all), mine});
     }
 }
 
@@ -275,7 +278,7 @@
 std::size_t shard_plan::owners_of(const service_name& service) const
 {
     const auto found = m_owners.find(service);
-    return found == m_owners.end() ? 0 : found->second.owners;
+    return found == m_owners.end() ? 0 : found->second.owners.size();
 }
 
 bool shard_plan::is_owned(const service_name& service) const
@@ -289,6 +292,44 @@
     return found != m_owners.end() && found->second.mine;
 }
 
+shard_plan::sender shard_plan::rank_among(const std::vector<entry_index>& senders,
+                                          const std::string& key) const
+{
+    const auto place_of = [&](entry_index item)
+    {
+        return std::pair(hash64(key + '/' + m_names[item].str()), item);
+    };
+    const auto own = place_of(m_own_index);
+    bool among = false;
+    std::size_t before = 0;
+    for (const entry_index item : senders)
+    {
+        among = among || item == m_own_index;
+        before += place_of(item) < own ? 1 : 0;
+    }
+    return {senders.size(), among ? before : senders.size()};
+}
+
+shard_plan::sender shard_plan::rank_of(const service_name& service, const std::string& key) const
+{
+    if (m_entry_count == 0)
+    {
+        // As if there were many: few of however many there are take themselves for one of the first.
+        constexpr std::size_t unknown_senders = 1000;
+        return {unknown_senders, hash64(key + '/' + m_self.str()) % unknown_senders};
+    }
+    const auto owned = m_owners.find(service);
+    if (owned != m_owners.end())
+    {
+        return rank_among(owned->second.owners, key);
+    }
+    std::vector<entry_index> all(m_names.size());
+    std::iota(all.begin(), all.end(), 0U);
+    sender own = rank_among(all, key);
+    own.senders = std::max(own.senders, static_cast<std::size_t>(m_entry_count));
+    return own;
+}
+
 std::set<instance_name> shard_plan::first_owners() const
 {
     std::set<instance_name> names;
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -155,7 +155,9 @@
              {"service", item.service.str()},
              {"address", item.address},
              {"state", nlohmann::json(item.state).get<std::string>()},
-             {"sequence", item.sequence}});
+             {"sequence", item.sequence},
+             {"born_ms", item.born_ms},
+             {"warmup_ms", item.warmup_left.ms()}});
         const bool leaves = item.state != registration_state::ready;
         m_spread_at = std::min(m_spread_at, leaves ? now : now + gather);
         m_all_changes.push_back(item);
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -185,6 +185,8 @@
     reader.number("retry_slack", into.retry_slack, 0.0, 1e6);
     read_ms(reader, "retry_window_ms", into.retry_window, 1.0, hour_ms);
     reader.flag("refusals_cost", into.scheduling.refusals_cost);
+    reader.number("warmup_overage", into.warmup_overage, 1.0, 100.0);
+    reader.number("warmup_slack", into.warmup_slack, 0.0, 1e6);
     read_section(reader, "dispatch", false,
                  [&](json_reader& r)
                  {
