--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -96,6 +96,7 @@
         self.arrivals = []
         self.id = "i-%s-%d" % (service, time.monotonic_ns())
         self.state, self.sequence, self.alive = "ready", 0, True
+        self.born, self.warmup_ms = int(time.time() * 1000), 0
         self.delay_s, self.served, self.expected_others = 0.0, [], 0
         backend = self
 
@@ -184,7 +185,8 @@
     def say(self, what):
         self.sequence += 1
         body = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "capacity": 4,
-                "state": self.state, "warmupRemainingMs": 0, "sequence": self.sequence}
+                "state": self.state, "warmupRemainingMs": self.warmup_ms, "sequence": self.sequence,
+                "born": self.born}
         for machine in self.platform.core():
             path = "/api/instances/%s/%s" % (self.id, what)
             if call(machine.control, "POST", path, body, timeout=1.0)[0] == 200:
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -1,6 +1,7 @@
 """The whole path on a stand-in of the users' platform, in real processes, under the failures it is meant for."""
 
 import http.client
+import json
 import os
 import socket
 import sys
@@ -167,6 +168,129 @@
                 return status == 200 and headers["X-Missing-Parts"] == "1"
             eventually("an answer without the shard", marked)
 
+    def test_evacuated_zone_gets_nothing_also_after_all_lost_power(self):
+        with Platform(entries=3, zones=3) as platform:
+            inside, outside = self.serve_in_zones(platform)
+            first = platform.machines[0]
+
+            def order(what, machines=None):
+                return platform.order_once("/api/evacuations/zone-2/" + what, None, "POST", machines or platform.core())
+            self.assertEqual(order("start")[0], 200)
+            # Sent again, to another machine: taken, with no second effect.
+            self.assertEqual(order("start", platform.core()[1:])[0], 200)
+            time.sleep(1.0)
+            before = [len(backend.arrivals) for backend in inside]
+            for i in range(20):
+                self.assertTrue(self.whole(platform, first, "e-%d" % i, 2))
+            self.assertEqual([len(backend.arrivals) for backend in inside], before)
+
+            for machine in platform.core():
+                machine.processes["control"].kill()
+            for machine in platform.machines[:platform.entries]:
+                machine.processes["entry"].kill()
+                machine.start("entry")
+            for machine in platform.machines:
+                if machine.in_core:
+                    machine.start("control")
+            for machine in platform.machines[:platform.entries]:
+                eventually("ready again", machine.is_ready)
+            eventually("a whole answer", lambda: self.whole(platform, first, "w-%d" % time.monotonic_ns(), 2))
+            for i in range(20):
+                self.assertTrue(self.whole(platform, first, "f-%d" % i, 2))
+            self.assertEqual([len(backend.arrivals) for backend in inside], before)
+            self.assertEqual(first.dump("entry")["evacuated_zones"], ["zone-2"])
+
+            self.assertEqual(platform.order("/api/evacuations/zone-2/stop")[0], 200)
+
+            def back():
+                self.assertTrue(self.whole(platform, platform.machines[1], "b-%d" % time.monotonic_ns(), 2))
+                return sum(len(backend.arrivals) for backend in inside) > sum(before)
+            eventually("the zone serves again", back)
+            self.assertEqual(platform.order("/api/evacuations/nowhere/start")[0], 404)
+            self.assertTrue(outside)
+
+    def serve_in_zones(self, platform):
+        """Brings up two shards with a backend in each of three zones; returns those in zone 2, and the others."""
+        backends = [platform.add_backend("s%d" % i, "zone-%d" % (zone + 1)) for i in range(2) for zone in range(3)]
+        self.assertEqual(platform.put(configuration(7, 2)), 200)
+        for machine in platform.machines[:platform.entries]:
+            eventually("machine %d ready" % machine.number, machine.is_ready)
+            eventually("a whole answer",
+                       lambda m=machine: self.whole(platform, m, "warm-up-%d" % time.monotonic_ns(), 2))
+        return ([backend for backend in backends if backend.zone == "zone-2"],
+                [backend for backend in backends if backend.zone != "zone-2"])
+
+    def test_a_request_stays_in_the_regions_of_its_route(self):
+        with Platform(entries=3, zones=3) as platform:
+            self.serve_in_zones(platform)
+            bound = configuration(8, 2)
+            for route in bound["routes"]:
+                route["allowedRegions"] = ["region-2"]
+            self.assertEqual(platform.put(bound), 200)
+            self.assertEqual(platform.read(), bound)
+            time.sleep(1.0)
+            served = {backend.id: len(backend.arrivals) for backend in platform.backends}
+            for i in range(12):
+                machine = platform.machines[i % 3]
+                self.assertEqual(platform.request(machine, "/one/x", "o-%d" % i)[0], 200)
+                self.assertTrue(self.whole(platform, machine, "h-%d" % i, 2))
+            for backend in platform.backends:
+                new = len(backend.arrivals) - served[backend.id]
+                self.assertTrue(new > 0 if backend.zone == "zone-2" else new == 0, (backend.zone, new))
+            # Nobody at home can serve: refused at once, as not run, with when to come back.
+            for backend in platform.backends:
+                if backend.zone == "zone-2":
+                    backend.say("deregister")
+                    backend.crash()
+            time.sleep(1.0)
+            for path in ("/one/x", "/all/x"):
+                begun = time.monotonic()
+                status, headers, _ = platform.request(platform.machines[0], path, "r" + path)
+                self.assertEqual(status, 503)
+                self.assertIn("Retry-After", headers)
+                self.assertLess(time.monotonic() - begun, 0.3)
+
+    def test_heartbeats_of_other_writers_name_no_backend(self):
+        with Platform() as platform:
+            backends = self.serve(platform)
+            first = platform.machines[0]
+            address = backends["s0"][0].address
+            whole = {"service": "s0", "address": address, "zone": "zone-1", "version": "v1", "capacity": 4,
+                     "state": "ready", "warmupRemainingMs": 0, "sequence": 1}
+
+            def say(body, server="i-other"):
+                return call(first.control, "POST", "/api/instances/%s/heartbeat" % server, body)[0]
+            others = ["text", 3, -1, 1.5, True, None, [], {}]
+            broken = [{key: value for key, value in whole.items() if key != left_out} for left_out in whole]
+            # A warm-up of a millisecond and a half is one; any text names a service, a zone or a version.
+            fits = {"warmupRemainingMs": [3, 1.5], "capacity": [3], "sequence": [3], "service": ["text"],
+                    "zone": ["text"], "version": ["text"]}
+            broken += [dict(whole, **{key: other}) for key in whole for other in others
+                       if other is True or other not in fits.get(key, [])]
+            broken.append(dict(whole, state="paused"))
+            text = json.dumps(whole).encode()
+            broken += [text[:end] for end in range(0, len(text), 7)] + [b"\xff\xfe" + text]
+            for body in broken:
+                self.assertEqual(say(body), 400, body)
+            # The same under the name of one that serves: it holds by its own word.
+            taken = dict(whole, sequence=1 << 40, state="paused")
+            self.assertEqual(say(taken, backends["s0"][0].id), 400)
+            time.sleep(0.5)
+            self.assertEqual(first.dump("entry")["registered_backend_servers"], 6)
+            self.assertTrue(self.whole(platform, first, "r-after"))
+
+    def test_a_backend_starts_again_under_its_id(self):
+        with Platform() as platform:
+            backends = self.serve(platform, replicas=1)
+            first = platform.machines[0]
+            again = backends["s1"][0]
+            again.state = "draining"
+            self.assertTrue(again.say("heartbeat"))
+            eventually("missing", lambda: not self.whole(platform, first, "m-%d" % time.monotonic_ns()))
+            again.server.cut_connections()
+            again.born, again.sequence, again.state = again.born + 5000, 0, "ready"
+            eventually("it serves", lambda: self.whole(platform, first, "b-%d" % time.monotonic_ns()))
+
     def test_planned_stop_cuts_nothing(self):
         with Platform() as platform:
             backends = self.serve(platform)
