A change costs a control replica less: looks by label, no copies of trees, digests from what differs

Cause: on the small machines the replica of a zone shares its processor with an entry; a change of one route (225 services, 45 routes) cost three replicas 36 ms of a full core. Profile: 49% applying the command (copies of the document's tree, 225 rules each looked up in 225 services), 6% the digest of all. Change: validation finds services and backend servers by label; the tree is moved out of the command; the digest follows from the difference to the revision before; revisions share the maps that are equal, also those kept for roll-back.

--- a/include/flaxtiller/catalog/configuration.hpp
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -34,6 +34,9 @@
 
     bool operator==(const configuration&) const = default;
 
+    /// @brief Takes the maps that are equal from @a before, so that both share them.
+    void share_with(const configuration& before);
+
     /// @return a hash of the canonical document, equal on every machine for equal configurations
     std::uint64_t digest() const;
 };
--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -81,6 +81,7 @@
         std::shared_ptr<const configuration> value;
     };
 
+    std::uint64_t digest_from(const configuration& before, const configuration& now) const;
     bool needs_update(const standing& known, time_point now) const;
     const kept* find(std::int64_t revision) const;
     std::shared_ptr<const revision_update> update_from(std::int64_t base);
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -31,6 +31,8 @@
     change_result result = decide(requested, next);
     if (result.status == change_status::accepted && result.revision > m_revision)
     {
+        // A whole document repeats what stayed; up to 64 revisions are kept.
+        next.share_with(m_current);
         m_current = std::move(next);
         m_revision = result.revision;
         m_made_by = requested.id;
@@ -45,12 +47,27 @@
     return result;
 }
 
+namespace
+{
+
+/// The body is moved out: a copy of a whole document's tree was a tenth of what a change costs a replica.
+change read_change(const std::string& command)
+{
+    auto document = nlohmann::json::from_cbor(command);
+    nlohmann::json body = std::exchange(document.at("body"), nullptr);
+    change read = document.get<change>();
+    read.body = std::move(body);
+    return read;
+}
+
+} // namespace
+
 std::string catalog_state::apply_bytes(const std::string& command)
 {
     std::string bytes;
     try
     {
-        const change_result result = apply(nlohmann::json::from_cbor(command).get<change>());
+        const change_result result = apply(read_change(command));
         nlohmann::json::to_cbor(nlohmann::json(result), bytes);
     }
     catch (const nlohmann::json::exception&)
@@ -245,8 +262,10 @@
     state.m_current = parse_configuration(j.at("current"), ignored);
     for (const auto& record : j.at("history"))
     {
-        state.m_history.push_back({record.at("revision"), record.at("made_by").get<change_id>(),
-                                   parse_configuration(record.at("value"), ignored)});
+        configuration value = parse_configuration(record.at("value"), ignored);
+        value.share_with(state.m_history.empty() ? state.m_current : state.m_history.back().value);
+        state.m_history.push_back(
+            {record.at("revision"), record.at("made_by").get<change_id>(), std::move(value)});
     }
     for (const auto& entry : j.at("results"))
     {
--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -337,6 +337,22 @@
          {version_key, value.version}};
 }
 
+void configuration::share_with(const configuration& before)
+{
+    const auto share = [](auto& own, const auto& other)
+    {
+        if (own == other)
+        {
+            own = other;
+        }
+    };
+    share(services, before.services);
+    share(backend_servers, before.backend_servers);
+    share(placement_rules, before.placement_rules);
+    share(instances, before.instances);
+    share(routes, before.routes);
+}
+
 configuration parse_configuration(const nlohmann::json& document, findings& found)
 {
     configuration parsed;
--- a/src/catalog/configuration_check.cpp
+++ b/src/catalog/configuration_check.cpp
@@ -3,12 +3,13 @@
 #include <flaxtiller/catalog/configuration.hpp>
 
 #include "configuration_keys.hpp"
+#include "label_index.hpp"
 #include "shard_label.hpp"
 
 #include <flaxtiller/catalog/placement.hpp>
 
-#include <algorithm>
 #include <set>
+#include <vector>
 
 namespace flaxtiller
 {
@@ -18,37 +19,46 @@
 namespace
 {
 
-void check_rule(const configuration& value, const placement_rule& rule, findings& found)
+/// Looks by label, not at each item for each rule: 225 services with a rule each took 50,000 looks.
+void check_rule(const placement_rule& rule, label_index<const service>& services,
+                label_index<const backend_server>& servers, findings& found)
 {
     const std::string place = std::string("/") + placement_rules_key + "/" + rule.name;
-    const auto selects_service = [&](const auto& item)
-    {
-        return rule.services.matches(item.second.labels);
-    };
-    const auto selects_server = [&](const auto& item)
-    {
-        return rule.backend_servers.matches(item.second.labels);
-    };
-    if (std::none_of(value.services.begin(), value.services.end(), selects_service))
+    if (services.matching(rule.services).empty())
     {
         found.warning(errc::selector_matches_nothing, place + "/services", "no service matches");
     }
-    if (std::none_of(value.backend_servers.begin(), value.backend_servers.end(), selects_server))
+    const std::vector<const backend_server*> selected = servers.matching(rule.backend_servers);
+    if (selected.empty())
     {
         found.warning(errc::selector_matches_nothing, place + "/backend_servers",
                       "no backend server matches");
     }
-    for (const auto& [name, server] : value.backend_servers)
+    for (const backend_server* server : selected)
     {
-        if (rule.backend_servers.matches(server.labels) && detail::shard_of(rule, server) < 0)
+        if (detail::shard_of(rule, *server) < 0)
         {
             found.warning(errc::unknown_shard, place + "/shard_label",
-                          "backend server " + name.str() + " has no shard number in label " +
+                          "backend server " + server->name.str() + " has no shard number in label " +
                               rule.shard_label);
         }
     }
 }
 
+void check_rules(const configuration& value, findings& found)
+{
+    const auto labels_of = [](const auto& item) -> const labels&
+    {
+        return item.labels;
+    };
+    label_index<const service> services(value.services, labels_of);
+    label_index<const backend_server> servers(value.backend_servers, labels_of);
+    for (const auto& [name, rule] : value.placement_rules)
+    {
+        check_rule(rule, services, servers, found);
+    }
+}
+
 void check_route_services(const configuration& value, const route& item, findings& found)
 {
     const auto check = [&](const service_name& service)
@@ -89,10 +99,7 @@
 {
     findings found;
     check_routes(value, found);
-    for (const auto& [name, rule] : value.placement_rules)
-    {
-        check_rule(value, rule, found);
-    }
+    check_rules(value, found);
     const placement placed = place(0, value);
     for (const auto& [name, entry] : placed.services)
     {
--- a/src/catalog/diff.cpp
+++ b/src/catalog/diff.cpp
@@ -9,6 +9,10 @@
 template <typename Map>
 void diff_map(const char* key, const Map& from, const Map& to, nlohmann::json& patch)
 {
+    if (to.is_same(from))
+    {
+        return;
+    }
     for (const auto& [name, item] : to)
     {
         const auto before = from.find(name);
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -13,7 +13,7 @@
     {
         return;
     }
-    m_digest = value->digest();
+    m_digest = m_kept.empty() ? value->digest() : digest_from(*m_kept.back().value, *value);
     m_kept.push_back({revision, std::move(value)});
     if (m_kept.size() > revisions_kept)
     {
@@ -22,6 +22,13 @@
     m_updates.clear();
 }
 
+/// A revision mostly differs in few items: working out the digest of all was 6% of what a change costs a
+/// replica.
+std::uint64_t publisher::digest_from(const configuration& before, const configuration& now) const
+{
+    return digest_after(before, m_digest, now, diff(before, now));
+}
+
 void publisher::on_report(const instance_name& from, const revision_report& report, time_point now)
 {
     standing& known = m_instances[from];
