--- a/include/flaxtiller/quorum/timing.hpp
+++ b/include/flaxtiller/quorum/timing.hpp
@@ -15,8 +15,9 @@
     /// A replica that restarted asks the others this often whether they lead: a few round trips between
     /// regions.
     duration query_every = duration::from_ms(50);
-    /// Once no earlier lease can be in force, restarted replicas stand for election within this time, spread
-    /// so that one of them is elected before the next one stands: a few round trips between regions.
+    /// Once no earlier lease can be in force, restarted replicas stand for election within this time, one
+    /// after the other, so that one of them is elected before the next one stands: for each voter the time of
+    /// two round trips between regions, and of the work.
     duration early_election_spread = duration::from_ms(100);
     /// Bound on how far the rates of two monotonic clocks differ; the lease is shorter by twice this share.
     double clock_drift = 0.01;
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -1,5 +1,6 @@
 #include "control_implementation.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace flaxtiller::shell
@@ -16,6 +17,8 @@
 /// After a start of all, links and first reports take less than this.
 constexpr duration cold_reports_bound = duration::from_ms(700);
 constexpr duration cold_start_bound = duration::from_ms(6000);
+/// Processes that start together do so within less than this, their first links included.
+constexpr duration joint_start_bound = duration::from_ms(1000);
 
 } // namespace
 
@@ -162,7 +165,27 @@
 bool control_process::implementation::knows_entries(time_point now) const
 {
     const bool started_lately = led_since - started_at < cold_start_bound;
-    return led && now - led_since >= (started_lately ? cold_reports_bound : reports_bound);
+    const duration bound = started_lately ? cold_reports_bound : reports_bound;
+    return led && (now - led_since >= bound || (started_lately && all_linked_reported(now)));
+}
+
+/// Whether each entry that has a link to this replica reported to it since it started. Until entries know how
+/// many they are, each takes one connection to a backend server and runs all shards itself: 0.7 s of the
+/// return of 65 instances after a loss of power. An entry that goes on while this replica restarts has a
+/// link, but reports to another one.
+bool control_process::implementation::all_linked_reported(time_point now) const
+{
+    if (now - started_at < joint_start_bound || entries.empty())
+    {
+        return false;
+    }
+    const std::set<std::string> linked_peers = links.reachable();
+    return std::all_of(linked_peers.begin(), linked_peers.end(),
+                       [&](const std::string& peer)
+                       {
+                           const auto identity = links.identity(peer);
+                           return !identity || identity->role != "entry" || entries.count(peer) > 0;
+                       });
 }
 
 /// @return the entries heard lately; 0 while that isn't known
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -182,6 +182,8 @@
 
     bool knows_entries(time_point now) const;
 
+    bool all_linked_reported(time_point now) const;
+
     int counted_entries(time_point now) const;
 
     template <typename Machine>
--- a/src/quorum/replica_election.cpp
+++ b/src/quorum/replica_election.cpp
@@ -54,10 +54,23 @@
     m_election_deadline = std::min(m_election_deadline, now + early_election_delay());
 }
 
+/// The voters stand one after the other, in an order that all know, with a little that is drawn between them.
+/// Drawn alone, two of six often stood at once and split the votes: 0.6 s until one of six leads after all
+/// lost power, on instances that are busy with one another's links.
 duration replica::early_election_delay()
 {
-    std::uniform_int_distribution<std::int64_t> draw(0, m_timing.early_election_spread.us());
-    return duration::from_us(draw(m_random));
+    constexpr double drawn_share = 0.25;
+    const member_set& set = m_log.members();
+    const auto before =
+        static_cast<double>(std::count_if(set.members.begin(), set.members.lower_bound(m_name),
+                                          [](const auto& item)
+                                          {
+                                              return item.second.voter;
+                                          }));
+    const duration turn =
+        m_timing.early_election_spread * (1.0 / static_cast<double>(std::max<std::size_t>(set.voters(), 1)));
+    std::uniform_int_distribution<std::int64_t> draw(0, (turn * drawn_share).us());
+    return turn * before + duration::from_us(draw(m_random));
 }
 
 // ---------------------------------------------------------------------------------------------------------
--- a/tests/src/unit-quorum.cpp
+++ b/tests/src/unit-quorum.cpp
@@ -156,6 +156,42 @@
     }
 }
 
+TEST_CASE("restarted voters stand one after the other", "[quorum]")
+{
+    // Six voters, of which this one is the first or the last.
+    const auto stands_after = [](const char* others)
+    {
+        persisted_state stored = three_members();
+        member_set& set = stored.base.members;
+        set.members = {{c1, {c1, 11, true}}};
+        for (int i = 2; i <= 6; ++i)
+        {
+            const replica_name name(others + std::to_string(i));
+            set.members[name] = {name, static_cast<incarnation_id>(10 + i), true};
+        }
+        driver restarted(stored);
+        restarted.pass(1);
+        const std::uint64_t life = restarted.last_said<leadership_query>()->life;
+        for (int i = 2; i <= 6; ++i)
+        {
+            restarted.hear(replica_name(others + std::to_string(i)), static_cast<incarnation_id>(10 + i), 1,
+                           leadership_reply{life, false, restarted.node.members()});
+        }
+        double waited = 0.0;
+        while (restarted.node.role() == role::follower && waited < 1000.0)
+        {
+            restarted.pass(1);
+            waited += 1.0;
+        }
+        return waited;
+    };
+    const double turn = timing{}.early_election_spread.ms() / 6.0;
+    CHECK(stands_after("c") <= turn * 0.25 + 1.0);
+    const double last = stands_after("a");
+    CHECK(last >= turn * 5.0);
+    CHECK(last <= timing{}.early_election_spread.ms() + 1.0);
+}
+
 TEST_CASE("a restarted replica's wait for an earlier lease", "[quorum]")
 {
     driver restarted(three_members());
