Test processes claim their block of ports

Change: a process holds a socket at the first port of its block, and the next process takes another block.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -21,14 +21,32 @@
 
 
 # Below the range from which the kernel gives ports to outgoing connections, one of which could otherwise take a
-# port between its choice here and its use. Test processes that run side by side begin in different blocks.
-FIRST_PORT, LAST_PORT, BLOCK = 10000, 30000, 1000
-_ports = itertools.count((os.getpid() % 20) * BLOCK)
+# port between its choice here and its use. Each test process claims a block of its own by a socket at the block's first
+# port: two in one block took the same ports between the choice and the use, and an entry never served.
+FIRST_PORT, BLOCKS, BLOCK = 10000, 20, 1000
+_claimed = []
+
+
+def _claim_block():
+    for offset in range(BLOCKS):
+        base = FIRST_PORT + (os.getpid() + offset) % BLOCKS * BLOCK
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base))
+            _claimed.append(claim)
+            return base
+        except OSError:
+            claim.close()
+    raise RuntimeError("all blocks of ports are taken by other test processes")
+
+
+_first = _claim_block()
+_ports = itertools.count()
 
 
 def free_port():
     while True:
-        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
+        port = _first + 1 + next(_ports) % (BLOCK - 1)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
