--- a/src/coordinator/event_codec.cpp
+++ b/src/coordinator/event_codec.cpp
@@ -82,9 +82,9 @@
             document = {{"backend_servers", replicas}};
             parsed = parse_configuration(document, found);
             auto& holders = item.shards.emplace_back();
-            for (auto& [name, server] : parsed.backend_servers)
+            for (const auto& [name, server] : parsed.backend_servers)
             {
-                holders.push_back(std::move(server));
+                holders.push_back(server);
             }
         }
         const service_name name = item.definition.name;
