Control's work for the fleet is bounded, and none of it grows with the square of the instances

Being slow made work. Change: registration_spread decides who is told what and when, without I/O; a registry's digest is a sum that each change adds to; the publisher looks at those that reported; entries are counted each 100 ms; the leader says how often it wants reports (250 a second of all together); dials wait up to 6 s; a message to many is encoded once and its bytes are shared; 64 lines on registrations a second. Ruled out: more processor for control, or longer pauses alone: both hold only up to some size.

--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace flaxtiller::distribution
@@ -64,8 +65,16 @@
     void forget(const instance_name& instance);
 
     /// @return updates to send now
+    /// @complexity O(reports since the last call), and O(instances) once for each revision: a leader of a
+    /// thousand instances gets hundreds of reports a second
     std::vector<outgoing> take_updates(time_point now);
 
+    /// @return how many instances were looked at by @ref take_updates since the beginning
+    std::uint64_t instances_looked_at() const noexcept
+    {
+        return m_looked_at;
+    }
+
     /// @return each instance's revision and when it was last heard of
     const std::map<instance_name, standing>& instances() const noexcept;
 
@@ -91,6 +100,9 @@
     /// Updates to the present revision by their base, made once for all instances.
     std::map<std::int64_t, std::shared_ptr<const revision_update>> m_updates;
     std::map<instance_name, standing> m_instances;
+    /// Those that an update may be due for.
+    std::set<instance_name> m_to_look_at;
+    std::uint64_t m_looked_at = 0;
 };
 
 } // namespace flaxtiller::distribution
--- a/include/flaxtiller/distribution/revision_update.hpp
+++ b/include/flaxtiller/distribution/revision_update.hpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace flaxtiller::distribution
 {
@@ -31,11 +32,13 @@
     bool needs_whole = false;
     /// Whether the receiver shall send it updates; it follows one replica at a time.
     bool wants_updates = true;
+    /// From a control replica: whom it takes for the leader.
+    std::string leader{};
 
     bool operator==(const revision_report&) const = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_report, revision, digest, needs_whole, wants_updates)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_report, revision, digest, needs_whole, wants_updates, leader)
 
 /// @brief A leader's word, under its lease, on what the present revision is.
 struct revision_confirmation
@@ -43,10 +46,12 @@
     std::int64_t revision = 0;
     /// Instances that the leader heard from lately; they share the backend servers' connections.
     int instances = 0;
+    /// How often it wants to hear from each, so that many don't take all of its time.
+    double report_every_ms = 0.0;
 
     bool operator==(const revision_confirmation&) const = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_confirmation, revision, instances)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revision_confirmation, revision, instances, report_every_ms)
 
 } // namespace flaxtiller::distribution
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -88,13 +88,20 @@
     std::vector<registration> all(time_point now) const;
 
     /// @return a hash of all standings, equal on processes that agree
-    std::uint64_t digest() const;
+    /// @complexity O(1): each instance tells it every second
+    std::uint64_t digest() const noexcept;
 
     /// @return backend servers that aren't gone or lost
     std::vector<registration> present() const;
 
     bool empty() const noexcept;
 
+    /// @return how many ids are known, also those that are gone
+    std::size_t size() const noexcept
+    {
+        return m_known.size();
+    }
+
   private:
     struct known
     {
@@ -117,6 +124,7 @@
 
     std::map<backend_server_name, known> m_known;
     std::vector<registration> m_changes;
+    std::uint64_t m_digest = 0;
     std::size_t m_unconfirmed = 0;
 };
 
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -11,6 +11,9 @@
 
 constexpr duration tick_every = duration::from_ms(10);
 constexpr duration notice_every = duration::from_ms(1000);
+constexpr duration count_entries_every = duration::from_ms(100);
+/// Each look goes through all links; well within the first pause between two tries to make one.
+constexpr duration tick_links_every = duration::from_ms(20);
 /// Entries notice that a leader is lost after two or three reports, a second each, and then report to all
 /// replicas.
 constexpr duration reports_bound = duration::from_ms(3500);
@@ -173,7 +176,7 @@
 bool control_process::implementation::knows_entries(time_point now) const
 {
     const bool started_lately = led_since - started_at < cold_start_bound;
-    const duration bound = started_lately ? cold_reports_bound : reports_bound;
+    const duration bound = started_lately ? cold_reports_bound : pace().scaled(reports_bound);
     return led && (now - led_since >= bound || (started_lately && all_linked_reported(now)));
 }
 
@@ -197,9 +200,22 @@
 }
 
 /// @return the entries heard lately; 0 while that isn't known
-int control_process::implementation::counted_entries(time_point now) const
+int control_process::implementation::counted_entries(time_point now)
 {
-    return knows_entries(now) ? publisher.heard_since(now - instance_age) : 0;
+    // Not for each of their reports: that would grow with the square of the entries.
+    if (now >= count_entries_at)
+    {
+        count_entries_at = now + count_entries_every;
+        const duration age = pace().scaled(instance_age);
+        entry_count = knows_entries(now) ? publisher.heard_since(now - age) : 0;
+    }
+    return entry_count;
+}
+
+/// Said under the lease: no other replica can have accepted a later revision.
+distribution::revision_confirmation control_process::implementation::confirmation(time_point now)
+{
+    return {catalog.state().revision(), counted_entries(now), pace().every().ms()};
 }
 
 void control_process::implementation::confirm_to_entries(time_point now)
@@ -219,7 +235,7 @@
     if (answers && !answered)
     {
         limits.restart(now);
-        const distribution::revision_confirmation word{catalog.state().revision(), counted_entries(now)};
+        const distribution::revision_confirmation word = confirmation(now);
         std::vector<std::string> receivers;
         for (const std::string& peer : links.reachable())
         {
@@ -238,6 +254,7 @@
     told_entries.erase(name);
     if (!up)
     {
+        hub.on_lost(name);
         // It may come back with another folder.
         announced[catalog_log].erase(quorum::replica_name(name));
         announced[register_log].erase(quorum::replica_name(name));
@@ -258,7 +275,11 @@
 void control_process::implementation::tick()
 {
     const time_point now = clock.now();
-    links.tick();
+    if (now >= tick_links_at)
+    {
+        tick_links_at = now + tick_links_every;
+        links.tick();
+    }
     catalog.tick(now);
     registers.tick(now);
     pump();
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -11,6 +11,7 @@
 #include <flaxtiller/catalog/catalog_state.hpp>
 #include <flaxtiller/core/hash.hpp>
 #include <flaxtiller/distribution/publisher.hpp>
+#include <flaxtiller/distribution/report_pace.hpp>
 #include <flaxtiller/quorum/member_keeper.hpp>
 #include <flaxtiller/quorum/posix_file_system.hpp>
 #include <flaxtiller/quorum/replicated_machine.hpp>
@@ -121,6 +122,10 @@
     std::map<std::string, entry_peer> entries;
     std::map<std::string, std::shared_ptr<const std::vector<entry_peer>>> told_entries;
     time_point tell_entries_at{};
+    /// The entries heard lately, 0 while that isn't known, and when they are counted again.
+    int entry_count = 0;
+    time_point count_entries_at{};
+    time_point tick_links_at{};
     /// The replicas that the hub was told of and that were linked to last.
     std::set<std::string> linked;
     bool pump_posted = false;
@@ -189,7 +194,15 @@
 
     bool all_linked_reported(time_point now) const;
 
-    int counted_entries(time_point now) const;
+    int counted_entries(time_point now);
+
+    /// How often entries report to this replica while it leads.
+    distribution::report_pace pace() const noexcept
+    {
+        return distribution::report_pace(entry_count);
+    }
+
+    distribution::revision_confirmation confirmation(time_point now);
 
     template <typename Machine>
     void send_notice(Machine& machine, const char* log_name)
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -13,6 +13,7 @@
 constexpr duration listed_entry_age = duration::from_ms(4000);
 /// Entries are told of one another this often at most, so that many that start together make few messages.
 constexpr duration tell_entries_every = duration::from_ms(300);
+constexpr double tell_entries_share = 0.25;
 
 /// @return what to tell an entry that knows @a before; all of it where it knows nothing
 entry_list change_of(const std::vector<entry_peer>* before, const std::vector<entry_peer>& now)
@@ -106,15 +107,21 @@
                                                 const distribution::revision_report& report, time_point now)
 {
     publisher.on_report(instance_name(from.name), report, now);
-    entries[from.name] = {instance_name(from.name), from.region, from.zone, from.address};
-    if (catalog.may_answer(now))
+    entries.insert_or_assign(from.name,
+                             entry_peer{instance_name(from.name), from.region, from.zone, from.address});
+    const bool answers = catalog.may_answer(now);
+    if (answers)
     {
-        // Said under the lease: no other replica can have accepted a later revision.
+        links.send(from.name, confirmation(now));
+    }
+    if (!answers || report.wants_updates)
+    {
+        // A follower that lacks the revision sees by this whether it is on its way.
+        const quorum::replica* node = catalog.node();
         links.send(from.name,
-                   distribution::revision_confirmation{catalog.state().revision(), counted_entries(now)});
+                   distribution::revision_report{catalog.state().revision(), 0, false, false,
+                                                 node == nullptr ? std::string() : node->leader().str()});
     }
-    // A follower that lacks the revision sees by this whether it is on its way.
-    links.send(from.name, distribution::revision_report{catalog.state().revision(), 0, false, false});
     publish();
 }
 
@@ -154,31 +161,35 @@
     {
         return;
     }
-    tell_entries_at = now + tell_entries_every;
+    // Whoever comes or goes is a message to each.
+    tell_entries_at = now + std::max(tell_entries_every, pace().every() * tell_entries_share);
     std::vector<entry_peer> present;
     for (const auto& [name, known] : publisher.instances())
     {
         const auto entry = entries.find(name.str());
-        if (entry != entries.end() && now - known.heard_at < listed_entry_age)
+        if (entry != entries.end() && now - known.heard_at < pace().scaled(listed_entry_age))
         {
             present.push_back(entry->second);
         }
     }
     const auto shared = std::make_shared<const std::vector<entry_peer>>(std::move(present));
-    // Most were told the same before, so that one message serves them.
-    std::map<const std::vector<entry_peer>*, entry_list> changes;
+    // Most were told the same before, so that one message, encoded once, serves them.
+    std::map<std::shared_ptr<const std::vector<entry_peer>>, std::vector<std::string>> receivers;
     for (const entry_peer& item : *shared)
     {
-        auto& told = told_entries[item.name.str()];
-        const auto known = changes.find(told.get());
-        const entry_list& change =
-            known != changes.end()
-                ? known->second
-                : changes.emplace(told.get(), change_of(told.get(), *shared)).first->second;
-        if (change.whole || !change.items.empty() || !change.gone.empty())
+        receivers[told_entries[item.name.str()]].push_back(item.name.str());
+    }
+    for (const auto& [told, names] : receivers)
+    {
+        const entry_list change = change_of(told.get(), *shared);
+        if (!change.whole && change.items.empty() && change.gone.empty())
+        {
+            continue;
+        }
+        links.send(names, change);
+        for (const std::string& name : names)
         {
-            links.send(item.name.str(), change);
-            told = shared;
+            told_entries[name] = shared;
         }
     }
 }
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/catalog/diff.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace flaxtiller::distribution
 {
@@ -20,6 +21,10 @@
         m_kept.pop_front();
     }
     m_updates.clear();
+    for (const auto& [name, known] : m_instances)
+    {
+        m_to_look_at.insert(name);
+    }
 }
 
 /// A revision mostly differs in few items: working out the digest of all was 6% of what a change costs a
@@ -39,18 +44,26 @@
     const kept* same = find(report.revision);
     const bool differs = same != nullptr && report.revision == revision() && report.digest != m_digest;
     known.needs_whole = known.needs_whole || differs;
+    if (known.in_force < this->revision())
+    {
+        m_to_look_at.insert(from);
+    }
 }
 
 void publisher::forget(const instance_name& instance)
 {
     m_instances.erase(instance);
+    m_to_look_at.erase(instance);
 }
 
 std::vector<publisher::outgoing> publisher::take_updates(time_point now)
 {
     std::vector<outgoing> updates;
-    for (auto& [name, known] : m_instances)
+    // Of those that get nothing now, the next report tells whether they need it.
+    for (const instance_name& name : std::exchange(m_to_look_at, {}))
     {
+        ++m_looked_at;
+        standing& known = m_instances.at(name);
         if (!needs_update(known, now))
         {
             continue;
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -40,6 +40,7 @@
     }
     leader = from.name;
     leader_heard_at = now;
+    leader_report_every = std::max(settings.report_every, duration::from_ms(word.report_every_ms));
     subscriber.on_confirmation(word, now);
     if (leader_revision != word.revision)
     {
@@ -65,6 +66,27 @@
     }
 }
 
+/// A replica names another leader than the one that was heard last: it is told at once, so that it knows this
+/// entry when it counts.
+void entry_process::implementation::on_leader_named(const std::string& name)
+{
+    const time_point now = clock.now();
+    const bool heard_lately = now - leader_heard_at < settings.report_every * reports_until_leader_lost;
+    if (name.empty() || name == leader || heard_lately)
+    {
+        return;
+    }
+    log(log_level::info, "leader_named", {{"leader", name}, {"before", leader}});
+    leader = name;
+    leader_heard_at = now;
+    leader_reported_at = now;
+    if (routed)
+    {
+        routed->set_leader(leader);
+    }
+    links.send(leader, subscriber.report());
+}
+
 void entry_process::implementation::note_confirmed()
 {
     const auto age = subscriber.age(clock.now());
@@ -313,15 +335,21 @@
                   report();
               });
     }
-    const bool leader_known = now - leader_heard_at < settings.report_every * reports_until_leader_lost;
+    const bool leader_known = reachable.count(leader) > 0 &&
+                              now - leader_heard_at < leader_report_every * reports_until_leader_lost;
+    // One that doesn't serve yet waits for the leader's word.
+    const bool leader_waits =
+        serves() && now - leader_reported_at < leader_report_every - settings.report_every * 0.5;
     const registration_digest known{registered.digest()};
     for (const named_address& replica : control.present())
     {
         const bool follows = replica.name == followed;
-        if (!follows && leader_known && replica.name != leader)
+        const bool leads = replica.name == leader;
+        if (!follows && leader_known && (!leads || leader_waits))
         {
             continue;
         }
+        leader_reported_at = leads ? now : leader_reported_at;
         distribution::revision_report word = subscriber.report();
         word.wants_updates = follows;
         links.send(replica.name, word);
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -169,6 +169,9 @@
     /// The replica that last said under its lease what the present revision is, and when.
     std::string leader;
     time_point leader_heard_at{};
+    time_point leader_reported_at{};
+    /// How often it wants to hear from this entry.
+    duration leader_report_every = duration::from_ms(1000);
     std::int64_t leader_revision = 0;
     /// Which replica's updates this entry follows.
     distribution::replica_choice control_choice;
@@ -248,6 +251,8 @@
 
     void on_confirmation(const hello& from, const distribution::revision_confirmation& word);
 
+    void on_leader_named(const std::string& name);
+
     void note_confirmed();
 
     void note_places();
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -99,6 +99,7 @@
     else if (const auto* standing = std::get_if<distribution::revision_report>(&message))
     {
         control_choice.on_word(from.name, standing->revision);
+        on_leader_named(standing->leader);
     }
     else if (const auto* told = std::get_if<control_members>(&message))
     {
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -19,6 +19,18 @@
     return item.state == registration_state::gone;
 }
 
+/// A sum of these is a registry's digest, so that the order of arrival doesn't matter and forgotten ids don't
+/// show.
+std::uint64_t digest_of(const registration& item)
+{
+    if (item.id.empty() || !item.is_present())
+    {
+        return 0;
+    }
+    const std::uint64_t life = hash64(item.id.str(), static_cast<std::uint64_t>(item.born_ms));
+    return hash64(item.id.str(), life + static_cast<std::uint64_t>(item.state));
+}
+
 std::set<backend_server_name> ids_of(const std::vector<registration>& items)
 {
     std::set<backend_server_name> ids;
@@ -68,8 +80,10 @@
     }
     const std::int64_t sequence = same_life ? std::max(item.said.sequence, said.sequence) : said.sequence;
     item.cold_until = changed ? cold_until : item.cold_until;
+    m_digest -= digest_of(item.said);
     item.said = said;
     item.said.sequence = sequence;
+    m_digest += digest_of(item.said);
     item.heard_at = now;
     if (changed)
     {
@@ -188,6 +202,7 @@
 void registry::lose(known& item)
 {
     confirm(item);
+    m_digest -= digest_of(item.said);
     item.said.state = registration_state::lost;
     // Ahead of the last heartbeat, so that this word wins where that one is known.
     ++item.said.sequence;
@@ -255,17 +270,9 @@
     return items;
 }
 
-std::uint64_t registry::digest() const
+std::uint64_t registry::digest() const noexcept
 {
-    std::uint64_t sum = 0;
-    for (const auto& [id, item] : m_known)
-    {
-        // A sum, so that the order of arrival doesn't matter and forgotten ids don't show.
-        const std::uint64_t life = hash64(id.str(), static_cast<std::uint64_t>(item.said.born_ms));
-        sum +=
-            item.said.is_present() ? hash64(id.str(), life + static_cast<std::uint64_t>(item.said.state)) : 0;
-    }
-    return sum;
+    return m_digest;
 }
 
 std::vector<registration> registry::present() const
--- a/src/shell/link_endpoint.cpp
+++ b/src/shell/link_endpoint.cpp
@@ -19,7 +19,8 @@
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
 using websocketpp::connection_hdl;
 
-constexpr long open_timeout_ms = 1000;
+/// Longer than peer_links waits for a dial: a busy peer that answers late is linked to all the same.
+constexpr long open_timeout_ms = 8000;
 constexpr long close_timeout_ms = 500;
 /// A link to a peer that takes nothing any more is closed once this much waits to be sent.
 constexpr std::size_t most_buffered_bytes = std::size_t{64} << 20U;
@@ -238,13 +239,13 @@
     return id;
 }
 
-void link_endpoint::send(link_id link, std::string bytes)
+void link_endpoint::send(link_id link, std::shared_ptr<const std::string> bytes)
 {
     implementation& self = *m_implementation;
     boost::asio::post(self.io,
                       [&self, link, bytes = std::move(bytes)]
                       {
-                          self.send(link, bytes);
+                          self.send(link, *bytes);
                       });
 }
 
--- a/src/shell/link_endpoint.hpp
+++ b/src/shell/link_endpoint.hpp
@@ -45,7 +45,7 @@
     link_id connect(const std::string& ip, std::uint16_t port);
 
     /// @brief Sends a message; nothing happens if the link is gone.
-    void send(link_id link, std::string bytes);
+    void send(link_id link, std::shared_ptr<const std::string> bytes);
 
     /// @brief Closes a link.
     void close(link_id link);
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -65,9 +65,9 @@
     }
 }
 
-void peer_links::post_bytes(link_id id, std::size_t kind, const std::string& bytes)
+void peer_links::post_bytes(link_id id, std::size_t kind, const std::shared_ptr<const std::string>& bytes)
 {
-    m_metrics.add_link_bytes(kind, bytes.size());
+    m_metrics.add_link_bytes(kind, bytes->size());
     m_endpoint.send(id, bytes);
 }
 
@@ -78,11 +78,14 @@
 
 void peer_links::send(const std::vector<std::string>& names, const link_message& message)
 {
-    if (names.empty())
+    if (!names.empty())
     {
-        return;
+        send(names, encoded_message(message));
     }
-    const std::string bytes = encode(message);
+}
+
+void peer_links::send(const std::vector<std::string>& names, const encoded_message& message)
+{
     const std::scoped_lock lock(m_mutex);
     for (const std::string& name : names)
     {
@@ -90,7 +93,7 @@
         if (found != m_peers.end() && !found->second.links.empty())
         {
             found->second.sent_at = m_clock.now();
-            post_bytes(*found->second.links.rbegin(), message.index(), bytes);
+            post_bytes(*found->second.links.rbegin(), message.kind, message.bytes);
         }
     }
 }
@@ -118,7 +121,7 @@
     std::vector<std::string> silent;
     {
         const std::scoped_lock lock(m_mutex);
-        static const std::string bytes = encode(heartbeat{});
+        static const encoded_message beat{link_message(heartbeat{})};
         for (auto& [name, known] : m_peers)
         {
             if (known.wanted && known.dialled == 0 && now >= known.dial_at)
@@ -126,16 +129,15 @@
                 known.dial_at = now + known.dial_pause;
                 known.dialled_at = now;
                 known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
-                m_links[known.dialled];
+                m_links[known.dialled].dialled = name;
             }
             if (!known.links.empty() && now - known.sent_at >= m_timing.heartbeat)
             {
                 known.sent_at = now;
-                post_bytes(*known.links.rbegin(), link_message(heartbeat{}).index(), bytes);
+                post_bytes(*known.links.rbegin(), beat.kind, beat.bytes);
             }
             const bool silent_since_dialled = known.heard_at < known.dialled_at;
-            const duration bound = std::max(dial_bound, known.dial_pause * pauses_per_dial);
-            const bool hangs = silent_since_dialled && now - known.dialled_at > bound;
+            const bool hangs = silent_since_dialled && now - known.dialled_at > known.dial_bound;
             const bool silent_for_long =
                 now - known.heard_at > m_timing.redial && now - known.dialled_at > m_timing.redial;
             if (known.dialled != 0 && (hangs || silent_for_long))
@@ -145,6 +147,7 @@
                 known.links.erase(known.dialled);
                 known.dialled = 0;
                 known.lengthen_dial_pause();
+                known.dial_bound = std::min(known.dial_bound * 2.0, longest_dial_bound);
             }
             if (known.reachable && now - known.heard_at > m_timing.silence)
             {
@@ -165,34 +168,63 @@
     const std::scoped_lock lock(m_mutex);
     m_links[id];
     const link_message greeting = m_self;
-    post_bytes(id, greeting.index(), encode(greeting));
+    const encoded_message sent(greeting);
+    post_bytes(id, sent.kind, sent.bytes);
+}
+
+/// @return whether the peer can't be reached any more by this
+bool peer_links::drop_link(const std::string& name, link_id id)
+{
+    const auto found = m_peers.find(name);
+    if (found == m_peers.end())
+    {
+        return false;
+    }
+    peer& known = found->second;
+    if (known.dialled == id)
+    {
+        known.dialled = 0;
+        known.dial_at = m_clock.now() + known.dial_pause;
+        known.lengthen_dial_pause();
+    }
+    if (known.links.erase(id) == 0 || !known.links.empty() || !known.reachable)
+    {
+        return false;
+    }
+    known.reachable = false;
+    return true;
 }
 
 void peer_links::on_closed(link_id id)
 {
-    std::string lost;
+    // Whom it was dialled to, and who answered: a seed may turn out to have another name.
+    std::set<std::string> names;
+    std::vector<std::string> lost;
     {
         const std::scoped_lock lock(m_mutex);
-        m_links.erase(id);
-        for (auto& [name, known] : m_peers)
+        const auto closed = m_links.find(id);
+        if (closed == m_links.end())
         {
-            if (known.dialled == id)
-            {
-                known.dialled = 0;
-                known.dial_at = m_clock.now() + known.dial_pause;
-                known.lengthen_dial_pause();
-            }
-            if (known.links.erase(id) > 0 && known.links.empty() && known.reachable)
+            return;
+        }
+        names.insert(closed->second.dialled);
+        if (closed->second.from)
+        {
+            names.insert(closed->second.from->name);
+        }
+        m_links.erase(closed);
+        for (const std::string& name : names)
+        {
+            if (drop_link(name, id))
             {
-                known.reachable = false;
-                lost = name;
+                lost.push_back(name);
             }
         }
     }
-    if (!lost.empty())
+    for (const std::string& name : lost)
     {
-        log(log_level::info, "peer_lost", {{"peer", lost}});
-        m_told.reachable(lost, false);
+        log(log_level::info, "peer_lost", {{"peer", name}});
+        m_told.reachable(name, false);
     }
 }
 
@@ -231,6 +263,7 @@
         peer& known = m_peers[from->name];
         known.heard_at = m_clock.now();
         known.dial_pause = first_dial_pause;
+        known.dial_bound = first_dial_bound;
         came_back = !known.reachable;
         known.reachable = true;
     }
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -19,6 +19,18 @@
 namespace flaxtiller::shell
 {
 
+/// @brief A message as it is sent.
+struct encoded_message
+{
+    explicit encoded_message(const link_message& message)
+        : kind(message.index()), bytes(std::make_shared<const std::string>(encode(message)))
+    {
+    }
+
+    std::size_t kind = 0;
+    std::shared_ptr<const std::string> bytes;
+};
+
 /// @brief The links of this process to its peers, by name: makes them, keeps them up, tells which peers live.
 ///
 /// A peer is reachable while something of it was heard within the silence bound: a frozen or cut-off peer
@@ -52,6 +64,9 @@
     /// @brief Sends the same to several peers; it is encoded once.
     void send(const std::vector<std::string>& names, const link_message& message);
 
+    /// @brief Sends what was encoded before, for a large message that one peer after the other needs.
+    void send(const std::vector<std::string>& names, const encoded_message& message);
+
     /// @brief Makes missing links, sends heartbeats where nothing else was sent, notices silence. Call at
     /// least twice a heartbeat.
     void tick();
@@ -71,9 +86,10 @@
     /// A dial on which nothing was heard for this long is tried anew: several round trips between regions and
     /// a start on a busy instance. A machine without power says nothing, and the system itself tries again
     /// only after a second.
-    static constexpr duration dial_bound = duration::from_ms(300);
-    /// It grows with the pause between tries, so that a peer that is merely slow is reached in the end.
-    static constexpr double pauses_per_dial = 10.0;
+    static constexpr duration first_dial_bound = duration::from_ms(300);
+    /// It doubles with each try up to this, so that a peer that is merely slow, perhaps since very many dial
+    /// it at once, is asked less and less, and reached in the end.
+    static constexpr duration longest_dial_bound = duration::from_ms(6000);
 
     /// What was sent so far is logged this often: a line in ten seconds is nothing beside the requests' own.
     static constexpr duration log_sent_every = duration::from_ms(10000);
@@ -87,6 +103,8 @@
         time_point dialled_at{};
         /// How long to wait until the next try.
         duration dial_pause = first_dial_pause;
+        /// How long a dial may remain without a word.
+        duration dial_bound = first_dial_bound;
         /// Links on which the peer said its name; the newest is used.
         std::set<link_id> links;
         time_point heard_at{};
@@ -101,6 +119,8 @@
 
     struct link
     {
+        /// Whom it was dialled to; empty for one that was accepted.
+        std::string dialled;
         /// Its greeting; nothing before that came.
         std::shared_ptr<const hello> from;
     };
@@ -109,7 +129,8 @@
     void on_opened(link_id id);
     void on_closed(link_id id);
     void on_received(link_id id, const std::string& bytes);
-    void post_bytes(link_id id, std::size_t kind, const std::string& bytes);
+    void post_bytes(link_id id, std::size_t kind, const std::shared_ptr<const std::string>& bytes);
+    bool drop_link(const std::string& name, link_id id);
 
     const hello m_self;
     metrics& m_metrics;
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -2,8 +2,6 @@
 
 #include "log.hpp"
 
-#include <flaxtiller/distribution/publisher.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -15,13 +13,6 @@
 
 /// How often replicas tell one another whom they heard: well under the silence that loses a backend server.
 constexpr duration tell_every = duration::from_ms(3000);
-/// A digest that differs for this long isn't just a change on its way.
-constexpr duration differs_bound = duration::from_ms(1500);
-/// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes by
-/// itself.
-constexpr duration resend_after = duration::from_ms(5000);
-/// Backend servers that come share a message if they come within this; one that leaves is told of at once.
-constexpr duration gather = duration::from_ms(100);
 /// Replicas that start together are linked within this, also between regions; one that didn't restart has
 /// told what it knows by then.
 constexpr duration restore_after = duration::from_ms(150);
@@ -42,9 +33,10 @@
 {
     const std::size_t count = m_registry.restore(std::exchange(m_before, {}), now);
     log(log_level::info, "registrations_restored", {{"items", count}});
-    m_spread_at = now;
     m_tell_at = now + tell_unconfirmed_every;
     note_changes(true, now);
+    m_spread.hurry(now);
+    send_due(now);
 }
 
 /// A replica that didn't restart knows which of the restored ones still live.
@@ -103,31 +95,9 @@
 
 void registration_hub::on_digest(const std::string& from, const registration_digest& said, time_point now)
 {
-    m_followers[from] = now;
-    if (said.digest == m_registry.digest())
-    {
-        m_differs_since.erase(from);
-        return;
-    }
-    if (said.digest == registry().digest())
-    {
-        // It knows nothing yet, and needn't wait until that has lasted.
-        send_all(from, now);
-        return;
-    }
-    const auto resent = m_resent_at.find(from);
-    if (resent != m_resent_at.end() && now - resent->second < resend_after)
-    {
-        return;
-    }
-    const auto since = m_differs_since.emplace(from, now).first;
-    if (now - since->second > differs_bound)
+    if (m_spread.on_digest(from, said.digest, m_registry.digest(), now))
     {
-        log(log_level::info, "registrations_resent",
-            {{"to", from}, {"differed_ms", (now - since->second).ms()}});
-        m_differs_since.erase(since);
-        m_resent_at[from] = now;
-        send_all(from, now);
+        log(log_level::info, "registrations_resent", {{"to", from}, {"items", m_registry.size()}});
     }
 }
 
@@ -135,21 +105,35 @@
 {
     if (!m_registry.empty())
     {
-        m_links.send(peer, registration_update{false, m_registry.all(now), is_settled(now)});
+        m_spread.send_whole(peer);
+        send_due(now);
     }
 }
 
-void registration_hub::send_all(const std::string& to, time_point now)
+void registration_hub::on_lost(const std::string& peer)
 {
-    m_links.send(to, registration_update{is_settled(now), m_registry.all(now), is_settled(now)});
+    m_spread.on_lost(peer);
 }
 
 void registration_hub::note_changes(bool own, time_point now)
 {
     const std::vector<registration> changes = m_registry.take_changes();
     m_file.append(changes);
+    log_changes(changes, now);
+    m_spread.on_changes(changes, own, m_registry.digest(), now);
+    send_due(now);
+}
+
+void registration_hub::log_changes(const std::vector<registration>& changes, time_point now)
+{
+    std::size_t unsaid = 0;
     for (const registration& item : changes)
     {
+        if (!m_lines.take(now))
+        {
+            ++unsaid;
+            continue;
+        }
         log(log_level::info, "registration",
             {{"backend_server", item.id.str()},
              {"service", item.service.str()},
@@ -158,58 +142,32 @@
              {"sequence", item.sequence},
              {"born_ms", item.born_ms},
              {"warmup_ms", item.warmup_left.ms()}});
-        const bool leaves = item.state != registration_state::ready;
-        m_spread_at = std::min(m_spread_at, leaves ? now : now + gather);
-        m_all_changes.push_back(item);
-        if (own)
-        {
-            m_own_changes.push_back(item);
-        }
-    }
-    if (now >= m_spread_at)
-    {
-        spread(now);
     }
+    m_unsaid += unsaid;
 }
 
-/// Replicas are told what was heard here, and followers all; each replica tells its own followers. One that
-/// can't reach some replica tells every process itself.
-void registration_hub::spread(time_point now)
+void registration_hub::send_due(time_point now)
 {
-    m_spread_at = time_point::never();
-    const registration_update own{false, std::exchange(m_own_changes, {}), false};
-    const registration_update all{false, std::exchange(m_all_changes, {}), false};
-    const std::set<std::string> reachable = m_links.reachable();
-    const bool cut_off =
-        !std::includes(reachable.begin(), reachable.end(), m_replicas.begin(), m_replicas.end());
-    std::vector<std::string> replicas;
-    std::vector<std::string> followers;
-    for (const std::string& peer : reachable)
-    {
-        const auto follows = m_followers.find(peer);
-        if (m_replicas.count(peer) > 0)
-        {
-            replicas.push_back(peer);
-        }
-        else if (cut_off || (follows != m_followers.end() &&
-                             now - follows->second < distribution::publisher::follower_age))
-        {
-            followers.push_back(peer);
-        }
-    }
-    if (!own.items.empty())
+    if (!m_spread.is_due(now))
     {
-        m_links.send(replicas, own);
+        return;
     }
-    if (!all.items.empty())
+    for (registration_spread::outgoing& message : m_spread.take(m_links.reachable(), m_registry.size(), now))
     {
-        m_links.send(followers, all);
+        const bool settled = message.whole && is_settled(now);
+        registration_update update{settled, std::move(message.changes), settled};
+        if (message.whole)
+        {
+            update.items = m_registry.all(now);
+        }
+        m_links.send(message.to, update);
     }
 }
 
 void registration_hub::set_replicas(std::set<std::string> others)
 {
     m_replicas = std::move(others);
+    m_spread.set_replicas(m_replicas);
 }
 
 void registration_hub::tick(bool leads, time_point now)
@@ -222,14 +180,15 @@
     {
         note_changes(true, now);
     }
-    if (now >= m_spread_at)
-    {
-        spread(now);
-    }
+    send_due(now);
     if (now < m_tell_at)
     {
         return;
     }
+    if (const std::size_t unsaid = std::exchange(m_unsaid, 0); unsaid > 0)
+    {
+        log(log_level::info, "registrations", {{"items", unsaid}, {"known", m_registry.size()}});
+    }
     m_tell_at = now + (m_registry.has_unconfirmed() ? tell_unconfirmed_every : tell_every);
     const registration_heard heard{m_registry.take_heard()};
     const registration_digest known{m_registry.digest()};
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -3,9 +3,10 @@
 #include "peer_links.hpp"
 #include "registration_file.hpp"
 
+#include <flaxtiller/core/token_bucket.hpp>
+#include <flaxtiller/registration/registration_spread.hpp>
 #include <flaxtiller/registration/registry.hpp>
 
-#include <map>
 #include <set>
 #include <string>
 
@@ -19,7 +20,8 @@
   public:
     /// @param path of the file that keeps the registrations for this process's next start
     registration_hub(peer_links& links, const std::string& path, duration silence, time_point now)
-        : m_links(links), m_file(path), m_silence(silence), m_started_at(now)
+        : m_links(links), m_file(path), m_silence(silence), m_started_at(now),
+          m_lines(most_lines_per_s, most_lines_per_s, most_lines_per_s, now)
     {
     }
 
@@ -41,6 +43,9 @@
     /// @brief A link to another replica came up: its other end may know nothing.
     void on_reachable(const std::string& peer, time_point now);
 
+    /// @brief The link to a peer broke.
+    void on_lost(const std::string& peer);
+
     /// @brief Tells what changed, tells the other replicas who was heard, and calls the silent lost.
     /// @param leads whether this replica leads: only a leader, which a majority's words reach, calls one lost
     void tick(bool leads, time_point now);
@@ -54,9 +59,11 @@
     }
 
   private:
+    static constexpr double most_lines_per_s = 64.0;
+
     void note_changes(bool own, time_point now);
-    void spread(time_point now);
-    void send_all(const std::string& to, time_point now);
+    void log_changes(const std::vector<registration>& changes, time_point now);
+    void send_due(time_point now);
     bool is_settled(time_point now) const;
     void take_settled(const registration_update& update, time_point now);
     void restore(time_point now);
@@ -68,17 +75,13 @@
     duration m_silence;
     time_point m_started_at;
     registry m_registry;
+    registration_spread m_spread;
     time_point m_tell_at{};
     std::set<std::string> m_replicas;
-    /// What changed by words received here, and all that changed: told to replicas, and to followers.
-    std::vector<registration> m_own_changes;
-    std::vector<registration> m_all_changes;
-    time_point m_spread_at = time_point::never();
-    /// Processes that follow this replica's word, and when they last said so.
-    std::map<std::string, time_point> m_followers;
-    /// Since when a process's digest has differed.
-    std::map<std::string, time_point> m_differs_since;
-    std::map<std::string, time_point> m_resent_at;
+    /// Pays for the lines on single registrations; many at once share one.
+    token_bucket m_lines;
+    /// Changes without a line since the last line on many.
+    std::size_t m_unsaid = 0;
 };
 
 } // namespace flaxtiller::shell
