Limits are kept while nobody leads; entries' views wait while many backend servers register

Change: the first replica by name stands in while there is no leader, with the share of the limits that the entries which reach it are of all; an entry that gets no answer goes on with one request of each team for 3 s, then with its part. Ruled out: accounts at any replica that an entry reaches (two of them grant twice); no requests at all while nobody leads.

--- a/bench/limit_play.hpp
+++ b/bench/limit_play.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/core/token_bucket.hpp>
+#include <flaxtiller/distribution/report_pace.hpp>
 #include <flaxtiller/teams/rate_ledger.hpp>
 #include <flaxtiller/teams/rate_limiter.hpp>
 
@@ -33,7 +34,8 @@
     double hot_for_s = 0.0;
     /// Share of the requests that reach one entry, whatever the others get.
     double to_one = 0.0;
-    /// Nobody leads meanwhile; afterwards another replica does, which knows nothing.
+    /// Nobody leads meanwhile, and after @ref stand_in_after_s another replica stands in; afterwards yet
+    /// another one leads. Neither knows what was sent before.
     double leaderless_from_s = 0.0;
     double leaderless_for_s = 0.0;
     /// Entries that can't reach the leader meanwhile.
@@ -61,6 +63,9 @@
     int requests = 0;
 };
 
+/// Until then entries have found out that nobody leads, and whom to ask.
+inline constexpr double stand_in_after_s = 2.5;
+
 inline const rate_tolerance tolerance{duration::from_ms(5000), 0.1, 20.0};
 
 /// @brief The play's clock and the events to come.
@@ -164,6 +169,10 @@
         m_team.name = team_name("t");
         m_limiters.resize(static_cast<std::size_t>(wanted.entries));
         set_limit(wanted.limit);
+        for (int entry = 0; entry < wanted.entries; ++entry)
+        {
+            confirm(entry);
+        }
     }
 
     void arrive(int entry, std::uint64_t request) override
@@ -206,11 +215,28 @@
         return now_s >= from_s && now_s < from_s + for_s;
     }
 
+    /// The leader's word on the revision, which each entry gets once a report.
+    void confirm(int entry)
+    {
+        const bool leaderless = is_within(m_wanted.leaderless_from_s, m_wanted.leaderless_for_s);
+        if (is_reachable(entry) && !leaderless)
+        {
+            m_limiters[static_cast<std::size_t>(entry)].on_keeper_heard(m_time.now);
+        }
+        m_time.at(m_time.now + distribution::report_pace(m_wanted.entries).every(),
+                  [this, entry]
+                  {
+                      confirm(entry);
+                  });
+    }
+
     bool is_reachable(int entry) const
     {
         const bool cut = is_within(m_wanted.cut_from_s, m_wanted.cut_for_s) &&
                          entry < m_wanted.cut_share * m_wanted.entries;
-        return !cut && !is_within(m_wanted.leaderless_from_s, m_wanted.leaderless_for_s);
+        const bool nobody =
+            is_within(m_wanted.leaderless_from_s, std::min(m_wanted.leaderless_for_s, stand_in_after_s));
+        return !cut && !nobody;
     }
 
     duration way_to_leader()
@@ -272,9 +298,12 @@
         {
             return;
         }
-        if (m_leads_anew != is_within(m_wanted.leaderless_from_s, 1e9) && m_wanted.leaderless_for_s > 0.0)
+        const int keeper = is_within(m_wanted.leaderless_from_s, m_wanted.leaderless_for_s) ? 1
+                           : is_within(0.0, m_wanted.leaderless_from_s)                     ? 0
+                                                                                            : 2;
+        if (keeper != m_keeper)
         {
-            m_leads_anew = true;
+            m_keeper = keeper;
             m_ledger.restart(m_time.now);
         }
         tell(entry, m_ledger.on_report(report, m_time.now));
@@ -309,7 +338,8 @@
     team m_team;
     rate_ledger m_ledger;
     std::vector<rate_limiter> m_limiters;
-    bool m_leads_anew = false;
+    /// The leader, who stands in, or the next leader.
+    int m_keeper = 0;
 };
 
 /// @brief Plays a scenario with one way.
--- a/include/flaxtiller/registration/registration_spread.hpp
+++ b/include/flaxtiller/registration/registration_spread.hpp
@@ -21,15 +21,16 @@
 ///
 /// Other replicas are told what was heard here, and the instances that follow this replica all changes. Who
 /// has another digest for a while gets the whole list. It answers a start of all instances and backend
-/// servers at once: what a slow or unreachable peer causes is bounded by a rate, one whole list serves all that
-/// need it, and whoever merely lags isn't sent more.
+/// servers at once: what a slow or unreachable peer causes is bounded by a rate, one whole list serves all
+/// that need it, and whoever merely lags isn't sent more.
 class registration_spread
 {
   public:
-    /// Backend servers that come share a message if they come within this; one that leaves is told of at once.
+    /// Backend servers that come share a message if they come within this; one that leaves is told of at
+    /// once.
     static constexpr duration gather = duration::from_ms(100);
-    /// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes by
-    /// itself.
+    /// What was sent whole isn't sent again before this: the receiver may know more, and what that is comes
+    /// by itself.
     static constexpr duration resend_after = duration::from_ms(5000);
     /// A digest that differs for this long isn't just a change on its way.
     static constexpr duration differs_bound = duration::from_ms(1500);
@@ -39,7 +40,7 @@
     static constexpr duration whole_every = duration::from_ms(250);
     static constexpr duration whole_pause_per_item = duration::from_ms(0.2);
     /// The pause between two messages of changes grows with their receivers.
-    static constexpr duration pause_per_receiver = duration::from_ms(0.1);
+    static constexpr duration pause_per_receiver = duration::from_ms(1.0);
     /// Instances that follow another replica are told while that can't be reached, this often and this much.
     static constexpr duration elsewhere_every = duration::from_ms(500);
     static constexpr std::size_t most_items_elsewhere = 64;
--- a/include/flaxtiller/routing/caller_admission.hpp
+++ b/include/flaxtiller/routing/caller_admission.hpp
@@ -32,7 +32,7 @@
     std::optional<rate_limiter::decision> over_limit;
 };
 
-/// @brief Send this to the control leader.
+/// @brief Send this to the control replica that keeps the limits.
 struct report_use
 {
     limit_report report;
@@ -55,7 +55,13 @@
     /// @brief A caller went away.
     void caller_gone(request_number number);
 
-    /// @brief The control leader's word.
+    /// @brief The control replica that keeps the limits lives.
+    void on_keeper_heard(time_point now) noexcept
+    {
+        m_limiter.on_keeper_heard(now);
+    }
+
+    /// @brief That replica's word.
     void on_limit_word(const limit_word& word, time_point now);
 
     /// @brief Time has passed.
@@ -102,7 +108,7 @@
     std::shared_ptr<const team_table> m_teams;
     std::int64_t m_revision = 0;
     rate_limiter m_limiter;
-    /// Requests that wait for the leader's word.
+    /// Requests that wait for that replica's word.
     std::unordered_map<request_number, held_request> m_held;
     std::map<team_name, counts> m_counted;
     std::vector<admission_action> m_actions;
--- a/include/flaxtiller/teams/limit_message.hpp
+++ b/include/flaxtiller/teams/limit_message.hpp
@@ -29,11 +29,13 @@
     bool operator==(const limit_ask&) const = default;
 };
 
-/// @brief From an entry to the control leader: what it admitted, and what it asks for.
+/// @brief From an entry to the control replica that keeps the limits: what it admitted, and what it asks for.
 struct limit_report
 {
     /// Named again by the answer; a report that isn't answered is sent again under another number.
     std::uint64_t number = 0;
+    /// How many entries there are, as far as the sender knows; 0 where it doesn't.
+    int entries = 0;
     std::vector<limit_use> used;
     std::vector<limit_ask> asked;
 
@@ -63,7 +65,7 @@
     bool operator==(const limit_standing&) const = default;
 };
 
-/// @brief From the control leader to an entry.
+/// @brief From the control replica that keeps the limits to an entry.
 struct limit_word
 {
     /// The report that it answers; 0 for news to all entries.
--- a/include/flaxtiller/teams/rate_ledger.hpp
+++ b/include/flaxtiller/teams/rate_ledger.hpp
@@ -12,11 +12,11 @@
 namespace flaxtiller
 {
 
-/// @brief The control leader's account of what each team sends through all entries together. Deterministic.
+/// @brief A control replica's account of what each team sends through all entries together. Deterministic.
 ///
 /// While a team stays within its limit its requests wait for nobody: entries admit them and report what they
-/// admitted. Once its tokens are used up the leader tells all entries, and each further request is asked for,
-/// so that the sum keeps to the limit whichever entries the team's callers reach. See @ref rate_limiter.
+/// admitted. Once its tokens are used up the replica tells all entries, and each further request is asked
+/// for, so that the sum keeps to the limit whichever entries the team's callers reach. See @ref rate_limiter.
 ///
 /// It answers a team that sends many times its usual through all entries at once. Shares that are handed out
 /// beforehand would be less than one request an entry there.
@@ -30,10 +30,14 @@
     /// @brief Another revision's limits. What a team has used stays.
     void configure(const shared_map<team_name, team>& teams, time_point now);
 
-    /// @brief This replica begins to lead: what was used before isn't known, so that no team begins with all
-    /// its tokens.
+    /// @brief This replica begins to keep the limits: what was used before isn't known, so that no team
+    /// begins with all its tokens.
     void restart(time_point now);
 
+    /// @brief Keeps only this share of each limit from now on, as only some of the entries can reach this
+    /// replica.
+    void set_share(double share, time_point now);
+
     /// @brief An entry's report.
     /// @return the answer to it
     limit_word on_report(const limit_report& report, time_point now);
@@ -67,6 +71,7 @@
     limit_grant decide(const limit_ask& asked, time_point now);
 
     const rate_tolerance m_tolerance;
+    double m_share = 1.0;
     shared_map<team_name, team> m_teams;
     std::map<team_name, account> m_accounts;
     std::set<team_name> m_news;
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -6,6 +6,7 @@
 #include <flaxtiller/teams/limit_message.hpp>
 #include <flaxtiller/teams/team.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,16 +18,15 @@
 /// @brief An entry's part in keeping the limits of teams over all entries; see @ref rate_ledger.
 /// Deterministic.
 ///
-/// A request of a team that is within its limit is admitted at once and reported. One of a limited team waits
-/// for the leader's word. An entry that can't reach the leader goes on with a request or two for each team,
-/// and after that with its part of the limit: what all entries without a leader do together stays about
-/// within it.
+/// A request of a team that is within its limit is admitted at once and reported to the control replica that
+/// keeps the limits. One of a limited team waits for that replica's word. An entry that gets no answer goes
+/// on for a moment with one request of each team, and after that with its part of the limit.
 class rate_limiter
 {
   public:
-    /// The leader's answer is awaited for this long: a way to another region and back, on a busy instance.
+    /// An answer is awaited for this long: a way to another region and back, on a busy instance.
     static constexpr duration answer_bound = duration::from_ms(150);
-    /// Requests that share a report; a leader that hears of them this much later still stops a flood in time.
+    /// Requests that share a report; a keeper that hears of them this much later still stops a flood in time.
     static constexpr duration gather = duration::from_ms(20);
 
     enum class verdict
@@ -45,9 +45,9 @@
         verdict what = verdict::admitted;
         /// Of a refused one.
         duration retry_after{};
-        /// Whether no leader's word decided it, but this entry's part of the limit.
+        /// Whether no keeper's word decided it, but this entry's part of the limit.
         bool alone = false;
-        /// How old the leader's last word was.
+        /// How long ago the keeper was heard of.
         duration heard_ago{};
 
         bool operator==(const decision&) const = default;
@@ -61,7 +61,13 @@
     /// @brief A request of a team with a limit.
     decision admit(std::uint64_t request, const team& by, time_point now);
 
-    /// @brief The leader's word.
+    /// @brief The replica that keeps the limits lives, as far as can be told without asking it.
+    void on_keeper_heard(time_point now) noexcept
+    {
+        m_heard_at = std::max(m_heard_at, now);
+    }
+
+    /// @brief That replica's word.
     void on_word(const limit_word& word, time_point now);
 
     /// @brief Nobody waits for this request any more.
@@ -73,19 +79,19 @@
     /// @return what became of requests that waited
     std::vector<decision> take_decisions();
 
-    /// @return what is to be sent to the leader now
+    /// @return what is to be sent to the keeper now
     std::optional<limit_report> take_report(time_point now);
 
     /// @return when @ref on_time and @ref take_report are next needed
     time_point next_time() const noexcept;
 
-    /// @return whether the leader left a report unanswered for too long
+    /// @return whether a report was left unanswered for too long
     bool is_alone(time_point now) const noexcept;
 
   private:
     struct standing
     {
-        /// Admitted, and not known to the leader yet: to be reported, and reported.
+        /// Admitted, and not known to the keeper yet: to be reported, and reported.
         std::int64_t unreported = 0;
         std::int64_t unanswered = 0;
         bool limited = false;
@@ -109,6 +115,7 @@
         bool sent = false;
     };
 
+    std::int64_t most_unknown(time_point now) const noexcept;
     void note_admitted(standing& item, time_point now);
     void set_limit(standing& item, const rate_limit& limit, time_point now) const;
     decision decide_alone(std::uint64_t request, const team_name& team, standing& item, time_point now);
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -234,7 +234,6 @@
     }
     if (answers && !answered)
     {
-        limits.restart(now);
         const distribution::revision_confirmation word = confirmation(now);
         std::vector<std::string> receivers;
         for (const std::string& peer : links.reachable())
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -112,6 +112,8 @@
     std::shared_ptr<const configuration> published;
     registration_hub hub;
     rate_ledger limits;
+    bool kept_limits = false;
+    time_point share_limits_at{};
     quorum::member_keeper keeper;
     http_server operators;
     std::unique_ptr<http_server> gateway;
@@ -230,7 +232,11 @@
 
     void on_report(const hello& from, const distribution::revision_report& report, time_point now);
 
-    /// A leader keeps the limits of teams over all entries.
+    /// Whether this replica keeps the limits of teams: the leader does, and while there is none the first of
+    /// the replicas by name, so that two never do for entries that reach both.
+    bool keeps_limits(time_point now);
+
+    /// Keeps the limits of teams over all entries.
     void on_limit_report(const hello& from, const limit_report& report, time_point now);
 
     /// A leader tells the entries of one another.
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -15,6 +15,10 @@
 constexpr duration tell_entries_every = duration::from_ms(300);
 constexpr double tell_entries_share = 0.25;
 
+/// An entry that finds no leader reports to all replicas every second.
+constexpr duration stood_in_for_age = duration::from_ms(2500);
+constexpr duration share_limits_every = duration::from_ms(200);
+
 /// @return what to tell an entry that knows @a before; all of it where it knows nothing
 entry_list change_of(const std::vector<entry_peer>* before, const std::vector<entry_peer>& now)
 {
@@ -125,14 +129,37 @@
     publish();
 }
 
+bool control_process::implementation::keeps_limits(time_point now)
+{
+    const quorum::replica* node = catalog.node();
+    const bool leads = catalog.may_answer(now);
+    const bool stands_in = node != nullptr && forms_itself() && node->leader().empty() &&
+                           *replica_names().begin() == settings.replica.name;
+    if ((leads || stands_in) != kept_limits)
+    {
+        kept_limits = leads || stands_in;
+        log(log_level::info, kept_limits ? "keeps_limits" : "limits_left", {{"leads", leads}});
+        limits.restart(now);
+    }
+    return kept_limits;
+}
+
 void control_process::implementation::on_limit_report(const hello& from, const limit_report& report,
                                                       time_point now)
 {
-    if (!catalog.may_answer(now))
+    if (!keeps_limits(now))
     {
-        // Another replica leads, or none does; the entry goes on alone until it finds out.
+        // Another replica does, or none; the entry goes on alone until it finds out.
         return;
     }
+    if (now >= share_limits_at)
+    {
+        // Who leads has a majority behind it; who stands in may be cut off from most entries.
+        share_limits_at = now + share_limits_every;
+        const int heard = publisher.heard_since(now - stood_in_for_age);
+        const double share = report.entries > 0 ? static_cast<double>(heard) / report.entries : 1.0;
+        limits.set_share(catalog.may_answer(now) ? 1.0 : std::min(share, 1.0), now);
+    }
     links.send(from.name, limits.on_report(report, now));
     if (!limits.has_news())
     {
--- a/src/entry/control_directory.hpp
+++ b/src/entry/control_directory.hpp
@@ -49,6 +49,17 @@
         return m_present;
     }
 
+    /// @return the first of the known replicas by name; empty where none is known
+    std::string first() const
+    {
+        const auto least = std::min_element(m_present.begin(), m_present.end(),
+                                            [](const named_address& a, const named_address& b)
+                                            {
+                                                return a.name < b.name;
+                                            });
+        return least == m_present.end() ? std::string() : least->name;
+    }
+
     /// @return whether a replica of this name is known
     bool knows(const std::string& name) const
     {
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -34,9 +34,9 @@
                                                     const distribution::revision_confirmation& word)
 {
     const time_point now = clock.now();
-    if (routed && leader != from.name)
+    if (routed)
     {
-        routed->set_leader(from.name);
+        routed->set_limit_keeper(from.name, true);
     }
     leader = from.name;
     leader_heard_at = now;
@@ -82,7 +82,7 @@
     leader_reported_at = now;
     if (routed)
     {
-        routed->set_leader(leader);
+        routed->set_limit_keeper(leader, false);
     }
     links.send(leader, subscriber.report());
 }
@@ -337,6 +337,10 @@
     }
     const bool leader_known = reachable.count(leader) > 0 &&
                               now - leader_heard_at < leader_report_every * reports_until_leader_lost;
+    if (routed && !leader_known)
+    {
+        routed->set_limit_keeper(control.first(), false);
+    }
     // One that doesn't serve yet waits for the leader's word.
     const bool leader_waits =
         serves() && now - leader_reported_at < leader_report_every - settings.report_every * 0.5;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -164,6 +164,8 @@
     /// And its teams.
     std::shared_ptr<const team_table> teams = std::make_shared<const team_table>();
     bool view_due = false;
+    /// Registrations that changed since the view was last to be updated.
+    std::size_t changes_gathered = 0;
     /// As of the revision in force.
     std::set<std::string> evacuated_zones;
     /// The replica that last said under its lease what the present revision is, and when.
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace flaxtiller::shell
 {
@@ -15,6 +16,10 @@
 /// Changes of the surroundings that come within this share one update; the fastest that operators and backend
 /// servers wait for is seconds.
 constexpr duration gather = duration::from_ms(100);
+/// After many changes the next ones wait longer, up to a moment that nobody notices: while thousands of
+/// backend servers register, updates ten times a second were most of what a small instance did.
+constexpr duration gather_per_change = duration::from_ms(5);
+constexpr duration longest_gather = duration::from_ms(500);
 /// A link that isn't needed any more is kept for this long: owners change with backend servers that come and
 /// go, and a new link costs more than a minute of heartbeats.
 constexpr duration unneeded_link_age = duration::from_ms(60000);
@@ -128,6 +133,7 @@
         return;
     }
     const std::vector<registration> changes = registered.take_changes();
+    changes_gathered += changes.size();
     routed_placement.apply(changes);
     for (const registration& item : changes)
     {
@@ -181,7 +187,8 @@
         return;
     }
     view_due = true;
-    after(view_timer, gather,
+    const duration wanted = gather_per_change * static_cast<double>(std::exchange(changes_gathered, 0));
+    after(view_timer, std::clamp(wanted, gather, longest_gather),
           [this]
           {
               update_routed();
--- a/src/registration/registration_spread.cpp
+++ b/src/registration/registration_spread.cpp
@@ -126,8 +126,8 @@
     return sorted;
 }
 
-std::vector<registration_spread::outgoing>
-registration_spread::take(const std::set<std::string>& reachable, std::size_t known, time_point now)
+std::vector<registration_spread::outgoing> registration_spread::take(const std::set<std::string>& reachable,
+                                                                     std::size_t known, time_point now)
 {
     std::vector<outgoing> messages;
     const receivers to = sort(reachable, now);
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -48,11 +48,12 @@
     void on_return(const std::string& from, const std::shared_ptr<const routed_return>& returned);
     void on_abandon(const std::string& from, const routed_abandon& abandoned);
 
-    /// @brief The control leader's word on limits. Thread-safe.
+    /// @brief A control replica's word on limits. Thread-safe.
     void on_limit_word(const std::shared_ptr<const limit_word>& word);
 
-    /// @brief The control replica that leads. Thread-safe.
-    void set_leader(std::string name);
+    /// @brief The control replica that keeps the limits of teams. Thread-safe.
+    /// @param heard whether it was heard of just now
+    void set_limit_keeper(std::string name, bool heard);
 
     /// @brief The link to another entry broke. Thread-safe.
     void on_entry_lost(const std::string& name);
@@ -140,8 +141,8 @@
     // On the strand only.
     caller_admission m_admission;
     router m_router;
-    /// The control replica that leads; empty while none is known.
-    std::string m_leader;
+    /// The control replica that keeps the limits; empty while none is known.
+    std::string m_limit_keeper;
     pools_by_server<connection_pool> m_pools;
     /// The services whose pools are configured.
     std::map<service_name, pooled_service> m_pooled;
--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -148,7 +148,7 @@
     log(log_level::info, "over_limit",
         {{"request", from == m_callers.end() ? std::string() : from->second.id},
          {"team", made.team.str()},
-         {"leader", m_leader},
+         {"keeper", m_limit_keeper},
          {"alone", made.alone},
          {"heard_ms_ago", made.heard_ago.ms()},
          {"retry_after_ms", made.retry_after.ms()}});
@@ -156,9 +156,9 @@
 
 void routed_front::carry(const report_use& action)
 {
-    if (!m_leader.empty())
+    if (!m_limit_keeper.empty())
     {
-        m_send(m_leader, action.report);
+        m_send(m_limit_keeper, action.report);
     }
 }
 
--- a/src/shell/routed_front_entries.cpp
+++ b/src/shell/routed_front_entries.cpp
@@ -70,13 +70,22 @@
                   });
 }
 
-void routed_front::set_leader(std::string name)
+void routed_front::set_limit_keeper(std::string name, bool heard)
 {
-    net::dispatch(m_strand,
-                  [this, name = std::move(name)]
-                  {
-                      m_leader = name;
-                  });
+    net::dispatch(
+        m_strand,
+        [this, heard, name = std::move(name)]
+        {
+            if (name != m_limit_keeper)
+            {
+                log(log_level::info, "limit_keeper", {{"replica", name}, {"before", m_limit_keeper}});
+                m_limit_keeper = name;
+            }
+            if (heard)
+            {
+                m_admission.on_keeper_heard(m_clock.now());
+            }
+        });
 }
 
 void routed_front::on_entry_lost(const std::string& name)
--- a/src/teams/limit_message.cpp
+++ b/src/teams/limit_message.cpp
@@ -55,14 +55,15 @@
 
 void to_json(nlohmann::json& j, const limit_report& value)
 {
-    j = nlohmann::json::array({value.number, value.used, value.asked});
+    j = nlohmann::json::array({value.number, value.entries, value.used, value.asked});
 }
 
 void from_json(const nlohmann::json& j, limit_report& value)
 {
     value.number = j.at(0).get<std::uint64_t>();
-    value.used = j.at(1).get<std::vector<limit_use>>();
-    value.asked = j.at(2).get<std::vector<limit_ask>>();
+    value.entries = j.at(1).get<int>();
+    value.used = j.at(2).get<std::vector<limit_use>>();
+    value.asked = j.at(3).get<std::vector<limit_ask>>();
 }
 
 void to_json(nlohmann::json& j, const limit_word& value)
--- a/src/teams/rate_ledger.cpp
+++ b/src/teams/rate_ledger.cpp
@@ -24,7 +24,7 @@
 double rate_ledger::most_tokens(const rate_limit& limit) const noexcept
 {
     const double beyond = m_tolerance.most_of(limit) - m_tolerance.allowed_of(limit);
-    return std::max(limit.burst + beyond * (1.0 - kept_back), 1.0);
+    return std::max((limit.burst + beyond * (1.0 - kept_back)) * m_share, 1.0);
 }
 
 rate_ledger::account rate_ledger::make_account(const rate_limit& limit, time_point now) const
@@ -32,7 +32,7 @@
     const double most = most_tokens(limit);
     account made;
     made.limit = limit;
-    made.tokens = token_bucket(limit.requests_per_s, most, std::max(most * first_share, 1.0), now);
+    made.tokens = token_bucket(limit.requests_per_s * m_share, most, std::max(most * first_share, 1.0), now);
     return made;
 }
 
@@ -60,12 +60,25 @@
         if (!fresh && !(own.limit == item.limit))
         {
             own.limit = item.limit;
-            own.tokens.limit(item.limit.requests_per_s, most_tokens(item.limit), now);
+            own.tokens.limit(item.limit.requests_per_s * m_share, most_tokens(item.limit), now);
             note_standing(name, own, now);
         }
     }
 }
 
+void rate_ledger::set_share(double share, time_point now)
+{
+    if (share == m_share)
+    {
+        return;
+    }
+    m_share = share;
+    for (auto& [name, item] : m_accounts)
+    {
+        item.tokens.limit(item.limit.requests_per_s * m_share, most_tokens(item.limit), now);
+    }
+}
+
 void rate_ledger::restart(time_point now)
 {
     m_news.clear();
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -1,5 +1,7 @@
 #include <flaxtiller/teams/rate_limiter.hpp>
 
+#include <flaxtiller/distribution/report_pace.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,17 +11,24 @@
 namespace
 {
 
-/// Requests of one team that the leader doesn't know of yet.
-constexpr std::int64_t most_unknown = 2;
-/// Where no leader answers, entries use this share of the limit together: some may still reach one.
+/// Requests of one team that the keeper doesn't know of yet: while it lives, and for a moment where it
+/// doesn't answer. Callers of one team reach many entries, so that more would add up.
+constexpr std::int64_t most_unknown_at_first = 2;
+constexpr std::int64_t most_unknown_alone = 1;
+/// Another replica keeps the limits within this.
+constexpr duration short_silence = duration::from_ms(3000);
+/// A keeper that wasn't heard of for this many reports may be gone: it is asked first.
+constexpr double fresh_paces = 1.6;
+/// Where nobody answers, entries use this share of the limit together: some may still reach a keeper.
 constexpr double share_alone = 0.5;
 /// While it isn't known how many entries there are.
 constexpr int unknown_entries = 1000;
-/// Requests that wait for the leader's word; more are refused.
+/// Requests that wait for the keeper's word; more are refused.
 constexpr std::size_t most_waiting = 1024;
 /// What no answer came to is reported again after this.
 constexpr duration send_again_after = duration::from_ms(1000);
-/// When to come back where nobody can tell when the limit has room: a new leader is found within seconds.
+/// When to come back where nobody can tell when the limit has room: another replica keeps the limits within
+/// seconds.
 constexpr duration retry_alone = duration::from_ms(500);
 
 } // namespace
@@ -67,11 +76,23 @@
     want_report(now + gather);
 }
 
+/// @return how many requests of a team may be admitted without the keeper's knowledge
+std::int64_t rate_limiter::most_unknown(time_point now) const noexcept
+{
+    const duration silence = now - m_heard_at;
+    if (is_alone(now))
+    {
+        return silence < short_silence ? most_unknown_alone : 0;
+    }
+    const duration fresh_for = distribution::report_pace(m_entries).every() * fresh_paces;
+    return silence < fresh_for ? most_unknown_at_first : 0;
+}
+
 rate_limiter::decision rate_limiter::admit(std::uint64_t request, const team& by, time_point now)
 {
     standing& item = m_teams[by.name];
     set_limit(item, by.limit, now);
-    if (!item.limited && item.unreported + item.unanswered < most_unknown)
+    if (!item.limited && item.unreported + item.unanswered < most_unknown(now))
     {
         note_admitted(item, now);
         return made(request, by.name, verdict::admitted, now);
@@ -149,7 +170,7 @@
                   });
 }
 
-/// A report to a leader that is gone by now, or whose answer was lost: what it told is told again.
+/// A report to a keeper that is gone by now, or whose answer was lost: what it told is told again.
 void rate_limiter::send_again(time_point now)
 {
     for (auto at = m_sent.begin(); at != m_sent.end();)
@@ -200,6 +221,7 @@
     m_report_at = time_point::never();
     limit_report report;
     report.number = m_next_report++;
+    report.entries = m_entries;
     for (auto& [name, item] : m_teams)
     {
         if (item.unreported > 0)
--- a/tests/src/unit-team-limits.cpp
+++ b/tests/src/unit-team-limits.cpp
@@ -49,6 +49,12 @@
     lost.hot_for_s = 8.0;
     lost.leaderless_from_s = 12.0;
     lost.leaderless_for_s = 2.5;
+    scenario& split = add("control cut in two, then hot", false);
+    split.hot_from_s = 12.0;
+    split.hot_factor = 9.0;
+    split.hot_for_s = 6.0;
+    split.leaderless_from_s = 10.0;
+    split.leaderless_for_s = 7.6;
     scenario& cut = add("a third cut off while hot", false);
     cut.hot_factor = 9.0;
     cut.hot_for_s = 10.0;
@@ -131,6 +137,7 @@
     rate_limiter limiter;
     const team by = team_with(10.0, 10.0);
     limiter.configure(only(by), 85);
+    limiter.on_keeper_heard(at_ms(0));
     using verdict = rate_limiter::verdict;
 
     CHECK(limiter.admit(1, by, at_ms(0)).what == verdict::admitted);
@@ -175,11 +182,16 @@
         CHECK(decisions[0].alone);
         CHECK(limiter.is_alone(at_ms(200)));
         CHECK(limiter.admit(4, by, at_ms(200)).what == verdict::refused);
+        // One of each other team goes on, for a moment.
+        team other = by;
+        other.name = team_name("other");
+        CHECK(limiter.admit(5, other, at_ms(200)).what == verdict::admitted);
+        CHECK(limiter.admit(6, other, at_ms(201)).what == verdict::refused);
         // What it told isn't forgotten.
         limiter.on_time(at_ms(1100));
         const auto again = limiter.take_report(at_ms(1100));
         REQUIRE(again);
-        CHECK(again->used == std::vector<limit_use>{{by.name, 2}});
+        CHECK(again->used == std::vector<limit_use>{{other.name, 1}, {by.name, 2}});
         CHECK(again->number != report->number);
     }
     SECTION("nobody waits any more")
@@ -195,7 +207,7 @@
     rate_ledger ledger({duration::from_ms(5000), 0.0, 0.0});
     const team by = team_with(2.0, 2.0);
     ledger.configure(only(by), at_ms(0));
-    limit_report report{1, {{by.name, 4}}, {{1, by.name}, {2, by.name}, {3, by.name}}};
+    limit_report report{1, 0, {{by.name, 4}}, {{1, by.name}, {2, by.name}, {3, by.name}}};
     const limit_word word = ledger.on_report(report, at_ms(0));
     REQUIRE(word.grants.size() == 3);
     std::vector<double> back;
@@ -208,7 +220,7 @@
     CHECK(back[2] - back[1] == Approx(500.0));
     CHECK(ledger.has_news());
     // It comes true.
-    const limit_word later = ledger.on_report({2, {}, {{4, by.name}}}, at_ms(back[0] + 1.0));
+    const limit_word later = ledger.on_report({2, 0, {}, {{4, by.name}}}, at_ms(back[0] + 1.0));
     CHECK(later.grants.at(0).granted);
 }
 
