Limits: less is granted beyond them

What is under way when a team becomes limited grows with its rate, and half of the tolerance was granted like the burst. Change: a quarter of the fixed part of the tolerance is granted, none of the part that grows with the limit.

--- a/src/teams/rate_ledger.cpp
+++ b/src/teams/rate_ledger.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-/// Of what may be sent beyond the limit, this share is for reports and news on their way; the rest is granted
-/// like the burst.
-constexpr double kept_back = 0.5;
+/// What may be sent beyond the limit is for reports and news on their way, which grow with the team's rate. Of
+/// the fixed part this share is granted like the burst, lest a team of a request or two be limited by each.
+constexpr double granted_slack = 0.25;
 /// Share of its tokens that a team has when its account begins.
 constexpr double first_share = 0.25;
 /// A team is limited until it has this share of its tokens again, lest all entries are told of it many times
@@ -23,8 +23,7 @@
 
 double rate_ledger::most_tokens(const rate_limit& limit) const noexcept
 {
-    const double beyond = m_tolerance.most_of(limit) - m_tolerance.allowed_of(limit);
-    return std::max((limit.burst + beyond * (1.0 - kept_back)) * m_share, 1.0);
+    return std::max((limit.burst + m_tolerance.slack * granted_slack) * m_share, 1.0);
 }
 
 rate_ledger::account rate_ledger::make_account(const rate_limit& limit, time_point now) const
--- a/tests/src/unit-team-limits.cpp
+++ b/tests/src/unit-team-limits.cpp
@@ -41,6 +41,10 @@
     scenario& hot = add("hot", true);
     hot.hot_factor = 9.0;
     hot.hot_for_s = 6.0;
+    scenario& flood = add("flood of a large team", true);
+    flood.limit = {31.0, 31.0};
+    flood.hot_factor = 9.0;
+    flood.hot_for_s = 6.0;
     scenario& lowered = add("lowered", true);
     lowered.lowered_at_s = 10.0;
     lowered.lowered = {3.0, 3.0};
