A team's regions bind wherever a place is chosen

Cause: a team's regions were joined to its route's only where attempts are chosen; groups of shards were planned by the route alone, so that a request could be passed on to an entry in a region where its team may not run (unit-allowed-regions with three teams failed: "r72 was passed on in east"). Change: the router makes of a route and a team that is bound one route, kept until either changes, and everything that asks for regions sees that one. Ruled out: a check at the asked entry alone; the request's body has left the region by then. Also: control asks its settings about a zone in one place.

--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -215,7 +215,8 @@
     void refuse(request_number number, const route* by, missing_reason reason, duration retry_after = {});
     bool refuse_unservable(request_number number, const route& by,
                            const std::shared_ptr<const region_set>& regions, time_point now);
-    std::shared_ptr<const region_set> regions_of(const route& by, const routed_request& request) const;
+    static std::shared_ptr<const region_set> regions_of(const route& by, const routed_request& request);
+    std::shared_ptr<const route> route_for(const team_name& name, std::shared_ptr<const route> by);
     bool is_outside(const routed_request& request, const std::shared_ptr<const region_set>& regions) const;
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
@@ -273,6 +274,8 @@
     /// The other entries, and what the way to and from a region's entries costs, a moving average.
     std::map<instance_name, entry_peer> m_peers;
     std::map<std::string, duration> m_ways;
+    /// Routes as they hold for teams that are bound to regions, by the names of both.
+    std::map<std::pair<std::string, team_name>, std::shared_ptr<const route>> m_team_routes;
     std::map<lane_index, lane> m_lanes;
     std::unordered_map<service_name, lane_index> m_lane_of;
     /// Which scheduler has something to do when: hundreds of services, of which few are due at a time.
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -252,6 +252,9 @@
 
     static std::optional<change> read_change(const http_request& request, http_reply& refusal);
 
+    /// @return whether the settings name this availability zone; true for all where they name none
+    bool knows_zone(const std::string& zone) const;
+
     /// @return a finding where an evacuation names an availability zone that the settings don't
     findings check_zone(const change& wanted) const;
 
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+bool control_process::implementation::knows_zone(const std::string& zone) const
+{
+    const auto& known = settings.region_of_zone;
+    return !zone.empty() && (known.empty() || known.count(zone) > 0);
+}
+
 findings control_process::implementation::check_zone(const change& wanted) const
 {
     findings found;
@@ -92,7 +98,7 @@
     }
     const auto zone = wanted.body.find("availability_zone");
     const bool names = zone != wanted.body.end() && zone->is_string();
-    if (names && !settings.region_of_zone.empty() && settings.region_of_zone.count(*zone) == 0)
+    if (names && !knows_zone(*zone))
     {
         found.error(errc::unknown_name, "/body/availability_zone",
                     "no availability zone of this name is in the settings");
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -127,8 +127,7 @@
 
 bool control_process::knows_zone(const std::string& zone) const
 {
-    const auto& known = m_implementation->settings.region_of_zone;
-    return !zone.empty() && (known.empty() || known.count(zone) > 0);
+    return m_implementation->knows_zone(zone);
 }
 
 void control_process::heartbeat(const registration& said)
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -58,6 +58,10 @@
     }
     const bool places_changed =
         !view.region_of_zone.is_same(m_view.region_of_zone) || view.region != m_view.region;
+    if (view.routes != m_view.routes || view.teams != m_view.teams)
+    {
+        m_team_routes.clear();
+    }
     const shared_value<cold_servers> cold_before = m_view.cold;
     m_view = std::move(view);
     m_groups.configure(m_view);
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -99,17 +99,29 @@
     return std::max(by.objective * m_options.objective_share - m_options.way_back, duration{});
 }
 
-/// What the asker knows of the route and the team binds, and what this entry knows: they may be of different
-/// revisions.
-std::shared_ptr<const region_set> router::regions_of(const route& by, const routed_request& request) const
+/// Both the asker's route and this entry's bind: they may be of different revisions.
+std::shared_ptr<const region_set> router::regions_of(const route& by, const routed_request& request)
 {
     region_set allowed = by.allowed_regions.both(request.asked_regions);
-    const team* sender = request.team.empty() ? nullptr : m_view.teams->find(request.team);
-    if (sender != nullptr)
+    return allowed.is_any() ? nullptr : std::make_shared<const region_set>(std::move(allowed));
+}
+
+/// @return the route as it holds for a team: the regions of both bind, wherever a place is chosen
+std::shared_ptr<const route> router::route_for(const team_name& name, std::shared_ptr<const route> by)
+{
+    const team* sender = name.empty() ? nullptr : m_view.teams->find(name);
+    if (sender == nullptr || sender->allowed_regions.is_any())
     {
-        allowed = allowed.both(sender->allowed_regions);
+        return by;
     }
-    return allowed.is_any() ? nullptr : std::make_shared<const region_set>(std::move(allowed));
+    std::shared_ptr<const route>& bound = m_team_routes[{by->name, name}];
+    if (!bound)
+    {
+        route narrowed = *by;
+        narrowed.allowed_regions = by->allowed_regions.both(sender->allowed_regions);
+        bound = std::make_shared<const route>(std::move(narrowed));
+    }
+    return bound;
 }
 
 /// @return whether another entry passed the request on to a region where it may not run
@@ -125,7 +137,8 @@
         refuse(number, nullptr, missing_reason::no_backend_server);
         return;
     }
-    const auto by = m_view.routes->find(request->host, request->target);
+    const auto found = m_view.routes->find(request->host, request->target);
+    const auto by = found ? route_for(request->team, found) : nullptr;
     if (!by)
     {
         routed_outcome told;
--- a/src/teams/rate_ledger.cpp
+++ b/src/teams/rate_ledger.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-/// What may be sent beyond the limit is for reports and news on their way, which grow with the team's rate. Of
-/// the fixed part this share is granted like the burst, lest a team of a request or two be limited by each.
+/// What may be sent beyond the limit is for reports and news on their way, which grow with the team's rate.
+/// Of the fixed part this share is granted like the burst, lest a team of a request or two be limited by
+/// each.
 constexpr double granted_slack = 0.25;
 /// Share of its tokens that a team has when its account begins.
 constexpr double first_share = 0.25;
--- a/tests/src/unit-allowed-regions.cpp
+++ b/tests/src/unit-allowed-regions.cpp
@@ -47,6 +47,21 @@
     return regions[region] + std::string("-") + std::to_string(zone);
 }
 
+/// Three teams, of which two are bound to regions.
+std::shared_ptr<const team_table> make_teams()
+{
+    shared_map<team_name, team> teams;
+    const std::vector<region_set> bound = {region_set(), only({"east"}), only({"west", "north"})};
+    for (std::size_t i = 0; i < bound.size(); ++i)
+    {
+        team item;
+        item.name = team_name("team-" + std::to_string(i));
+        item.allowed_regions = bound[i];
+        teams.insert_or_assign(item.name, item);
+    }
+    return std::make_shared<const team_table>(teams, "");
+}
+
 /// Several entries in three regions, whose messages arrive a moment later or never, and backend servers that
 /// answer, fail or fall silent. Notes whatever reaches a place where its route doesn't let it.
 class region_play
@@ -250,6 +265,7 @@
             routing_view view;
             view.placed = std::make_shared<const placement>(m_placed);
             view.routes = std::make_shared<const route_table>(m_routes);
+            view.teams = m_teams;
             view.entries = static_cast<int>(m_entries.size());
             view.self = name;
             view.region = item.where.region;
@@ -299,8 +315,11 @@
         request->target = drawn(0, 3) == 0 ? "/one/" : "/all/";
         request->patience = duration::from_ms(300);
         const std::string route = request->target == "/one/" ? "one" : "all";
+        const auto sender = std::next(m_teams->teams().begin(), drawn(0, 2));
+        request->team = sender->first;
         // What the entry that has the caller goes by is what counts.
-        m_allowed[request->id] = m_routes_of.at(at->first).at(route).allowed_regions;
+        m_allowed[request->id] =
+            m_routes_of.at(at->first).at(route).allowed_regions.both(sender->second.allowed_regions);
         at->second.decides.arrive(m_next_request++, request, m_now);
         take(at->first);
     }
@@ -448,6 +467,7 @@
     std::map<std::string, std::string> m_region_of_zone;
     std::map<backend_server_name, std::string> m_zone_of;
     std::map<std::string, route> m_routes;
+    const std::shared_ptr<const team_table> m_teams = make_teams();
     placement m_placed;
     std::set<instance_name> m_unreachable;
     std::vector<delivery> m_on_their_way;
@@ -525,7 +545,7 @@
     }
 }
 
-TEST_CASE("no request leaves the regions that its route allows, whatever is lost", "[regions]")
+TEST_CASE("no request leaves the regions that its route and its team allow, whatever is lost", "[regions]")
 {
     for (std::uint32_t seed = 1; seed <= 12; ++seed)
     {
