Limits: one account through a lapse of the lease, and words of the keeper alone

Change: an account begins anew with another term or another role, not with the lease; entries take words on limits from the replica that they ask only; who stands in has been without a leader for 0.7 s and hears some entry; a dry spell is believed for a second. Ruled out: a longer lease (it bounds how old a confirmation may be).

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -153,6 +153,8 @@
             {{"after_ms", (clock.now() - started_at).ms()}, {"leader", node->leader().str()}});
     }
     awaits_lease = node != nullptr && node->awaits_earlier_lease();
+    const bool leaderless = node != nullptr && node->leader().empty();
+    leaderless_since = leaderless ? std::min(leaderless_since, clock.now()) : time_point::never();
     const bool leads = node != nullptr && node->is_ready_leader();
     if (leads != led)
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -112,7 +112,16 @@
     std::shared_ptr<const configuration> published;
     registration_hub hub;
     rate_ledger limits;
-    bool kept_limits = false;
+    /// As what this replica last kept the limits of teams.
+    struct limit_keeping
+    {
+        bool stands_in = false;
+        quorum::term_number term = 0;
+
+        bool operator==(const limit_keeping&) const = default;
+    };
+    limit_keeping limits_kept;
+    time_point leaderless_since = time_point::never();
     time_point share_limits_at{};
     quorum::member_keeper keeper;
     http_server operators;
@@ -236,6 +245,8 @@
     /// the replicas by name, so that two never do for entries that reach both.
     bool keeps_limits(time_point now);
 
+    bool stands_in_for_limits(time_point now);
+
     /// Keeps the limits of teams over all entries.
     void on_limit_report(const hello& from, const limit_report& report, time_point now);
 
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -17,6 +17,8 @@
 
 /// An entry that finds no leader reports to all replicas every second.
 constexpr duration stood_in_for_age = duration::from_ms(2500);
+/// Elections mostly take less.
+constexpr duration stand_in_after = duration::from_ms(700);
 constexpr duration share_limits_every = duration::from_ms(200);
 
 /// @return what to tell an entry that knows @a before; all of it where it knows nothing
@@ -129,19 +131,31 @@
     publish();
 }
 
+bool control_process::implementation::stands_in_for_limits(time_point now)
+{
+    return forms_itself() && now - leaderless_since >= stand_in_after &&
+           *replica_names().begin() == settings.replica.name &&
+           publisher.heard_since(now - stood_in_for_age) > 0;
+}
+
 bool control_process::implementation::keeps_limits(time_point now)
 {
     const quorum::replica* node = catalog.node();
     const bool leads = catalog.may_answer(now);
-    const bool stands_in = node != nullptr && forms_itself() && node->leader().empty() &&
-                           *replica_names().begin() == settings.replica.name;
-    if ((leads || stands_in) != kept_limits)
+    const bool stands_in = !leads && stands_in_for_limits(now);
+    if (!leads && !stands_in)
+    {
+        return false;
+    }
+    // A leader that lost its lease for a moment has it back in the same term: nobody else kept the limits.
+    const limit_keeping keeping{stands_in, node->term()};
+    if (!(keeping == limits_kept))
     {
-        kept_limits = leads || stands_in;
-        log(log_level::info, kept_limits ? "keeps_limits" : "limits_left", {{"leads", leads}});
+        limits_kept = keeping;
+        log(log_level::info, "keeps_limits", {{"leads", leads}, {"term", keeping.term}});
         limits.restart(now);
     }
-    return kept_limits;
+    return true;
 }
 
 void control_process::implementation::on_limit_report(const hello& from, const limit_report& report,
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -48,8 +48,8 @@
     void on_return(const std::string& from, const std::shared_ptr<const routed_return>& returned);
     void on_abandon(const std::string& from, const routed_abandon& abandoned);
 
-    /// @brief A control replica's word on limits. Thread-safe.
-    void on_limit_word(const std::shared_ptr<const limit_word>& word);
+    /// @brief A control replica's word on limits; only that of the keeper counts. Thread-safe.
+    void on_limit_word(const std::string& from, const std::shared_ptr<const limit_word>& word);
 
     /// @brief The control replica that keeps the limits of teams. Thread-safe.
     /// @param heard whether it was heard of just now
--- a/src/shell/routed_front_entries.cpp
+++ b/src/shell/routed_front_entries.cpp
@@ -60,14 +60,21 @@
                   });
 }
 
-void routed_front::on_limit_word(const std::shared_ptr<const limit_word>& word)
+void routed_front::on_limit_word(const std::string& from, const std::shared_ptr<const limit_word>& word)
 {
-    net::dispatch(m_strand,
-                  [this, word]
-                  {
-                      m_admission.on_limit_word(*word, m_clock.now());
-                      carry_out();
-                  });
+    net::dispatch(
+        m_strand,
+        [this, from, word]
+        {
+            if (from != m_limit_keeper)
+            {
+                // A replica that was frozen may not know yet that another one leads.
+                log(log_level::info, "limit_word_ignored", {{"from", from}, {"keeper", m_limit_keeper}});
+                return;
+            }
+            m_admission.on_limit_word(*word, m_clock.now());
+            carry_out();
+        });
 }
 
 void routed_front::set_limit_keeper(std::string name, bool heard)
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -23,6 +23,9 @@
 constexpr double share_alone = 0.5;
 /// While it isn't known how many entries there are.
 constexpr int unknown_entries = 1000;
+/// A team's limit may be raised, or another replica keep it, before its tokens come back: the keeper is asked
+/// again after this.
+constexpr duration longest_dry = duration::from_ms(1000);
 /// Requests that wait for the keeper's word; more are refused.
 constexpr std::size_t most_waiting = 1024;
 /// What no answer came to is reported again after this.
@@ -144,7 +147,7 @@
     {
         standing& item = m_teams[told.team];
         item.limited = told.limited;
-        item.dry_until = now + told.dry_for;
+        item.dry_until = now + std::min(told.dry_for, longest_dry);
     }
     for (const limit_grant& grant : word.grants)
     {
