--- a/include/flaxtiller/teams/team_table.hpp
+++ b/include/flaxtiller/teams/team_table.hpp
@@ -26,7 +26,7 @@
     team_table() = default;
 
     /// @param secret see @ref key_digest
-    team_table(shared_map<team_name, team> teams, std::string secret);
+    team_table(const shared_map<team_name, team>& teams, std::string secret);
 
     // Holds pointers into its own map.
     team_table(const team_table&) = delete;
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -245,6 +245,7 @@
     /// the replicas by name, so that two never do for entries that reach both.
     bool keeps_limits(time_point now);
 
+    /// Whether there has been no leader for a while, this replica is the first by name, and entries reach it.
     bool stands_in_for_limits(time_point now);
 
     /// Keeps the limits of teams over all entries.
--- a/src/teams/team_table.cpp
+++ b/src/teams/team_table.cpp
@@ -5,8 +5,8 @@
 namespace flaxtiller
 {
 
-team_table::team_table(shared_map<team_name, team> teams, std::string secret)
-    : m_teams(std::move(teams)), m_secret(std::move(secret))
+team_table::team_table(const shared_map<team_name, team>& teams, std::string secret)
+    : m_teams(teams), m_secret(std::move(secret))
 {
     for (const auto& [name, item] : m_teams)
     {
