Read once more: one copy each, less state, no behaviour changed

- An age of followers stood in registration_spread beside publisher::follower_age, which the hub had used: that one is called.
- The name of a declared item was read by a second copy in team.cpp: json_reader::name serves all.
- State that could be derived: control's copy of what it published (publisher::present), the other replicas in the hub, the time of the last change in the spread, a limit that no entry read.
- A leader counted its entries every 200 ms for a share that is 1 while it leads; a change was proposed by two branches, one of which copied it; peer_links had a second public way to send that nobody called; the conditions of what is due stood twice.

--- a/bench/limit_play.hpp
+++ b/bench/limit_play.hpp
@@ -273,13 +273,9 @@
         if (next != time_point::never())
         {
             m_time.at(std::max(next, m_time.now + duration::from_us(100)),
-                      [this, entry, next]
+                      [this, entry]
                       {
-                          if (m_limiters[static_cast<std::size_t>(entry)].next_time() <= m_time.now ||
-                              next <= m_time.now)
-                          {
-                              look_if_due(entry);
-                          }
+                          look_if_due(entry);
                       });
         }
     }
--- a/include/flaxtiller/core/json_reader.hpp
+++ b/include/flaxtiller/core/json_reader.hpp
@@ -42,6 +42,21 @@
             "must be a string");
     }
 
+    /// @brief Reads the name of what the object declares; it must be given and not be empty.
+    template <typename Name>
+    void name(Name& into)
+    {
+        constexpr const char* key = "name";
+        std::string given;
+        require(key);
+        text(key, given);
+        if (given.empty())
+        {
+            m_found.error(errc::out_of_range, at(key), "must not be empty");
+        }
+        into = Name(std::move(given));
+    }
+
     /// @brief Reads true or false.
     void flag(const char* key, bool& into)
     {
--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -83,6 +83,9 @@
 
     std::int64_t revision() const noexcept;
 
+    /// @return the present revision's configuration, or null before the first one
+    std::shared_ptr<const configuration> present() const noexcept;
+
   private:
     struct kept
     {
--- a/include/flaxtiller/registration/registration_spread.hpp
+++ b/include/flaxtiller/registration/registration_spread.hpp
@@ -44,8 +44,6 @@
     /// Instances that follow another replica are told while that can't be reached, this often and this much.
     static constexpr duration elsewhere_every = duration::from_ms(500);
     static constexpr std::size_t most_items_elsewhere = 64;
-    /// An instance that didn't tell its digest for this long follows another replica by now.
-    static constexpr duration follower_age = duration::from_ms(3500);
 
     /// @brief Something to send.
     struct outgoing
@@ -61,6 +59,12 @@
     /// @brief Tells which are the other control replicas.
     void set_replicas(std::set<std::string> others);
 
+    /// @return the other control replicas
+    const std::set<std::string>& replicas() const noexcept
+    {
+        return m_replicas;
+    }
+
     /// @brief The registry changed.
     /// @param own whether by a word that was received here, not by another replica's
     /// @param digest the registry's digest since
@@ -99,6 +103,10 @@
         std::vector<std::string> elsewhere;
     };
 
+    bool are_changes_due(time_point now) const noexcept;
+    bool is_whole_due(time_point now) const noexcept;
+    bool is_elsewhere_due(time_point now) const noexcept;
+    time_point changed_at() const noexcept;
     receivers sort(const std::set<std::string>& reachable, time_point now) const;
     bool was_here_lately(std::uint64_t digest, time_point now) const;
     void spread(const receivers& to, bool cut_off, time_point now, std::vector<outgoing>& into);
@@ -123,7 +131,6 @@
     std::map<std::string, time_point> m_sent_whole_at;
     /// The registry's digests of the last seconds: who has one of them merely lags.
     std::deque<std::pair<time_point, std::uint64_t>> m_digests;
-    time_point m_changed_at{};
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/teams/rate_ledger.hpp
+++ b/include/flaxtiller/teams/rate_ledger.hpp
@@ -66,6 +66,7 @@
 
     account make_account(const rate_limit& limit, time_point now) const;
     double most_tokens(const rate_limit& limit) const noexcept;
+    void bound(account& item, time_point now) const noexcept;
     void note_standing(const team_name& name, account& item, time_point now);
     limit_standing standing_of(const team_name& name, const account& item, time_point now) const;
     limit_grant decide(const limit_ask& asked, time_point now);
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -98,7 +98,6 @@
         time_point dry_until{};
         /// This entry's part of the limit.
         token_bucket own;
-        rate_limit limit;
     };
 
     struct sent_report
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -1,5 +1,7 @@
 #include <flaxtiller/catalog/catalog_state.hpp>
 
+#include "configuration_keys.hpp"
+
 #include <flaxtiller/core/json_reader.hpp>
 
 #include <utility>
@@ -24,10 +26,10 @@
         const auto upsert = wanted.body.find("upsert");
         items = upsert == wanted.body.end() ? nullptr : &*upsert;
     }
-    const bool declares = items != nullptr && items->is_object() && items->contains("teams");
-    if (declares && !items->contains("key_secret"))
+    const bool declares = items != nullptr && items->is_object() && items->contains(detail::teams_key);
+    if (declares && !items->contains(detail::key_secret_key))
     {
-        (*items)["key_secret"] = draw_key_secret();
+        (*items)[detail::key_secret_key] = draw_key_secret();
     }
 }
 
--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -97,19 +97,6 @@
     into = object->get<selector>();
 }
 
-template <typename Name>
-void read_name(json_reader& reader, Name& into)
-{
-    std::string name;
-    reader.require("name");
-    reader.text("name", name);
-    if (name.empty())
-    {
-        reader.found().error(errc::out_of_range, reader.at("name"), "must not be empty");
-    }
-    into = Name(std::move(name));
-}
-
 bool is_address(const std::string& address)
 {
     constexpr std::size_t most_digits = 5;
@@ -139,7 +126,7 @@
 
 void read_item(json_reader& reader, service& into)
 {
-    read_name(reader, into.name);
+    reader.name(into.name);
     read_labels(reader, "labels", into.labels);
     reader.number("shards", into.shards, 1, most_shards);
     reader.number("extra_load_share", into.extra_load_share, 0.0, 1.0);
@@ -152,7 +139,7 @@
 
 void read_item(json_reader& reader, backend_server& into)
 {
-    read_name(reader, into.name);
+    reader.name(into.name);
     read_labels(reader, "labels", into.labels);
     read_address(reader, into.address);
     reader.text("availability_zone", into.availability_zone);
@@ -172,7 +159,7 @@
 
 void read_item(json_reader& reader, instance& into)
 {
-    read_name(reader, into.name);
+    reader.name(into.name);
     read_address(reader, into.address);
     reader.text("region", into.region);
     reader.text("availability_zone", into.availability_zone);
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -124,13 +124,13 @@
     {
         // Entries recognize callers' keys by digests.
         configuration for_entries = state.current().without_keys();
-        if (published)
+        if (const auto before = publisher.present())
         {
-            for_entries.share_with(*published);
+            for_entries.share_with(*before);
         }
-        published = std::make_shared<const configuration>(std::move(for_entries));
-        publisher.on_revision(state.revision(), published);
-        limits.configure(published->teams, now);
+        limits.configure(for_entries.teams, now);
+        publisher.on_revision(state.revision(),
+                              std::make_shared<const configuration>(std::move(for_entries)));
     }
     // What is committed may be told by any replica; only a leader says that it is the present revision.
     std::map<std::shared_ptr<const distribution::revision_update>, std::vector<std::string>> receivers;
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -108,8 +108,6 @@
     catalog_machine catalog;
     register_machine registers;
     distribution::publisher publisher;
-    /// The revision that entries were told last, as they are told it.
-    std::shared_ptr<const configuration> published;
     registration_hub hub;
     rate_ledger limits;
     /// As what this replica last kept the limits of teams.
@@ -248,6 +246,9 @@
     /// Whether there has been no leader for a while, this replica is the first by name, and entries reach it.
     bool stands_in_for_limits(time_point now);
 
+    /// @return the share of the limits that this replica keeps, of entries that are so many in all
+    double limits_share(int all_entries, time_point now);
+
     /// Keeps the limits of teams over all entries.
     void on_limit_report(const hello& from, const limit_report& report, time_point now);
 
@@ -275,7 +276,7 @@
     void on_change(const http_request& request, const http_server::respond& respond);
 
     /// Puts a change into the log; @a done is called once it is committed, or can't be known to be.
-    void submit(const change& wanted, std::function<void(std::error_code, const change_result&)> done);
+    void submit(change wanted, std::function<void(std::error_code, const change_result&)> done);
 
     void on_signal();
 
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -158,6 +158,17 @@
     return true;
 }
 
+double control_process::implementation::limits_share(int all_entries, time_point now)
+{
+    // Who leads has a majority behind it; who stands in may be cut off from most entries.
+    if (catalog.may_answer(now) || all_entries <= 0)
+    {
+        return 1.0;
+    }
+    const int heard = publisher.heard_since(now - stood_in_for_age);
+    return std::min(static_cast<double>(heard) / all_entries, 1.0);
+}
+
 void control_process::implementation::on_limit_report(const hello& from, const limit_report& report,
                                                       time_point now)
 {
@@ -168,11 +179,8 @@
     }
     if (now >= share_limits_at)
     {
-        // Who leads has a majority behind it; who stands in may be cut off from most entries.
         share_limits_at = now + share_limits_every;
-        const int heard = publisher.heard_since(now - stood_in_for_age);
-        const double share = report.entries > 0 ? static_cast<double>(heard) / report.entries : 1.0;
-        limits.set_share(catalog.may_answer(now) ? 1.0 : std::min(share, 1.0), now);
+        limits.set_share(limits_share(report.entries, now), now);
     }
     links.send(from.name, limits.on_report(report, now));
     if (!limits.has_news())
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -125,7 +125,7 @@
                                                 const http_server::respond& respond)
 {
     http_reply refusal;
-    const auto wanted = read_change(request, refusal);
+    auto wanted = read_change(request, refusal);
     if (!wanted)
     {
         respond(refusal);
@@ -137,7 +137,7 @@
         respond(json_reply(http_bad_request, change_result{change_status::invalid, 0, {}, found}));
         return;
     }
-    submit(*wanted,
+    submit(std::move(*wanted),
            [this, respond](std::error_code failed, const change_result& decided)
            {
                if (failed == make_error_code(errc::not_leader))
@@ -155,7 +155,7 @@
            });
 }
 
-void control_process::implementation::submit(const change& wanted,
+void control_process::implementation::submit(change wanted,
                                              std::function<void(std::error_code, const change_result&)> done)
 {
     const std::int64_t held = catalog.state().current().version;
@@ -171,17 +171,12 @@
         done({}, {change_status::superseded, catalog.state().revision(), {}, {}});
         return;
     }
-    std::string bytes;
     if (catalog.state().current().key_secret.empty())
     {
-        change with_secret = wanted;
-        add_key_secret(with_secret);
-        nlohmann::json::to_cbor(nlohmann::json(with_secret), bytes);
-    }
-    else
-    {
-        nlohmann::json::to_cbor(nlohmann::json(wanted), bytes);
+        add_key_secret(wanted);
     }
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(wanted), bytes);
     catalog.propose(
         std::move(bytes),
         [id = wanted.id, version = wanted.version, done = std::move(done)](std::error_code failed,
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -101,10 +101,9 @@
     return found;
 }
 
-void control_process::submit(const change& wanted,
-                             std::function<void(std::error_code, const change_result&)> done)
+void control_process::submit(change wanted, std::function<void(std::error_code, const change_result&)> done)
 {
-    m_implementation->submit(wanted, std::move(done));
+    m_implementation->submit(std::move(wanted), std::move(done));
 }
 
 const configuration* control_process::current() const
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -42,7 +42,7 @@
     findings serve(const address& at, gateway_handler handler);
 
     /// @brief Puts a change into the log; @a done is called once it is committed, or can't be known to be.
-    void submit(const change& wanted, std::function<void(std::error_code, const change_result&)> done);
+    void submit(change wanted, std::function<void(std::error_code, const change_result&)> done);
 
     /// @return the present configuration, if this replica can be sure that it is the present one
     const configuration* current() const;
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -125,6 +125,11 @@
                                           }));
 }
 
+std::shared_ptr<const configuration> publisher::present() const noexcept
+{
+    return m_kept.empty() ? nullptr : m_kept.back().value;
+}
+
 std::int64_t publisher::revision() const noexcept
 {
     return m_kept.empty() ? 0 : m_kept.back().revision;
--- a/src/registration/registration_spread.cpp
+++ b/src/registration/registration_spread.cpp
@@ -1,5 +1,7 @@
 #include <flaxtiller/registration/registration_spread.hpp>
 
+#include <flaxtiller/distribution/publisher.hpp>
+
 #include <algorithm>
 
 namespace flaxtiller
@@ -31,7 +33,6 @@
             m_own.push_back(item);
         }
     }
-    m_changed_at = now;
     m_digests.emplace_back(now, digest);
     while (now - m_digests.front().first > digests_kept)
     {
@@ -72,7 +73,7 @@
         m_wants_whole.insert(from);
         return false;
     }
-    const bool in_flux = replica && now - m_changed_at <= differs_bound;
+    const bool in_flux = replica && now - changed_at() <= differs_bound;
     const auto since = m_differs_since.emplace(from, now).first;
     if (now - since->second <= (in_flux ? differs_bound_in_flux : differs_bound))
     {
@@ -98,9 +99,27 @@
 
 bool registration_spread::is_due(time_point now) const noexcept
 {
-    const bool changes = now >= std::max(m_spread_at, m_pause_until) && m_spread_at != time_point::never();
-    const bool whole = !m_wants_whole.empty() && now >= m_whole_pause_until;
-    return changes || whole || now >= m_elsewhere_at;
+    return are_changes_due(now) || is_whole_due(now) || is_elsewhere_due(now);
+}
+
+bool registration_spread::are_changes_due(time_point now) const noexcept
+{
+    return m_spread_at != time_point::never() && now >= std::max(m_spread_at, m_pause_until);
+}
+
+bool registration_spread::is_whole_due(time_point now) const noexcept
+{
+    return !m_wants_whole.empty() && now >= m_whole_pause_until;
+}
+
+bool registration_spread::is_elsewhere_due(time_point now) const noexcept
+{
+    return now >= m_elsewhere_at;
+}
+
+time_point registration_spread::changed_at() const noexcept
+{
+    return m_digests.empty() ? time_point{} : m_digests.back().first;
 }
 
 registration_spread::receivers registration_spread::sort(const std::set<std::string>& reachable,
@@ -114,7 +133,8 @@
         {
             sorted.replicas.push_back(peer);
         }
-        else if (follows != m_followers.end() && now - follows->second < follower_age)
+        else if (follows != m_followers.end() &&
+                 now - follows->second < distribution::publisher::follower_age)
         {
             sorted.followers.push_back(peer);
         }
@@ -132,15 +152,15 @@
     std::vector<outgoing> messages;
     const receivers to = sort(reachable, now);
     const bool cut_off = to.replicas.size() < m_replicas.size();
-    if (m_spread_at != time_point::never() && now >= std::max(m_spread_at, m_pause_until))
+    if (are_changes_due(now))
     {
         spread(to, cut_off, now, messages);
     }
-    if (now >= m_elsewhere_at)
+    if (is_elsewhere_due(now))
     {
         tell_elsewhere(to, messages);
     }
-    if (!m_wants_whole.empty() && now >= m_whole_pause_until)
+    if (is_whole_due(now))
     {
         tell_whole(reachable, known, now, messages);
     }
--- a/src/shell/peer_links.cpp
+++ b/src/shell/peer_links.cpp
@@ -65,10 +65,10 @@
     }
 }
 
-void peer_links::post_bytes(link_id id, std::size_t kind, const std::shared_ptr<const std::string>& bytes)
+void peer_links::post(link_id id, const encoded_message& message)
 {
-    m_metrics.add_link_bytes(kind, bytes->size());
-    m_endpoint.send(id, bytes);
+    m_metrics.add_link_bytes(message.kind, message.bytes->size());
+    m_endpoint.send(id, message.bytes);
 }
 
 void peer_links::send(const std::string& name, const link_message& message)
@@ -78,14 +78,11 @@
 
 void peer_links::send(const std::vector<std::string>& names, const link_message& message)
 {
-    if (!names.empty())
+    if (names.empty())
     {
-        send(names, encoded_message(message));
+        return;
     }
-}
-
-void peer_links::send(const std::vector<std::string>& names, const encoded_message& message)
-{
+    const encoded_message encoded(message);
     const std::scoped_lock lock(m_mutex);
     for (const std::string& name : names)
     {
@@ -93,7 +90,7 @@
         if (found != m_peers.end() && !found->second.links.empty())
         {
             found->second.sent_at = m_clock.now();
-            post_bytes(*found->second.links.rbegin(), message.kind, message.bytes);
+            post(*found->second.links.rbegin(), encoded);
         }
     }
 }
@@ -134,7 +131,7 @@
             if (!known.links.empty() && now - known.sent_at >= m_timing.heartbeat)
             {
                 known.sent_at = now;
-                post_bytes(*known.links.rbegin(), beat.kind, beat.bytes);
+                post(*known.links.rbegin(), beat);
             }
             const bool silent_since_dialled = known.heard_at < known.dialled_at;
             const bool hangs = silent_since_dialled && now - known.dialled_at > known.dial_bound;
@@ -167,9 +164,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_links[id];
-    const link_message greeting = m_self;
-    const encoded_message sent(greeting);
-    post_bytes(id, sent.kind, sent.bytes);
+    post(id, encoded_message(link_message(m_self)));
 }
 
 /// @return whether the peer can't be reached any more by this
--- a/src/shell/peer_links.hpp
+++ b/src/shell/peer_links.hpp
@@ -64,9 +64,6 @@
     /// @brief Sends the same to several peers; it is encoded once.
     void send(const std::vector<std::string>& names, const link_message& message);
 
-    /// @brief Sends what was encoded before, for a large message that one peer after the other needs.
-    void send(const std::vector<std::string>& names, const encoded_message& message);
-
     /// @brief Makes missing links, sends heartbeats where nothing else was sent, notices silence. Call at
     /// least twice a heartbeat.
     void tick();
@@ -129,7 +126,7 @@
     void on_opened(link_id id);
     void on_closed(link_id id);
     void on_received(link_id id, const std::string& bytes);
-    void post_bytes(link_id id, std::size_t kind, const std::shared_ptr<const std::string>& bytes);
+    void post(link_id id, const encoded_message& message);
     bool drop_link(const std::string& name, link_id id);
 
     const hello m_self;
--- a/src/shell/registration_hub.cpp
+++ b/src/shell/registration_hub.cpp
@@ -126,12 +126,11 @@
 
 void registration_hub::log_changes(const std::vector<registration>& changes, time_point now)
 {
-    std::size_t unsaid = 0;
     for (const registration& item : changes)
     {
         if (!m_lines.take(now))
         {
-            ++unsaid;
+            ++m_unsaid;
             continue;
         }
         log(log_level::info, "registration",
@@ -143,7 +142,6 @@
              {"born_ms", item.born_ms},
              {"warmup_ms", item.warmup_left.ms()}});
     }
-    m_unsaid += unsaid;
 }
 
 void registration_hub::send_due(time_point now)
@@ -166,8 +164,7 @@
 
 void registration_hub::set_replicas(std::set<std::string> others)
 {
-    m_replicas = std::move(others);
-    m_spread.set_replicas(m_replicas);
+    m_spread.set_replicas(std::move(others));
 }
 
 void registration_hub::tick(bool leads, time_point now)
@@ -192,7 +189,7 @@
     m_tell_at = now + (m_registry.has_unconfirmed() ? tell_unconfirmed_every : tell_every);
     const registration_heard heard{m_registry.take_heard()};
     const registration_digest known{m_registry.digest()};
-    const std::vector<std::string> others(m_replicas.begin(), m_replicas.end());
+    const std::vector<std::string> others(m_spread.replicas().begin(), m_spread.replicas().end());
     m_links.send(others, known);
     if (!heard.items.empty())
     {
--- a/src/shell/registration_hub.hpp
+++ b/src/shell/registration_hub.hpp
@@ -77,7 +77,6 @@
     registry m_registry;
     registration_spread m_spread;
     time_point m_tell_at{};
-    std::set<std::string> m_replicas;
     /// Pays for the lines on single registrations; many at once share one.
     token_bucket m_lines;
     /// Changes without a line since the last line on many.
--- a/src/teams/rate_ledger.cpp
+++ b/src/teams/rate_ledger.cpp
@@ -27,6 +27,11 @@
     return std::max((limit.burst + m_tolerance.slack * granted_slack) * m_share, 1.0);
 }
 
+void rate_ledger::bound(account& item, time_point now) const noexcept
+{
+    item.tokens.limit(item.limit.requests_per_s * m_share, most_tokens(item.limit), now);
+}
+
 rate_ledger::account rate_ledger::make_account(const rate_limit& limit, time_point now) const
 {
     const double most = most_tokens(limit);
@@ -60,7 +65,7 @@
         if (!fresh && !(own.limit == item.limit))
         {
             own.limit = item.limit;
-            own.tokens.limit(item.limit.requests_per_s * m_share, most_tokens(item.limit), now);
+            bound(own, now);
             note_standing(name, own, now);
         }
     }
@@ -75,7 +80,7 @@
     m_share = share;
     for (auto& [name, item] : m_accounts)
     {
-        item.tokens.limit(item.limit.requests_per_s * m_share, most_tokens(item.limit), now);
+        bound(item, now);
     }
 }
 
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -64,7 +64,6 @@
 void rate_limiter::set_limit(standing& item, const rate_limit& limit, time_point now) const
 {
     const double entries = m_entries > 0 ? m_entries : unknown_entries;
-    item.limit = limit;
     item.own.limit(limit.requests_per_s * share_alone / entries, 1.0, now);
 }
 
--- a/src/teams/team.cpp
+++ b/src/teams/team.cpp
@@ -89,14 +89,7 @@
 
 void read_item(json_reader& reader, team& into)
 {
-    std::string name;
-    reader.require("name");
-    reader.text("name", name);
-    if (name.empty())
-    {
-        reader.found().error(errc::out_of_range, reader.at("name"), "must not be empty");
-    }
-    into.name = team_name(std::move(name));
+    reader.name(into.name);
     read_keys(reader, into.keys);
     read_digests(reader, into.key_digests);
     read_priority(reader, into.priority);
