Lines of failed attempts tell which request it was, and whether the backend server hung up

Cause: what was asked wasn't in any line, so two copies of a request couldn't be known as one, and 'cut' held crashes, broken answers and late ones alike.

A fingerprint (BLAKE2b of team, method, host, path, query and body; no key, no id) goes into attempt_failed; 'hung_up' is a connection that the backend server closed or reset before the first byte of a reply, 'cut' the rest. Nothing is decided by either yet.

--- a/src/shell/http_connection.cpp
+++ b/src/shell/http_connection.cpp
@@ -73,6 +73,7 @@
 {
     m_bytes = request_bytes(wanted);
     m_sent = 0;
+    m_heard = false;
     m_wanted = std::move(wanted);
     m_result = {};
     m_done = std::move(done);
@@ -81,14 +82,14 @@
     write();
 }
 
-void http_connection::close()
+void http_connection::close(exchange_end as)
 {
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_timer.cancel();
     if (m_done)
     {
-        finish(exchange_end::cut, false);
+        finish(as, false);
     }
 }
 
@@ -144,11 +145,14 @@
         await_reply();
         return;
     }
-    if (failed && failed != net::error::eof)
+    const bool ended = failed == net::error::eof;
+    if (failed && (!ended || !m_heard))
     {
-        close();
+        const bool hung_up = ended || failed == net::error::connection_reset;
+        close(hung_up && !m_heard ? exchange_end::hung_up : exchange_end::cut);
         return;
     }
+    m_heard = true;
     read_on(failed ? m_reader.ended() : m_reader.arrived(bytes));
 }
 
--- a/src/shell/http_connection.hpp
+++ b/src/shell/http_connection.hpp
@@ -45,8 +45,8 @@
     /// connection, too.
     void exchange(http_exchange wanted, completion done);
 
-    /// @brief Ends what is under way, as cut.
-    void close();
+    /// @brief Ends what is under way.
+    void close(exchange_end as = exchange_end::cut);
 
     /// @return whether it stands and holds no unread bytes: neither closed by the peer while it was idle, nor
     /// with a reply that nobody read
@@ -81,6 +81,8 @@
     connected m_connected;
     std::string m_bytes;
     std::size_t m_sent = 0;
+    /// Whether any of the reply came.
+    bool m_heard = false;
     /// When what is under way is given up, and when the timer next looks; never while it doesn't.
     time_point m_deadline = time_point::never();
     time_point m_looks_at = time_point::never();
--- a/src/shell/routed_codec.cpp
+++ b/src/shell/routed_codec.cpp
@@ -186,6 +186,7 @@
         read.result.status = attempt_status::cancelled;
         return read;
     case exchange_end::cut:
+    case exchange_end::hung_up:
     case exchange_end::foreign:
         read.result.status = attempt_status::cut;
         return read;
--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -4,6 +4,8 @@
 
 #include "log.hpp"
 
+#include <flaxtiller/quarantine/request_fingerprint.hpp>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
@@ -53,6 +55,8 @@
         return "unreachable";
     case exchange_end::cut:
         return "cut";
+    case exchange_end::hung_up:
+        return "hung_up";
     case exchange_end::closed:
         return "closed";
     case exchange_end::foreign:
@@ -209,6 +213,7 @@
         const dispatch::scheduler* scheduler = m_router.scheduler_of(sent.service);
         log(log_level::info, "attempt_failed",
             {{"request", sent.sent->id},
+             {"fingerprint", fingerprint_of(*sent.sent).str()},
              {"service", sent.service.str()},
              {"backend_server", sent.server.str()},
              {"end", name_of(end)},
--- a/tests/src/unit-connection-pool.cpp
+++ b/tests/src/unit-connection-pool.cpp
@@ -190,6 +190,31 @@
         CHECK(on.results[1].end == exchange_end::cut);
         CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(2));
     }
+    SECTION("whose peer goes away before any reply are told from those whose reply breaks off")
+    {
+        pool_fixture on(
+            [](const std::shared_ptr<peer::session>& to, const std::string& id)
+            {
+                if (id == "part")
+                {
+                    net::write(to->socket, net::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Le")));
+                }
+                if (id == "reset")
+                {
+                    to->socket.set_option(net::socket_base::linger(true, 0));
+                }
+                to->socket.close();
+            });
+        std::size_t count = 0;
+        for (const char* id : {"none", "reset", "part"})
+        {
+            on.send(id);
+            on.await(++count);
+        }
+        CHECK(on.results[0].end == exchange_end::hung_up);
+        CHECK(on.results[1].end == exchange_end::hung_up);
+        CHECK(on.results[2].end == exchange_end::cut);
+    }
     SECTION("that the user closes end so, and at once")
     {
         pool_fixture on(stay_silent);
--- a/tests/src/unit-routed-codec.cpp
+++ b/tests/src/unit-routed-codec.cpp
@@ -135,6 +135,7 @@
         http_exchange_result none;
         for (const auto& [end, status] : {std::pair(exchange_end::unreachable, attempt_status::unreachable),
                                           std::pair(exchange_end::cut, attempt_status::cut),
+                                          std::pair(exchange_end::hung_up, attempt_status::cut),
                                           std::pair(exchange_end::foreign, attempt_status::cut),
                                           std::pair(exchange_end::closed, attempt_status::cancelled)})
         {
