--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -62,6 +62,15 @@
     /// end.
     void detach(subquery_id id);
 
+    /// @brief Starts no further attempt of it until it is released; those that run go on.
+    void hold(subquery_id id);
+
+    /// @brief Starts one attempt of a subquery that is held.
+    void try_once(subquery_id id, time_point now);
+
+    /// @brief Goes on with a subquery that was held.
+    void release(subquery_id id, time_point now);
+
     /// @brief The platform's list tells whether a backend server is leaving.
     void set_leaving(const backend_server_name& server, bool leaving, time_point now);
 
@@ -78,6 +87,9 @@
 
     // ------------------------------------------------------------------ inspection
 
+    /// @return whether it is held and nothing of it runs or is about to
+    bool is_held_back(subquery_id id) const;
+
     /// @return how long a new subquery of this shard would wait for a slot
     duration estimated_wait(int shard) const;
 
@@ -172,6 +184,9 @@
         /// Waits for a moment rather than a slot.
         bool parked = false;
         duration park_for{};
+        /// Started no further, but for one attempt where @ref may_try is set.
+        bool held = false;
+        bool may_try = false;
         /// An attempt may have begun, so that it is no longer certain that nothing was run.
         bool maybe_run = false;
         missing_reason last_reason = missing_reason::late;
--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -35,6 +35,8 @@
     /// server and at most one other, and the one that runs it again only this one. Together they stay within
     /// two.
     backend_server_name designated;
+    /// Whether it is held from the start; see scheduler::hold.
+    bool held = false;
     /// The regions whose backend servers it may be sent to; null for all.
     std::shared_ptr<const region_set> regions;
     /// How long it takes, as a multiple of what is usual for the service; latencies are compared by it.
--- a/include/flaxtiller/query/missing_reason.hpp
+++ b/include/flaxtiller/query/missing_reason.hpp
@@ -25,6 +25,8 @@
     owner_unreachable,
     /// Backend servers hold the shard, but none in a region where the request may be run.
     no_allowed_region,
+    /// The request crashes the backend servers that run it, and is sent to none for now.
+    quarantined,
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(missing_reason, {{missing_reason::none, "none"},
@@ -35,6 +37,7 @@
                                               {missing_reason::cut, "cut"},
                                               {missing_reason::overloaded, "overloaded"},
                                               {missing_reason::owner_unreachable, "owner_unreachable"},
-                                              {missing_reason::no_allowed_region, "no_allowed_region"}})
+                                              {missing_reason::no_allowed_region, "no_allowed_region"},
+                                              {missing_reason::quarantined, "quarantined"}})
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/quarantine/crash_record.hpp>
 #include <flaxtiller/query/missing_reason.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
@@ -60,6 +61,8 @@
     std::vector<instance_name> elsewhere;
     /// How long it took, for an entry that asked.
     duration took{};
+    /// Set where backend servers crashed under it, for an entry that asked.
+    std::vector<crash_record> crashes;
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/dispatch/scheduler.hpp>
+#include <flaxtiller/quarantine/crash_ledger.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
 #include <flaxtiller/routing/route_sizes.hpp>
 #include <flaxtiller/routing/router_action.hpp>
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -54,6 +56,9 @@
     /// @brief The link to another entry broke: what it was asked is asked elsewhere at once.
     void entry_lost(const instance_name& peer, time_point now);
 
+    /// @brief What other processes know of requests that crash backend servers.
+    void on_crash_records(const std::vector<crash_record>& records, time_point now);
+
     /// @brief Time has passed.
     void on_time(time_point now);
 
@@ -79,6 +84,12 @@
     /// @return how many instances share the connections to the service's backend servers
     int sharers_of(const service_name& service) const;
 
+    /// @return what is known of requests that crash backend servers
+    const crash_ledger& crashes() const noexcept
+    {
+        return m_crashes;
+    }
+
     /// @return how often a service's scheduler was configured since the beginning
     std::uint64_t services_configured() const noexcept
     {
@@ -208,16 +219,49 @@
         bool designates = false;
         missing_reason reason = missing_reason::none;
         duration retry_after{};
+        /// Worked out when it is first needed.
+        std::optional<request_fingerprint> fingerprint{};
+        /// Whether its parts are held back, as it may crash backend servers.
+        bool held = false;
+        /// What is known of backend servers that crashed under it.
+        std::vector<crash_record> crashes{};
+    };
+
+    struct started
+    {
+        lane_index at = 0;
+        dispatch::attempt_id attempt = 0;
+        dispatch::subquery_id subquery = 0;
+        request_number request = 0;
+        std::shared_ptr<const routed_request> sent;
+        std::shared_ptr<const route> by;
+        /// Its list of shards.
+        std::uint64_t list = 0;
+        backend_server_name server;
+        time_point since;
+        /// Whether it is the only one of a request that may crash backend servers.
+        bool on_trial = false;
+    };
+
+    /// The only attempt that is let through of a request that is held back.
+    struct trial
+    {
+        request_number request = 0;
+        dispatch::subquery_id subquery = 0;
     };
 
     lane_index lane_of(const service_name& service);
     std::vector<part> parts_of(const route& by, const routed_request& request);
     void refuse(request_number number, const route* by, missing_reason reason, duration retry_after = {});
+    void refuse_quarantined(request_number number, const route& by, const request_fingerprint& fingerprint,
+                            time_point now);
     bool refuse_unservable(request_number number, const route& by,
                            const std::shared_ptr<const region_set>& regions, time_point now);
     static std::shared_ptr<const region_set> regions_of(const route& by, const routed_request& request);
     std::shared_ptr<const route> route_for(const team_name& name, std::shared_ptr<const route> by);
     bool is_outside(const routed_request& request, const std::shared_ptr<const region_set>& regions) const;
+    void take_answer(const instance_name& peer, ask_number number, const routed_outcome& outcome,
+                     time_point now);
     void ask_elsewhere(request_number number, open_request& opened, time_point now);
     void ask_one(request_number number, open_request& opened, group& wanted, const instance_name& peer,
                  bool again, time_point now);
@@ -266,6 +310,26 @@
     bool enough_in(const open_request& opened) const;
     void on_timer(request_number number, time_point now);
     void drop_undeclared_lanes(time_point now);
+    static const request_fingerprint& fingerprint_of(open_request& opened);
+    crash_ledger::standing standing_of(open_request& opened, time_point now) const;
+    bool is_barred(open_request& opened, time_point now) const;
+    void take_in(const std::vector<crash_record>& records, time_point now);
+    void observe_crash(const started& ended, time_point now);
+    void observe_answer(const started& ended, time_point now);
+    std::int64_t born_ms_of(const started& attempt) const;
+    void on_standing(const request_fingerprint& fingerprint, crash_ledger::standing before, time_point now);
+    void hold_or_release(const request_fingerprint& fingerprint, time_point now);
+    void hold(request_number number, open_request& opened);
+    void release(request_number number, time_point now);
+    void end_trial(dispatch::subquery_id subquery, time_point now);
+    void forget_held(request_number number);
+    void settle_held(time_point now);
+    void end_quarantined(time_point now);
+    void try_next(time_point now);
+    bool try_part_of(request_number number, time_point now);
+    bool can_be_tried(const part& item, const std::shared_ptr<const region_set>& regions,
+                      time_point now) const;
+    void tell_crashes(time_point now);
 
     router_options m_options;
     routing_view m_view;
@@ -288,20 +352,15 @@
     std::unordered_map<dispatch::subquery_id, origin> m_origins;
     ask_number m_next_ask = 1;
     std::unordered_map<ask_number, request_number> m_asks;
-    struct started
-    {
-        lane_index at = 0;
-        dispatch::attempt_id attempt = 0;
-        dispatch::subquery_id subquery = 0;
-        std::shared_ptr<const route> by;
-        /// Its list of shards.
-        std::uint64_t list = 0;
-        time_point since;
-    };
     routed_attempt_number m_next_attempt = 1;
     std::unordered_map<routed_attempt_number, started> m_started;
     std::map<std::pair<lane_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_sizes m_sizes;
+    crash_ledger m_crashes;
+    /// Requests that are held back, the trial that is under way, and when the next one may begin.
+    std::set<request_number> m_held;
+    std::optional<trial> m_trial;
+    time_point m_next_trial_at{};
     std::vector<router_action> m_actions;
 };
 
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/quarantine/crash_ledger.hpp>
 #include <flaxtiller/routing/routed_outcome.hpp>
 #include <flaxtiller/routing/routed_request.hpp>
 
@@ -32,6 +33,8 @@
     /// 1 for the first attempt on the service for this request.
     int ordinal = 1;
     bool repeatable = true;
+    /// Whether it finds out if the request crashes backend servers; see @ref crash_ledger.
+    bool on_trial = false;
     time_point deadline;
     std::shared_ptr<const routed_request> sent;
 };
@@ -87,7 +90,24 @@
     instance_name peer;
 };
 
-using router_action = std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry,
-                                   abandon_at_entry, tell_progress_to_entry>;
+/// @brief Tell the control replicas what changed of requests that crash backend servers.
+struct tell_crash_records
+{
+    std::vector<crash_record> records;
+};
+
+/// @brief Whether a request is held back, or no longer; for logs and metrics.
+struct note_standing
+{
+    request_fingerprint request;
+    crash_ledger::standing standing = crash_ledger::standing::clear;
+    crash_record record;
+    /// Requests of this and other kinds that are held back here now.
+    std::size_t held = 0;
+};
+
+using router_action =
+    std::variant<start_routed_attempt, cancel_routed_attempt, answer_request, ask_entry, abandon_at_entry,
+                 tell_progress_to_entry, tell_crash_records, note_standing>;
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -38,6 +38,10 @@
     /// deadlines.
     duration elsewhere_grace = duration::from_ms(40);
 
+    /// After a backend server crashed under a request, this passes before a suspect one is tried: what the
+    /// same cause takes down goes within it, and a trial beside it would prove nothing.
+    duration trial_pause = duration::from_ms(100);
+
     /// What operators allow over all instances in a window of time, for each service: so many attempts beyond
     /// the first for each request, and so many more.
     double retry_ratio = 0.1;
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -261,6 +261,7 @@
         announced[register_log].erase(quorum::replica_name(name));
         return;
     }
+    crashes.on_reachable(name, clock.now());
     const auto identity = links.identity(name);
     if (identity && identity->role == "control")
     {
@@ -273,6 +274,16 @@
     }
 }
 
+std::vector<std::string> control_process::implementation::entry_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : entries)
+    {
+        names.push_back(name);
+    }
+    return names;
+}
+
 void control_process::implementation::tick()
 {
     const time_point now = clock.now();
@@ -293,6 +304,10 @@
         keep_members(registers, register_log, now);
     }
     hub.tick(catalog.may_answer(now), now);
+    if (crashes.is_due(now))
+    {
+        crashes.tick(linked, entry_names(), now);
+    }
     if (catalog.may_answer(now) && knows_entries(now))
     {
         tell_entries(now);
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -2,6 +2,7 @@
 
 #include "control_process.hpp"
 
+#include "shell/crash_hub.hpp"
 #include "shell/http_server.hpp"
 #include "shell/log.hpp"
 #include "shell/peer_links.hpp"
@@ -83,16 +84,16 @@
           registers(files, settings.data_folder + "/" + register_log,
                     quorum::replica_name(settings.replica.name), settings.timing),
           hub(links, settings.data_folder + "/registrations", settings.registration_silence, clock.now()),
-          limits(settings.limit_tolerance), keeper(settings.keeper),
-          operators(io, limits_of(settings),
-                    [this](const http_request& request, http_server::respond respond)
-                    {
-                        net::post(strand,
-                                  [this, request, respond]
-                                  {
-                                      on_operator(request, respond);
-                                  });
-                    })
+          crashes(links, settings.data_folder + "/crash_records"), limits(settings.limit_tolerance),
+          keeper(settings.keeper), operators(io, limits_of(settings),
+                                             [this](const http_request& request, http_server::respond respond)
+                                             {
+                                                 net::post(strand,
+                                                           [this, request, respond]
+                                                           {
+                                                               on_operator(request, respond);
+                                                           });
+                                             })
     {
     }
 
@@ -109,6 +110,7 @@
     register_machine registers;
     distribution::publisher publisher;
     registration_hub hub;
+    crash_hub crashes;
     rate_ledger limits;
     /// As what this replica last kept the limits of teams.
     struct limit_keeping
@@ -229,6 +231,9 @@
 
     void on_reachable(const std::string& name, bool up);
 
+    /// @return the entries that report to this replica
+    std::vector<std::string> entry_names() const;
+
     void tick();
 
     // ------------------------------------------------------------------ links
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -82,6 +82,10 @@
     {
         on_limit_report(from, *used, now);
     }
+    else if (const auto* news = std::get_if<crash_news>(&message))
+    {
+        crashes.on_news(from.name, *news, from.role == "control", now);
+    }
     else
     {
         on_registrations(from, message, now);
@@ -188,11 +192,7 @@
         return;
     }
     const limit_word news = limits.take_news(now);
-    std::vector<std::string> receivers;
-    for (const auto& [name, entry] : entries)
-    {
-        receivers.push_back(name);
-    }
+    const std::vector<std::string> receivers = entry_names();
     for (const limit_standing& told : news.standings)
     {
         log(log_level::info, "team_limited",
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -348,6 +348,7 @@
                         {"reachable_peers", links.reachable()},
                         {"catalog", dump_of(catalog, clock.now())},
                         {"register", dump_of(registers, clock.now())},
+                        {"crash_records", crashes.known().all(1, clock.now())},
                         {"metrics", counted.dump()}};
     return j;
 }
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -29,6 +29,7 @@
     self.open_machine(self.catalog, catalog_log, found);
     self.open_machine(self.registers, register_log, found);
     self.hub.load();
+    self.crashes.load(self.clock.now());
     return found;
 }
 
--- a/src/coordinator/event_codec.cpp
+++ b/src/coordinator/event_codec.cpp
@@ -22,7 +22,8 @@
          {"version", value.version},
          {"held_versions", value.held_versions},
          {"retry_after", value.retry_after},
-         {"leaving", value.leaving}};
+         {"leaving", value.leaving},
+         {"hung_up", value.hung_up}};
     if (value.body)
     {
         j["body"] = *value.body;
@@ -36,6 +37,8 @@
     value.held_versions = j.at("held_versions").get<std::vector<index_version>>();
     value.retry_after = j.at("retry_after").get<duration>();
     value.leaving = j.at("leaving");
+    // Older traces don't have it.
+    value.hung_up = j.value("hung_up", false);
     if (j.contains("body"))
     {
         value.body = std::make_shared<const std::string>(j.at("body").get<std::string>());
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -342,6 +342,11 @@
         // Its deadline's own timer is next; this process was stopped for a while.
         return;
     }
+    if (item.held)
+    {
+        arm_late(id, item, now + limit);
+        return;
+    }
     if (item.queued || item.attempts >= m_options.most_attempts || !has_attempts_left(item) ||
         !all_late(item, now))
     {
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -15,6 +15,7 @@
 {
     work& item = m_work[wanted.id];
     item.wanted = wanted;
+    item.held = wanted.held;
     if (!is_known_shard(wanted.shard))
     {
         give_up(item, missing_reason::no_backend_server, now);
@@ -48,6 +49,10 @@
 
 void scheduler::enqueue(work& item, time_point key, time_point now)
 {
+    if (item.held && !item.may_try)
+    {
+        return;
+    }
     const int shard = item.wanted.shard;
     item.queued = true;
     item.queue_key = key;
@@ -56,6 +61,56 @@
     run_queue_of(shard, now);
 }
 
+void scheduler::hold(subquery_id id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+    {
+        return;
+    }
+    work& item = found->second;
+    item.held = true;
+    item.may_try = false;
+    item.parked = false;
+    unqueue(item);
+}
+
+void scheduler::try_once(subquery_id id, time_point now)
+{
+    const auto found = m_work.find(id);
+    if (found != m_work.end() && is_held_back(id))
+    {
+        found->second.may_try = true;
+        found->second.tried.clear();
+        enqueue(found->second, found->second.wanted.deadline, now);
+    }
+}
+
+void scheduler::release(subquery_id id, time_point now)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+    {
+        return;
+    }
+    work& item = found->second;
+    const bool waits = is_held_back(id);
+    item.held = false;
+    item.may_try = false;
+    if (waits)
+    {
+        item.tried.clear();
+        enqueue(item, item.wanted.deadline, now);
+    }
+}
+
+bool scheduler::is_held_back(subquery_id id) const
+{
+    const auto found = m_work.find(id);
+    return found != m_work.end() && found->second.held && !found->second.queued &&
+           found->second.running.empty();
+}
+
 void scheduler::unqueue(work& item)
 {
     if (!item.queued)
@@ -183,6 +238,7 @@
 void scheduler::start(work& item, server_index index, time_point now, bool ahead)
 {
     unqueue(item);
+    item.may_try = false;
     server_state& server = m_servers[index];
     pay_cold(server, index, now);
     const attempt_id id = m_next_attempt++;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -96,6 +96,14 @@
                                                                {
                                                                    link_to_entries(owners);
                                                                });
+                                                 },
+                                                 [this](const crash_news& news)
+                                                 {
+                                                     net::post(strand,
+                                                               [this, news]
+                                                               {
+                                                                   tell_crashes(news);
+                                                               });
                                                  })),
           callers(io, limits_of(settings),
                   [this](const http_request& request, http_server::respond respond)
@@ -236,6 +244,9 @@
 
     void on_entry_list(const entry_list& list);
 
+    /// Tells the control replica that this entry follows; all of them where that can't be reached.
+    void tell_crashes(const crash_news& news);
+
     /// Of each other region this one links to a few entries, other ones than its neighbours do, so that links
     /// don't grow with the square of the instances.
     std::set<instance_name> far_entries() const;
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -79,6 +79,11 @@
         routed->on_abandon(from.name, *abandoned);
         return true;
     }
+    if (const auto* crashes = std::get_if<crash_news>(&*message))
+    {
+        routed->on_crash_news(from.name, {message, crashes});
+        return true;
+    }
     if (const auto* limits = std::get_if<limit_word>(&*message))
     {
         routed->on_limit_word(from.name, {message, limits});
@@ -310,6 +315,22 @@
     update_routed_soon();
 }
 
+void entry_process::implementation::tell_crashes(const crash_news& news)
+{
+    const std::string& followed = control_choice.followed();
+    if (reachable.count(followed) > 0)
+    {
+        links.send(followed, news);
+        return;
+    }
+    std::vector<std::string> all;
+    for (const named_address& replica : control.present())
+    {
+        all.push_back(replica.name);
+    }
+    links.send(all, news);
+}
+
 void entry_process::implementation::post_to_lane(const service_name& service, coordinator_event event)
 {
     const auto now_in_force = table.load();
@@ -338,6 +359,10 @@
                   {
                       // Its answer confirms the configuration, without which a starting entry serves nobody.
                       report();
+                      if (routed)
+                      {
+                          routed->tell_all_crashes();
+                      }
                   }
                   if (routed && linked_entries.count(instance_name(name)) > 0)
                   {
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -62,6 +62,10 @@
     j = nlohmann::json::array({static_cast<int>(value.end), value.is_progress, value.merged, value.signatures,
                                value.missing_shards, value.reason, value.retry_after.us(), value.attempts,
                                value.took.us()});
+    if (!value.crashes.empty())
+    {
+        j.push_back(value.crashes);
+    }
 }
 
 void from_json(const nlohmann::json& j, routed_outcome& value)
@@ -82,6 +86,10 @@
     value.retry_after = duration::from_us(next().get<std::int64_t>());
     value.attempts = next().get<int>();
     value.took = duration::from_us(next().get<std::int64_t>());
+    if (at < j.size())
+    {
+        value.crashes = next().get<std::vector<crash_record>>();
+    }
 }
 
 } // namespace flaxtiller
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -263,6 +263,15 @@
         m_sizes.note(ended.by->name, ended.list, now - ended.since);
     }
     m_number_of.erase({ended.at, ended.attempt});
+    end_trial(ended.subquery, now);
+    if (result.hung_up)
+    {
+        observe_crash(ended, now);
+    }
+    else if (result.status == dispatch::attempt_status::answered && !m_crashes.empty())
+    {
+        observe_answer(ended, now);
+    }
     const auto whose = m_origins.find(ended.subquery);
     if (whose != m_origins.end() && answer)
     {
@@ -274,6 +283,8 @@
         at->second.scheduler.on_result(ended.attempt, result, now);
         collect(ended.at, now);
     }
+    settle_held(now);
+    tell_crashes(now);
 }
 
 void router::collect(lane_index at, time_point now)
@@ -306,13 +317,15 @@
     const routed_attempt_number number = m_next_attempt++;
     const origin& whose = m_origins.at(action.subquery);
     open_request& opened = m_open.at(whose.request);
-    m_started.emplace(number, started{at, action.attempt, action.subquery, opened.by, opened.list, now});
+    const bool on_trial = m_trial && m_trial->subquery == action.subquery;
+    m_started.emplace(number, started{at, action.attempt, action.subquery, whose.request, opened.request,
+                                      opened.by, opened.list, action.server, now, on_trial});
     m_number_of.emplace(std::pair(at, action.attempt), number);
     ++opened.attempts;
     const int ordinal = ++opened.parts[whose.part].attempts;
     m_actions.emplace_back(start_routed_attempt{number, whose.request, action.server, m_lanes.at(at).service,
                                                 opened.by->fans_out(), ordinal, opened.by->repeatable,
-                                                opened.deadline, opened.request});
+                                                on_trial, opened.deadline, opened.request});
 }
 
 void router::take(lane_index at, const dispatch::cancel_attempt& action)
@@ -333,6 +346,7 @@
     }
     const origin whose = found->second;
     m_origins.erase(found);
+    end_trial(action.subquery, now);
     const request_number number = whose.request;
     open_request& opened = m_open.at(number);
     opened.parts[whose.part].over = true;
@@ -369,6 +383,7 @@
         m_timers.erase(m_timers.begin());
         on_timer(number, now);
     }
+    settle_held(now);
 }
 
 void router::on_timer(request_number number, time_point now)
@@ -409,7 +424,8 @@
 {
     const time_point request_due = m_timers.empty() ? time_point::never() : m_timers.begin()->first;
     const time_point lane_due = m_due.empty() ? time_point::never() : m_due.begin()->first;
-    return std::min(request_due, lane_due);
+    const time_point trial_due = m_held.empty() || m_trial ? time_point::never() : m_next_trial_at;
+    return std::min({request_due, lane_due, trial_due});
 }
 
 std::vector<router_action> router::take_actions()
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -19,6 +19,14 @@
     m_actions.emplace_back(answer_request{number, std::move(told)});
 }
 
+/// The entry that asked may not know yet, so it is told why.
+void router::refuse_quarantined(request_number number, const route& by,
+                                const request_fingerprint& fingerprint, time_point now)
+{
+    refuse(number, &by, missing_reason::quarantined, m_crashes.quarantine_left(fingerprint, now));
+    std::get<answer_request>(m_actions.back()).outcome.crashes = {m_crashes.record_of(fingerprint, now)};
+}
+
 /// Refuses a fan-out of which too many shards have no backend server that could be asked: running the others
 /// would only take their time.
 /// @return whether it was refused
@@ -173,7 +181,21 @@
     {
         return;
     }
+    std::optional<request_fingerprint> fingerprint;
+    auto standing = crash_ledger::standing::clear;
+    if (!m_crashes.empty())
+    {
+        fingerprint = flaxtiller::fingerprint_of(*request);
+        standing = m_crashes.standing_of(*fingerprint, now);
+    }
+    if (standing == crash_ledger::standing::quarantined)
+    {
+        refuse_quarantined(number, *by, *fingerprint, now);
+        return;
+    }
     open_request& opened = m_open[number];
+    opened.fingerprint = std::move(fingerprint);
+    opened.held = standing == crash_ledger::standing::suspect;
     opened.by = by;
     opened.regions = regions;
     opened.list = list;
@@ -188,7 +210,10 @@
         opened.progress_at = now + opened.request->progress_within;
     }
     opened.parts = parts_of(*by, *opened.request);
-    ask_elsewhere(number, opened, now);
+    if (!opened.held)
+    {
+        ask_elsewhere(number, opened, now);
+    }
     set_timer(number, opened);
     std::vector<bool> here(opened.parts.size(), true);
     for (const group& asked : opened.groups)
@@ -206,7 +231,12 @@
             wanted.push_back(at);
         }
     }
+    if (opened.held)
+    {
+        m_held.insert(number);
+    }
     run_here(number, wanted, opened.request->asked_again, now);
+    settle_held(now);
 }
 
 } // namespace flaxtiller
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -247,7 +247,13 @@
             detach(asked);
         }
     }
+    if (opened.request->is_asked())
+    {
+        // The entry that asked may ask another one else, and doesn't know yet.
+        outcome.crashes = std::move(opened.crashes);
+    }
     m_open.erase(number);
+    forget_held(number);
     m_actions.emplace_back(answer_request{number, std::move(outcome)});
 }
 
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -181,6 +181,10 @@
 bool router::move_group(request_number number, group& lost, bool again, time_point now)
 {
     open_request& opened = m_open.at(number);
+    if (is_barred(opened, now))
+    {
+        return false;
+    }
     constexpr std::size_t most_asks = 2;
     if (again && lost.asks.size() >= most_asks)
     {
@@ -294,6 +298,14 @@
 
 void router::entry_answered(const instance_name& peer, ask_number number, const routed_outcome& outcome,
                             time_point now)
+{
+    take_in(outcome.crashes, now);
+    take_answer(peer, number, outcome, now);
+    settle_held(now);
+}
+
+void router::take_answer(const instance_name& peer, ask_number number, const routed_outcome& outcome,
+                         time_point now)
 {
     const auto known = m_asks.find(number);
     if (known == m_asks.end())
@@ -369,6 +381,7 @@
     asked.designated = wanted.designated;
     asked.regions = opened.regions;
     asked.size = size;
+    asked.held = opened.held;
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
@@ -382,6 +395,7 @@
     const open_request opened = std::move(found->second);
     m_timers.erase({opened.timer_at, number});
     m_open.erase(found);
+    forget_held(number);
     for (const group& asked : opened.groups)
     {
         for (const ask& sent : asked.asks)
--- /dev/null
+++ b/src/routing/router_suspects.cpp
@@ -0,0 +1,314 @@
+// Requests that may crash the backend servers that run them: held back, tried, or ended.
+
+#include <flaxtiller/routing/router.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace flaxtiller
+{
+
+using standing = crash_ledger::standing;
+
+const request_fingerprint& router::fingerprint_of(open_request& opened)
+{
+    if (!opened.fingerprint)
+    {
+        opened.fingerprint = flaxtiller::fingerprint_of(*opened.request);
+    }
+    return *opened.fingerprint;
+}
+
+standing router::standing_of(open_request& opened, time_point now) const
+{
+    return m_crashes.empty() ? standing::clear : m_crashes.standing_of(fingerprint_of(opened), now);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// evidence
+// ---------------------------------------------------------------------------------------------------------
+
+std::int64_t router::born_ms_of(const started& attempt) const
+{
+    const auto at = m_lanes.find(attempt.at);
+    if (at == m_lanes.end())
+    {
+        return 0;
+    }
+    for (const auto& replicas : at->second.placed->shards)
+    {
+        for (const backend_server& server : replicas)
+        {
+            if (server.name == attempt.server)
+            {
+                return server.born_ms;
+            }
+        }
+    }
+    return 0;
+}
+
+void router::observe_crash(const started& ended, time_point now)
+{
+    const auto found = m_open.find(ended.request);
+    if (found != m_open.end() && found->second.in > 0)
+    {
+        // Other backend servers ran it to a good end.
+        return;
+    }
+    m_next_trial_at = now + m_options.trial_pause;
+    const request_fingerprint fingerprint =
+        found != m_open.end() ? fingerprint_of(found->second) : flaxtiller::fingerprint_of(*ended.sent);
+    const standing before = m_crashes.standing_of(fingerprint, now);
+    m_crashes.on_crash(fingerprint, {ended.server, born_ms_of(ended), ended.on_trial}, now);
+    if (found != m_open.end())
+    {
+        found->second.crashes = {m_crashes.record_of(fingerprint, now)};
+    }
+    on_standing(fingerprint, before, now);
+}
+
+void router::observe_answer(const started& ended, time_point now)
+{
+    const auto found = m_open.find(ended.request);
+    const request_fingerprint fingerprint =
+        found != m_open.end() ? fingerprint_of(found->second) : flaxtiller::fingerprint_of(*ended.sent);
+    if (m_crashes.has_crashed(fingerprint, now))
+    {
+        const standing before = m_crashes.standing_of(fingerprint, now);
+        m_crashes.on_answer(fingerprint, now);
+        on_standing(fingerprint, before, now);
+    }
+}
+
+void router::take_in(const std::vector<crash_record>& records, time_point now)
+{
+    for (const crash_record& told : records)
+    {
+        const standing before = m_crashes.standing_of(told.request, now);
+        if (m_crashes.merge(told, now))
+        {
+            on_standing(told.request, before, now);
+        }
+    }
+}
+
+void router::on_crash_records(const std::vector<crash_record>& records, time_point now)
+{
+    take_in(records, now);
+    // Who told it tells the others, too.
+    (void)m_crashes.take_changes(now);
+    settle_held(now);
+}
+
+void router::tell_crashes(time_point now)
+{
+    std::vector<crash_record> changes = m_crashes.take_changes(now);
+    if (!changes.empty())
+    {
+        m_actions.emplace_back(tell_crash_records{std::move(changes)});
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// holding back
+// ---------------------------------------------------------------------------------------------------------
+
+void router::on_standing(const request_fingerprint& fingerprint, standing before, time_point now)
+{
+    const standing after = m_crashes.standing_of(fingerprint, now);
+    if (after == before)
+    {
+        return;
+    }
+    hold_or_release(fingerprint, now);
+    m_actions.emplace_back(
+        note_standing{fingerprint, after, m_crashes.record_of(fingerprint, now), m_held.size()});
+}
+
+/// Does what the standing of these requests now asks for. None of them ends by it; see @ref settle_held.
+void router::hold_or_release(const request_fingerprint& fingerprint, time_point now)
+{
+    const bool holds = m_crashes.standing_of(fingerprint, now) != standing::clear;
+    if (!holds && m_held.empty())
+    {
+        return;
+    }
+    std::vector<request_number> same;
+    for (auto& [number, opened] : m_open)
+    {
+        if (opened.held != holds && fingerprint_of(opened) == fingerprint)
+        {
+            same.push_back(number);
+        }
+    }
+    // In the order of their arrival, so that the same events give the same actions.
+    std::sort(same.begin(), same.end());
+    for (const request_number number : same)
+    {
+        holds ? hold(number, m_open.at(number)) : release(number, now);
+    }
+}
+
+void router::hold(request_number number, open_request& opened)
+{
+    opened.held = true;
+    m_held.insert(number);
+    for (const part& item : opened.parts)
+    {
+        if (!item.over && item.subquery != 0)
+        {
+            lane& runs = m_lanes.at(item.at);
+            runs.scheduler.hold(item.subquery);
+            note_due(item.at, runs);
+        }
+    }
+}
+
+void router::release(request_number number, time_point now)
+{
+    open_request& opened = m_open.at(number);
+    opened.held = false;
+    m_held.erase(number);
+    if (m_trial && m_trial->request == number)
+    {
+        m_trial.reset();
+    }
+    std::vector<lane_index> lanes;
+    for (const part& item : opened.parts)
+    {
+        if (!item.over && item.subquery != 0)
+        {
+            m_lanes.at(item.at).scheduler.release(item.subquery, now);
+            lanes.push_back(item.at);
+        }
+    }
+    // Collected only after all are released: an early end of one part must not answer before.
+    for (const lane_index at : lanes)
+    {
+        collect(at, now);
+    }
+}
+
+void router::forget_held(request_number number)
+{
+    m_held.erase(number);
+    if (m_trial && m_trial->request == number)
+    {
+        m_trial.reset();
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// trials and ends
+// ---------------------------------------------------------------------------------------------------------
+
+void router::end_trial(dispatch::subquery_id subquery, time_point now)
+{
+    if (m_trial && m_trial->subquery == subquery)
+    {
+        m_trial.reset();
+        m_next_trial_at = std::max(m_next_trial_at, now + m_options.trial_pause);
+    }
+}
+
+void router::settle_held(time_point now)
+{
+    if (m_held.empty())
+    {
+        return;
+    }
+    end_quarantined(now);
+    try_next(now);
+}
+
+/// What still runs may answer, which would clear the request; without it there is nothing to wait for.
+void router::end_quarantined(time_point now)
+{
+    const std::vector<request_number> held(m_held.begin(), m_held.end());
+    for (const request_number number : held)
+    {
+        open_request& opened = m_open.at(number);
+        const bool awaited = std::any_of(opened.groups.begin(), opened.groups.end(),
+                                         [](const group& asked)
+                                         {
+                                             return !asked.over && asked.is_awaited();
+                                         });
+        const bool runs = std::any_of(opened.parts.begin(), opened.parts.end(),
+                                      [&](const part& item)
+                                      {
+                                          return !item.over && item.subquery != 0 &&
+                                                 !m_lanes.at(item.at).scheduler.is_held_back(item.subquery);
+                                      });
+        if (!awaited && !runs && standing_of(opened, now) == standing::quarantined)
+        {
+            opened.reason = missing_reason::quarantined;
+            opened.retry_after = m_crashes.quarantine_left(fingerprint_of(opened), now);
+            opened.crashes = {m_crashes.record_of(fingerprint_of(opened), now)};
+            fail(number, opened, false);
+        }
+    }
+}
+
+/// Tries one request that is held back, those with the fewest crashes first: they are the least likely cause.
+void router::try_next(time_point now)
+{
+    if (m_trial || m_held.empty() || now < m_next_trial_at)
+    {
+        return;
+    }
+    std::vector<std::pair<std::size_t, request_number>> waiting;
+    for (const request_number number : m_held)
+    {
+        open_request& opened = m_open.at(number);
+        if (standing_of(opened, now) == standing::suspect)
+        {
+            waiting.emplace_back(m_crashes.record_of(fingerprint_of(opened), now).crashes.size(), number);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto& [crashes, number] : waiting)
+    {
+        if (try_part_of(number, now))
+        {
+            return;
+        }
+    }
+    m_next_trial_at = now + m_options.trial_pause;
+}
+
+bool router::can_be_tried(const part& item, const std::shared_ptr<const region_set>& regions,
+                          time_point now) const
+{
+    const dispatch::scheduler& scheduler = m_lanes.at(item.at).scheduler;
+    duration retry_after{};
+    return scheduler.is_held_back(item.subquery) &&
+           scheduler.why_unavailable(0, regions, now, retry_after) == missing_reason::none;
+}
+
+/// @return whether one of its parts is being tried
+bool router::try_part_of(request_number number, time_point now)
+{
+    const open_request& opened = m_open.at(number);
+    for (const part& item : opened.parts)
+    {
+        if (!item.over && item.subquery != 0 && can_be_tried(item, opened.regions, now))
+        {
+            m_trial = trial{number, item.subquery};
+            const lane_index at = item.at;
+            m_lanes.at(at).scheduler.try_once(item.subquery, now);
+            collect(at, now);
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return whether none of it may be sent to further backend servers now, here or by another entry
+bool router::is_barred(open_request& opened, time_point now) const
+{
+    return standing_of(opened, now) != standing::clear;
+}
+
+} // namespace flaxtiller
--- /dev/null
+++ b/src/shell/crash_hub.cpp
@@ -0,0 +1,124 @@
+#include "crash_hub.hpp"
+
+#include "log.hpp"
+#include "system.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+/// Crashes under one request come within this, and share a message.
+constexpr duration gather = duration::from_ms(10);
+/// Links may lose what was sent on them; so entries are told all again this often.
+constexpr duration tell_all_every = duration::from_ms(1500);
+/// Entries act on no fewer crashes, but for their own.
+constexpr std::size_t least_told_to_entries = 2;
+
+std::vector<crash_record> for_entries(const std::vector<crash_record>& records)
+{
+    std::vector<crash_record> told;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(told),
+                 [](const crash_record& item)
+                 {
+                     return item.cleared || item.crashes.size() >= least_told_to_entries;
+                 });
+    return told;
+}
+
+} // namespace
+
+void crash_hub::load(time_point now)
+{
+    const std::vector<crash_record> before = m_file.load(unix_ms());
+    for (const crash_record& item : before)
+    {
+        m_ledger.merge(item, now);
+    }
+    (void)m_ledger.take_changes(now);
+    log(log_level::info, "crash_records_restored", {{"items", before.size()}});
+}
+
+void crash_hub::on_news(const std::string& from, const crash_news& news, bool by_replica, time_point now)
+{
+    for (const crash_record& item : news.items)
+    {
+        if (!m_ledger.merge(item, now))
+        {
+            continue;
+        }
+        m_all.insert(item.request);
+        if (!by_replica)
+        {
+            m_own.insert(item.request);
+        }
+        m_tell_at = std::min(m_tell_at, now + gather);
+        log(log_level::info, "crash_record",
+            {{"fingerprint", item.request.str()},
+             {"from", from},
+             {"crashes", m_ledger.record_of(item.request, now).crashes.size()},
+             {"cleared", item.cleared}});
+    }
+}
+
+void crash_hub::on_reachable(const std::string& peer, time_point now)
+{
+    const std::vector<crash_record> known = m_ledger.all(1, now);
+    if (!known.empty())
+    {
+        m_links.send(peer, crash_news{known});
+    }
+}
+
+void crash_hub::tell_changes(const std::set<std::string>& replicas, const std::vector<std::string>& entries,
+                             time_point now)
+{
+    const auto records_of = [&](const std::set<request_fingerprint>& requests)
+    {
+        std::vector<crash_record> records;
+        for (const request_fingerprint& item : requests)
+        {
+            records.push_back(m_ledger.record_of(item, now));
+        }
+        return records;
+    };
+    if (!m_own.empty())
+    {
+        m_links.send(std::vector<std::string>(replicas.begin(), replicas.end()),
+                     crash_news{records_of(m_own)});
+    }
+    if (const auto told = for_entries(records_of(m_all)); !told.empty())
+    {
+        m_links.send(entries, crash_news{told});
+    }
+    m_own.clear();
+    m_all.clear();
+    m_tell_at = time_point::never();
+    (void)m_ledger.take_changes(now);
+    m_file.save(m_ledger.all(1, now), unix_ms());
+}
+
+void crash_hub::tick(const std::set<std::string>& replicas, const std::vector<std::string>& entries,
+                     time_point now)
+{
+    if (now >= m_tell_at)
+    {
+        tell_changes(replicas, entries, now);
+    }
+    if (!is_all_due(now))
+    {
+        return;
+    }
+    m_tell_all_at = now + tell_all_every;
+    m_ledger.expire(now);
+    if (const auto known = for_entries(m_ledger.all(1, now)); !known.empty())
+    {
+        m_links.send(entries, crash_news{known});
+    }
+}
+
+} // namespace flaxtiller::shell
--- a/src/shell/link_message.cpp
+++ b/src/shell/link_message.cpp
@@ -26,6 +26,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_return, number, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_request, log, action, name)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_news, items)
 
 static void to_json(nlohmann::json& j, const ask_message& value)
 {
@@ -115,7 +116,8 @@
                                             "routed_abandon",
                                             "member_request",
                                             "limit_report",
-                                            "limit_word"};
+                                            "limit_word",
+                                            "crash_news"};
     static_assert(std::size(names) == link_message_kinds);
     return names[kind];
 }
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/coordinator/peer_message.hpp>
 #include <flaxtiller/distribution/revision_update.hpp>
+#include <flaxtiller/quarantine/crash_record.hpp>
 #include <flaxtiller/quorum/message.hpp>
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
@@ -19,7 +20,7 @@
 {
 
 /// @brief The version of the protocol between our processes; a peer with another one is refused.
-inline constexpr int link_protocol_version = 6;
+inline constexpr int link_protocol_version = 7;
 
 /// @brief The first message on each link, in both directions.
 struct hello
@@ -158,12 +159,18 @@
     std::string name;
 };
 
+/// @brief Requests under which backend servers crashed: what changed, or all that the sender knows.
+struct crash_news
+{
+    std::vector<crash_record> items;
+};
+
 using link_message =
     std::variant<hello, heartbeat, quorum_envelope, ask_message, answer_message, abandon_message,
                  register_call, register_return, distribution::revision_update, distribution::revision_report,
                  distribution::revision_confirmation, incarnation_notice, registration_update,
                  registration_heard, registration_digest, control_members, entry_list, routed_ask,
-                 routed_return, routed_abandon, member_request, limit_report, limit_word>;
+                 routed_return, routed_abandon, member_request, limit_report, limit_word, crash_news>;
 
 inline constexpr std::size_t link_message_kinds = std::variant_size_v<link_message>;
 
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -27,6 +27,8 @@
                                    "foreign_answers",
                                    "connections_opened",
                                    "malformed_requests",
+                                   "requests_suspected",
+                                   "requests_quarantined",
                                    "link_messages_sent",
                                    "link_bytes_sent"};
 constexpr std::array timer_names{"query", "attempt"};
--- a/src/shell/metrics.hpp
+++ b/src/shell/metrics.hpp
@@ -34,6 +34,9 @@
         foreign_answers,
         connections_opened,
         malformed_requests,
+        /// Requests that became suspect of crashing backend servers, and those that were found to.
+        requests_suspected,
+        requests_quarantined,
         link_messages_sent,
         link_bytes_sent,
         count_,
--- a/src/shell/registration_file.cpp
+++ b/src/shell/registration_file.cpp
@@ -1,6 +1,7 @@
 #include "registration_file.hpp"
 
 #include "log.hpp"
+#include "replace_file.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -157,14 +158,12 @@
 
 std::error_code registration_file::write(const std::string& lines, bool anew)
 {
-    const std::string target = anew ? m_path + ".new" : m_path;
     if (anew)
     {
-        // What an earlier try left; that there is nothing is as good.
-        (void)m_files.remove(target);
+        return replace_file(m_files, m_path, lines);
     }
     std::error_code failed;
-    auto file = m_files.open(target, failed);
+    auto file = m_files.open(m_path, failed);
     if (!failed)
     {
         failed = file.write(lines);
@@ -173,14 +172,6 @@
     {
         failed = file.sync();
     }
-    if (!failed && anew)
-    {
-        failed = m_files.rename(target, m_path);
-    }
-    if (!failed && anew)
-    {
-        failed = m_files.sync_folder(m_path.substr(0, m_path.find_last_of('/')));
-    }
     return failed;
 }
 
--- a/src/shell/routed_codec.cpp
+++ b/src/shell/routed_codec.cpp
@@ -189,6 +189,7 @@
     case exchange_end::hung_up:
     case exchange_end::foreign:
         read.result.status = attempt_status::cut;
+        read.result.hung_up = reply.end == exchange_end::hung_up;
         return read;
     case exchange_end::replied:
         break;
--- a/src/shell/routed_front.cpp
+++ b/src/shell/routed_front.cpp
@@ -39,14 +39,14 @@
 } // namespace
 
 routed_front::routed_front(net::io_context& io, metrics& counted, const router_options& options,
-                           routed_headers names, sender send, owners_handler owners)
+                           routed_headers names, sender send, owners_handler owners, crashes_handler crashes)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
-      m_send(std::move(send)), m_owners(std::move(owners)), m_router(options), m_pools(m_strand, counted),
-      m_server(io, limits_of({}),
-               [this](const http_request& request, http_server::respond respond)
-               {
-                   on_request(request, std::move(respond));
-               })
+      m_send(std::move(send)), m_owners(std::move(owners)), m_crashes(std::move(crashes)), m_router(options),
+      m_pools(m_strand, counted), m_server(io, limits_of({}),
+                                           [this](const http_request& request, http_server::respond respond)
+                                           {
+                                               on_request(request, std::move(respond));
+                                           })
 {
 }
 
@@ -295,6 +295,7 @@
     }
     return {{"open", m_open.load()},
             {"teams", std::move(teams)},
+            {"crash_records", m_router.crashes().all(1, m_clock.now())},
             {"open_requests", m_router.open_requests()},
             {"backend_servers", m_servers.size()},
             {"running_attempts", m_attempts.size()}};
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -34,8 +34,11 @@
     /// Told with each update which other entries own shards that callers ask for; called on any thread.
     using owners_handler = std::function<void(std::set<instance_name>)>;
 
+    /// Told what changed of requests that crash backend servers; called on the front's strand.
+    using crashes_handler = std::function<void(const crash_news&)>;
+
     routed_front(boost::asio::io_context& io, metrics& counted, const router_options& options,
-                 routed_headers names, sender send, owners_handler owners);
+                 routed_headers names, sender send, owners_handler owners, crashes_handler crashes);
 
     std::error_code listen(const address& at);
 
@@ -51,6 +54,12 @@
     /// @brief A control replica's word on limits; only that of the keeper counts. Thread-safe.
     void on_limit_word(const std::string& from, const std::shared_ptr<const limit_word>& word);
 
+    /// @brief What a control replica knows of requests that crash backend servers. Thread-safe.
+    void on_crash_news(const std::string& from, const std::shared_ptr<const crash_news>& news);
+
+    /// @brief Tells the control replicas all that is known of such requests. Thread-safe.
+    void tell_all_crashes();
+
     /// @brief The control replica that keeps the limits of teams. Thread-safe.
     /// @param heard whether it was heard of just now
     void set_limit_keeper(std::string name, bool heard);
@@ -120,6 +129,8 @@
     void carry(const cancel_routed_attempt& action);
     void carry(const answer_request& action);
     void carry(const tell_progress_to_entry& action);
+    void carry(const tell_crash_records& action);
+    void carry(const note_standing& action);
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void schedule();
     void configure_pools(const placement& placed);
@@ -136,6 +147,7 @@
     const routed_codec m_codec;
     const sender m_send;
     const owners_handler m_owners;
+    const crashes_handler m_crashes;
     std::atomic<bool> m_open{false};
     std::atomic<request_number> m_next_request{1};
     // On the strand only.
--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -65,6 +65,20 @@
     return "foreign";
 }
 
+const char* name_of(crash_ledger::standing standing)
+{
+    switch (standing)
+    {
+    case crash_ledger::standing::suspect:
+        return "suspect";
+    case crash_ledger::standing::quarantined:
+        return "quarantined";
+    case crash_ledger::standing::clear:
+        break;
+    }
+    return "clear";
+}
+
 metrics::counter counter_of(const routed_outcome& outcome)
 {
     switch (outcome.end)
@@ -170,13 +184,14 @@
 {
     m_metrics.add(metrics::counter::attempts);
     const time_point now = m_clock.now();
-    if (action.ordinal > 1)
+    if (action.ordinal > 1 || action.on_trial)
     {
         log(log_level::info, "attempt_again",
             {{"request", action.sent->id},
              {"service", action.service.str()},
              {"backend_server", action.server.str()},
-             {"ordinal", action.ordinal}});
+             {"ordinal", action.ordinal},
+             {"on_trial", action.on_trial}});
     }
     const auto pool = m_pools.find(action.server);
     if (!pool)
@@ -269,6 +284,33 @@
     }
 }
 
+void routed_front::carry(const tell_crash_records& action)
+{
+    m_crashes(crash_news{action.records});
+}
+
+void routed_front::carry(const note_standing& action)
+{
+    using standing = crash_ledger::standing;
+    if (action.standing != standing::clear)
+    {
+        m_metrics.add(action.standing == standing::suspect ? metrics::counter::requests_suspected
+                                                           : metrics::counter::requests_quarantined);
+    }
+    std::vector<backend_server_name> servers;
+    for (const server_crash& crash : action.record.crashes)
+    {
+        servers.push_back(crash.server);
+    }
+    log(log_level::info, "request_standing",
+        {{"fingerprint", action.request.str()},
+         {"standing", name_of(action.standing)},
+         {"crashed", joined(servers)},
+         {"crashes", servers.size()},
+         {"last_ms_ago", action.record.age.ms()},
+         {"held", action.held}});
+}
+
 void routed_front::log_answer(const caller& from, const routed_outcome& outcome, duration took) const
 {
     log(log_level::info, "answer",
@@ -282,6 +324,7 @@
          {"missing", outcome.missing},
          {"missing_services", joined(outcome.missing_services)},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
+         {"fingerprint", outcome.crashes.empty() ? std::string() : outcome.crashes.front().request.str()},
          {"elsewhere", joined(outcome.elsewhere)},
          {"attempts", outcome.attempts},
          {"retry_after_ms", outcome.retry_after.ms()},
--- a/src/shell/routed_front_entries.cpp
+++ b/src/shell/routed_front_entries.cpp
@@ -77,6 +77,30 @@
         });
 }
 
+void routed_front::on_crash_news(const std::string& from, const std::shared_ptr<const crash_news>& news)
+{
+    net::dispatch(m_strand,
+                  [this, from, news]
+                  {
+                      log(log_level::debug, "crash_news", {{"from", from}, {"items", news->items.size()}});
+                      m_router.on_crash_records(news->items, m_clock.now());
+                      carry_out();
+                  });
+}
+
+void routed_front::tell_all_crashes()
+{
+    net::dispatch(m_strand,
+                  [this]
+                  {
+                      crash_news known{m_router.crashes().all(1, m_clock.now())};
+                      if (!known.items.empty())
+                      {
+                          m_crashes(known);
+                      }
+                  });
+}
+
 void routed_front::set_limit_keeper(std::string name, bool heard)
 {
     net::dispatch(
--- /dev/null
+++ b/tests/src/router_driver.hpp
@@ -0,0 +1,314 @@
+#pragma once
+
+#include <flaxtiller/routing/router.hpp>
+#include <flaxtiller/routing/top_records.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace flaxtiller::test
+{
+
+using dispatch::attempt_result;
+using dispatch::attempt_status;
+
+inline route fan_out_over(int services, double least_share)
+{
+    route item;
+    item.name = "all";
+    item.host = "h";
+    item.path_prefix = "/all/";
+    item.timeout = duration::from_ms(500);
+    item.objective = duration::from_ms(100);
+    item.least_share = least_share;
+    item.top_records = 2;
+    for (int i = 0; i < services; ++i)
+    {
+        item.fan_out.emplace_back("s" + std::to_string(i));
+    }
+    return item;
+}
+
+/// Drives a router by hand in virtual time.
+class router_driver
+{
+  public:
+    explicit router_driver(router_options options = {}) : m_router(options)
+    {
+    }
+
+    void serve(std::map<std::string, route> routes, int services, int replicas = 2)
+    {
+        auto placed = std::make_shared<placement>();
+        placed->revision = ++m_revision;
+        for (int i = 0; i < services; ++i)
+        {
+            placed_service item;
+            item.definition.name = service_name("s" + std::to_string(i));
+            item.shards.resize(1);
+            for (int k = 0; k < replicas; ++k)
+            {
+                backend_server server;
+                server.name = backend_server_name(item.definition.name.str() + "-" + std::to_string(k));
+                server.slots = 2;
+                server.connection_limit = 30;
+                server.availability_zone = i < near_services ? "near-zone" : "far-zone";
+                if (k + 1 == replicas && !last_replica_zone.empty())
+                {
+                    server.availability_zone = last_replica_zone;
+                }
+                item.shards[0].push_back(server);
+            }
+            placed->services.emplace(item.definition.name, item);
+        }
+        routing_view view;
+        view.placed = placed;
+        view.routes = std::make_shared<const route_table>(routes);
+        view.region = region;
+        view.region_of_zone = std::map<std::string, std::string>{{"near-zone", "near"}, {"far-zone", "far"}};
+        view.peers = peers;
+        m_router.configure(view, now);
+        take();
+    }
+
+    request_number ask(const std::string& target, double patience_ms = 1000.0)
+    {
+        auto request = std::make_shared<routed_request>();
+        request->id = "r" + std::to_string(++m_number);
+        request->host = "h";
+        request->target = target;
+        request->patience = duration::from_ms(patience_ms);
+        m_router.arrive(m_number, request, now);
+        take();
+        return m_number;
+    }
+
+    /// @return how a request that another entry asks for by this list of shards ends if nothing is answered
+    routed_end ask_as_peer(const std::string& target, bool same_shards)
+    {
+        const request_number number = arrive_as_peer(target, same_shards);
+        pass(200);
+        return answers.at(number).end;
+    }
+
+    request_number arrive_as_peer(const std::string& target, bool same_shards, bool again = false)
+    {
+        auto request = std::make_shared<routed_request>();
+        request->host = "h";
+        request->target = target;
+        request->patience = duration::from_ms(100);
+        request->asked_list = list_id(fan_out_over(4, 0.0).fan_out) + (same_shards ? 0 : 2);
+        request->asked_shards = {1, 2};
+        for (const std::string& name : designated)
+        {
+            request->designated.emplace_back(name);
+        }
+        request->answer_within = duration::from_ms(50);
+        request->progress_within = duration::from_ms(20);
+        request->asked_again = again;
+        const request_number number = ++m_number;
+        m_router.arrive(number, request, now);
+        take();
+        return number;
+    }
+
+    void pass(double ms)
+    {
+        const time_point until = now + duration::from_ms(ms);
+        while (m_router.next_time() <= until)
+        {
+            now = std::max(now, m_router.next_time());
+            m_router.on_time(now);
+            take();
+        }
+        now = until;
+    }
+
+    time_point next_time() const
+    {
+        return m_router.next_time();
+    }
+
+    void answer_all()
+    {
+        m_router.answer_all();
+        take();
+    }
+
+    void gone(request_number number)
+    {
+        m_router.caller_gone(number, now);
+        take();
+    }
+
+    /// Ends the oldest attempt on @a service.
+    void end(const std::string& service, attempt_status status, int http_status = 200, bool hung_up = false)
+    {
+        const auto found = std::find_if(started.begin(), started.end(),
+                                        [&](const start_routed_attempt& item)
+                                        {
+                                            return item.service.str() == service;
+                                        });
+        REQUIRE(found != started.end());
+        const start_routed_attempt ended = *found;
+        started.erase(found);
+        std::shared_ptr<backend_answer> answer;
+        const bool whole = status == attempt_status::answered || http_status >= 500;
+        if (whole)
+        {
+            answer = std::make_shared<backend_answer>();
+            answer->status = http_status;
+            answer->signature = "by-" + ended.server.str();
+            answer->body = std::string(record_bytes, service.back());
+        }
+        attempt_result result;
+        result.status = status;
+        result.hung_up = hung_up;
+        m_router.attempt_ended(ended.attempt, result, answer, now);
+        take();
+    }
+
+    /// The backend server of the oldest attempt on @a service crashes.
+    void crash(const std::string& service)
+    {
+        end(service, attempt_status::cut, 0, true);
+    }
+
+    void told(const std::vector<crash_record>& records)
+    {
+        m_router.on_crash_records(records, now);
+        take();
+    }
+
+    int running(const std::string& service) const
+    {
+        return static_cast<int>(std::count_if(started.begin(), started.end(),
+                                              [&](const start_routed_attempt& item)
+                                              {
+                                                  return item.service.str() == service;
+                                              }));
+    }
+
+    /// @param told how many of the last parts were told before
+    void returned(const ask_entry& asked, routed_end end, std::size_t missing = 0, std::size_t told = 0)
+    {
+        routed_outcome outcome;
+        outcome.end = end;
+        outcome.missing_shards.assign(asked.shards.begin(),
+                                      asked.shards.begin() + static_cast<std::ptrdiff_t>(missing));
+        for (std::size_t i = missing; i < asked.shards.size() - told; ++i)
+        {
+            outcome.signatures.push_back("by-s" + std::to_string(asked.shards[i]));
+            outcome.merged += std::string(record_bytes, static_cast<char>('z' - i));
+        }
+        m_router.entry_answered(asked.peer, asked.number, outcome, now);
+        take();
+    }
+
+    void failed_by_crashes(const ask_entry& asked, const crash_record& record)
+    {
+        routed_outcome outcome;
+        outcome.end = routed_end::failed;
+        outcome.crashes = {record};
+        m_router.entry_answered(asked.peer, asked.number, outcome, now);
+        take();
+    }
+
+    void told_progress(const ask_entry& asked, std::size_t missing)
+    {
+        routed_outcome outcome;
+        outcome.end = routed_end::merged;
+        outcome.is_progress = true;
+        outcome.missing_shards.assign(asked.shards.begin(),
+                                      asked.shards.begin() + static_cast<std::ptrdiff_t>(missing));
+        for (std::size_t i = missing; i < asked.shards.size(); ++i)
+        {
+            outcome.signatures.push_back("by-s" + std::to_string(asked.shards[i]));
+        }
+        m_router.entry_answered(asked.peer, asked.number, outcome, now);
+        take();
+    }
+
+    void lose(const instance_name& peer)
+    {
+        m_router.entry_lost(peer, now);
+        take();
+    }
+
+    std::string region = "near";
+    int near_services = 0;
+    /// What an entry that asks designates.
+    std::vector<std::string> designated;
+    /// Where the last replica of each service stands, if elsewhere than the others.
+    std::string last_replica_zone;
+    std::vector<entry_peer> peers;
+    time_point now{duration::from_ms(1000)};
+    std::vector<start_routed_attempt> started;
+    std::vector<routed_attempt_number> cancelled;
+    std::vector<ask_entry> sent_away;
+    std::vector<abandon_at_entry> abandoned;
+    std::map<request_number, routed_outcome> progress;
+    std::map<request_number, routed_outcome> answers;
+    /// What was told to the control replicas.
+    std::vector<crash_record> crashes;
+
+  private:
+    void take()
+    {
+        for (const router_action& action : m_router.take_actions())
+        {
+            if (const auto* start = std::get_if<start_routed_attempt>(&action))
+            {
+                started.push_back(*start);
+            }
+            else if (const auto* cancel = std::get_if<cancel_routed_attempt>(&action))
+            {
+                cancelled.push_back(cancel->attempt);
+            }
+            else if (const auto* ask = std::get_if<ask_entry>(&action))
+            {
+                sent_away.push_back(*ask);
+            }
+            else if (const auto* abandon = std::get_if<abandon_at_entry>(&action))
+            {
+                abandoned.push_back(*abandon);
+            }
+            else if (const auto* so_far = std::get_if<tell_progress_to_entry>(&action))
+            {
+                progress[so_far->request] = so_far->outcome;
+            }
+            else if (const auto* crashed = std::get_if<tell_crash_records>(&action))
+            {
+                crashes.insert(crashes.end(), crashed->records.begin(), crashed->records.end());
+            }
+            else if (const auto* final_one = std::get_if<answer_request>(&action))
+            {
+                // Exactly one final answer.
+                REQUIRE(answers.emplace(final_one->request, final_one->outcome).second);
+            }
+        }
+    }
+
+    router m_router;
+    request_number m_number = 0;
+    std::int64_t m_revision = 0;
+};
+
+inline route single(bool repeatable)
+{
+    route item;
+    item.name = "one";
+    item.host = "h";
+    item.path_prefix = "/one/";
+    item.timeout = duration::from_ms(500);
+    item.repeatable = repeatable;
+    item.targets = {{service_name("s0"), 1}};
+    return item;
+}
+
+} // namespace flaxtiller::test
--- a/tests/src/unit-allowed-regions.cpp
+++ b/tests/src/unit-allowed-regions.cpp
@@ -386,6 +386,7 @@
                         : luck == 2 ? attempt_status::shed
                         : luck == 3 ? attempt_status::unreachable
                                     : attempt_status::answered;
+        result.hung_up = luck == 1;
         auto answer = std::make_shared<backend_answer>();
         answer->status = 200;
         answer->signature = action.server.str();
@@ -398,6 +399,26 @@
              });
     }
 
+    void carry(const instance_name& at, const tell_crash_records& action)
+    {
+        for (const auto& item : m_entries)
+        {
+            if (item.first != at)
+            {
+                send(duration::from_ms(drawn(1, 20)),
+                     [this, to = item.first, records = action.records]
+                     {
+                         m_entries.at(to).decides.on_crash_records(records, m_now);
+                         take(to);
+                     });
+            }
+        }
+    }
+
+    void carry(const instance_name&, const note_standing&)
+    {
+    }
+
     void carry(const instance_name& at, const ask_entry& action)
     {
         ++m_asks;
