An entry that was asked for shards is told when its answer isn't awaited any more

Cause: an entry that answered a fan-out forgot what it had asked other entries for without a word, and they went on sending further and late attempts until their own deadline. Class: work that outlives its purpose.

Now they are told. What runs there ends by itself, as what an entry runs for its own callers does; nothing further is started. A caller that goes away stops it, as before. Its late answer, which was thrown away, isn't sent between regions any more.

The new test cases fail without the message (2 of 3 sections: 0 == 1 abandoned).

--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -44,6 +44,10 @@
     /// @brief A caller went away: its attempts are stopped and nothing is answered.
     void caller_gone(request_number number, time_point now);
 
+    /// @brief The entry that asked has answered without it: nothing further is started for it, and nothing
+    /// answered.
+    void no_longer_awaited(request_number number);
+
     /// @brief An attempt ended.
     /// @param answer the whole answer, if one came, be it a success or a failure
     void attempt_ended(routed_attempt_number attempt, const dispatch::attempt_result& result,
@@ -323,6 +327,8 @@
     void release(request_number number, time_point now);
     void end_trial(dispatch::subquery_id subquery, time_point now);
     void forget_held(request_number number);
+    void abandon_asks(const open_request& opened, bool stops);
+    void detach_parts(const open_request& opened);
     void settle_held(time_point now);
     void end_quarantined(time_point now);
     void try_next(time_point now);
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -88,6 +88,8 @@
 {
     ask_number number = 0;
     instance_name peer;
+    /// Whether what runs is stopped, too, as its caller has gone; else it ends by itself.
+    bool stops = false;
 };
 
 /// @brief Tell the control replicas what changed of requests that crash backend servers.
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -231,22 +231,9 @@
         outcome.missing_services.push_back(opened.by->fan_out.at(shard));
     }
     outcome.reason = opened.reason;
-    for (const group& asked : opened.groups)
-    {
-        for (const ask& sent : asked.asks)
-        {
-            m_asks.erase(sent.number);
-        }
-    }
+    abandon_asks(opened, false);
     m_timers.erase({opened.timer_at, number});
-    for (const part& asked : opened.parts)
-    {
-        if (!asked.over && asked.subquery != 0)
-        {
-            m_origins.erase(asked.subquery);
-            detach(asked);
-        }
-    }
+    detach_parts(opened);
     if (opened.request->is_asked())
     {
         // The entry that asked may ask another one else, and doesn't know yet.
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -385,6 +385,44 @@
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
+void router::abandon_asks(const open_request& opened, bool stops)
+{
+    for (const group& asked : opened.groups)
+    {
+        for (const ask& sent : asked.asks)
+        {
+            if (m_asks.erase(sent.number) > 0)
+            {
+                m_actions.emplace_back(abandon_at_entry{sent.number, sent.peer, stops});
+            }
+        }
+    }
+}
+
+void router::detach_parts(const open_request& opened)
+{
+    for (const part& asked : opened.parts)
+    {
+        if (!asked.over && asked.subquery != 0)
+        {
+            m_origins.erase(asked.subquery);
+            detach(asked);
+        }
+    }
+}
+
+void router::no_longer_awaited(request_number number)
+{
+    const auto found = m_open.find(number);
+    if (found != m_open.end())
+    {
+        m_timers.erase({found->second.timer_at, number});
+        detach_parts(found->second);
+        m_open.erase(found);
+        forget_held(number);
+    }
+}
+
 void router::caller_gone(request_number number, time_point now)
 {
     const auto found = m_open.find(number);
@@ -396,16 +434,7 @@
     m_timers.erase({opened.timer_at, number});
     m_open.erase(found);
     forget_held(number);
-    for (const group& asked : opened.groups)
-    {
-        for (const ask& sent : asked.asks)
-        {
-            if (m_asks.erase(sent.number) > 0)
-            {
-                m_actions.emplace_back(abandon_at_entry{sent.number, sent.peer});
-            }
-        }
-    }
+    abandon_asks(opened, true);
     for (const part& asked : opened.parts)
     {
         m_origins.erase(asked.subquery);
--- a/src/shell/link_message.cpp
+++ b/src/shell/link_message.cpp
@@ -24,7 +24,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_list, whole, items, gone)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_ask, number, request)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_return, number, outcome)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number, stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_request, log, action, name)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_news, items)
 
--- a/src/shell/link_message.hpp
+++ b/src/shell/link_message.hpp
@@ -148,6 +148,8 @@
 struct routed_abandon
 {
     ask_number number = 0;
+    /// Whether what runs is stopped, too.
+    bool stops = false;
 };
 
 /// @brief An operator's change of one log's members, passed on to that log's leader.
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -122,6 +122,7 @@
     void carry(const report_use& action);
     void log_over_limit(const turn_away_request& action) const;
     void on_gone(request_number number);
+    void on_no_longer_awaited(request_number number);
     void carry_out();
     void carry(const ask_entry& action);
     void carry(const abandon_at_entry& action);
--- a/src/shell/routed_front_entries.cpp
+++ b/src/shell/routed_front_entries.cpp
@@ -50,16 +50,30 @@
 void routed_front::on_abandon(const std::string& from, const routed_abandon& abandoned)
 {
     net::dispatch(m_strand,
-                  [this, from, number = abandoned.number]
+                  [this, from, abandoned]
                   {
-                      const auto found = m_asked.find({from, number});
-                      if (found != m_asked.end())
+                      const auto found = m_asked.find({from, abandoned.number});
+                      if (found == m_asked.end())
                       {
-                          on_gone(found->second);
+                          return;
                       }
+                      abandoned.stops ? on_gone(found->second) : on_no_longer_awaited(found->second);
                   });
 }
 
+void routed_front::on_no_longer_awaited(request_number number)
+{
+    const auto found = m_callers.find(number);
+    log(log_level::info, "no_longer_awaited",
+        {{"request", found->second.id},
+         {"asked_by", found->second.asked_by},
+         {"after_ms", (m_clock.now() - found->second.arrived).ms()}});
+    m_asked.erase({found->second.asked_by, found->second.asked_number});
+    m_callers.erase(found);
+    m_router.no_longer_awaited(number);
+    carry_out();
+}
+
 void routed_front::on_limit_word(const std::string& from, const std::shared_ptr<const limit_word>& word)
 {
     net::dispatch(
@@ -153,7 +167,7 @@
 
 void routed_front::carry(const abandon_at_entry& action)
 {
-    m_send(action.peer.str(), routed_abandon{action.number});
+    m_send(action.peer.str(), routed_abandon{action.number, action.stops});
 }
 
 } // namespace flaxtiller::shell
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -146,6 +146,12 @@
         take();
     }
 
+    void no_longer_awaited(request_number number)
+    {
+        m_router.no_longer_awaited(number);
+        take();
+    }
+
     /// Ends the oldest attempt on @a service.
     void end(const std::string& service, attempt_status status, int http_status = 200, bool hung_up = false)
     {
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -473,6 +473,62 @@
     }
 }
 
+TEST_CASE("what other entries still run for a request is abandoned once it is answered", "[router]")
+{
+    router_driver driver;
+    driver.near_services = 2;
+    driver.peers = {{instance_name("f1"), "far", "far-zone", ""},
+                    {instance_name("f2"), "far", "far-zone", ""}};
+    driver.serve({{"all", fan_out_over(4, 0.75)}}, 4);
+    const request_number asked = driver.ask("/all/x");
+    REQUIRE(driver.sent_away.size() == 1);
+
+    SECTION("as it has failed")
+    {
+        for (int i = 0; i < 2; ++i)
+        {
+            driver.end("s0", attempt_status::cut);
+            driver.end("s1", attempt_status::cut);
+        }
+        REQUIRE(driver.answers.at(asked).end == routed_end::failed);
+        REQUIRE(driver.abandoned.size() == 1);
+        CHECK(driver.abandoned[0].number == driver.sent_away[0].number);
+        CHECK_FALSE(driver.abandoned[0].stops);
+    }
+    SECTION("with what was in at the objective")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.end("s1", attempt_status::answered);
+        driver.told_progress(driver.sent_away[0], 1);
+        driver.pass(90);
+        REQUIRE(driver.answers.at(asked).end == routed_end::merged);
+        CHECK(driver.abandoned.size() == 1);
+    }
+    SECTION("but not where all of it has come")
+    {
+        driver.end("s0", attempt_status::answered);
+        driver.end("s1", attempt_status::answered);
+        driver.returned(driver.sent_away[0], routed_end::merged);
+        REQUIRE(driver.answers.at(asked).end == routed_end::merged);
+        CHECK(driver.abandoned.empty());
+    }
+}
+
+TEST_CASE("what an entry runs for another one that no longer awaits it gets no further attempt", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(4, 0.5)}}, 4);
+    const request_number number = driver.arrive_as_peer("/all/x", true);
+    REQUIRE(driver.started.size() == 2);
+    driver.no_longer_awaited(number);
+    CHECK(driver.cancelled.empty());
+    driver.end("s1", attempt_status::cut);
+    driver.end("s2", attempt_status::answered);
+    driver.pass(200);
+    CHECK(driver.started.empty());
+    CHECK(driver.answers.empty());
+}
+
 TEST_CASE("a view costs what changed since the one before", "[router]")
 {
     for (const int services : {30, 300, 3300})
