--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -17,13 +17,6 @@
 /// @brief Identity of an attempt: one sending of a subquery to one backend server.
 using attempt_id = std::uint64_t;
 
-/// @brief What the parts of one fan-out know of one another.
-struct fan_out_progress
-{
-    /// Whether some part was answered.
-    bool any_answered = false;
-};
-
 /// @brief One shard's part of a query, to be run on one of the shard's backend servers.
 struct subquery
 {
@@ -42,9 +35,6 @@
     /// server and at most one other, and the one that runs it again only this one. Together they stay within
     /// two.
     backend_server_name designated;
-    /// Set for a part of a fan-out. While none of them is answered, what makes this one late is the request
-    /// rather than the backend server, and it isn't sent to a second one.
-    std::shared_ptr<const fan_out_progress> fan_out;
     /// Whether it is held from the start; see scheduler::hold.
     bool held = false;
     /// The regions whose backend servers it may be sent to; null for all.
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -16,10 +16,6 @@
 {
 
 constexpr double ms_per_s = 1000.0;
-/// A late attempt that must wait for another one's answer is looked at again after this share of its limit.
-constexpr double look_again_share = 0.1;
-/// It waits no longer than this multiple of its limit.
-constexpr double most_late_limits = 4.0;
 
 } // namespace
 
@@ -346,11 +342,9 @@
         // Its deadline's own timer is next; this process was stopped for a while.
         return;
     }
-    const bool all_wait = item.wanted.fan_out && !item.wanted.fan_out->any_answered &&
-                          now - late.started_at < limit * most_late_limits;
-    if (item.held || all_wait)
+    if (item.held)
     {
-        arm_late(id, item, now + limit * look_again_share);
+        arm_late(id, item, now + limit);
         return;
     }
     if (item.queued || item.attempts >= m_options.most_attempts || !has_attempts_left(item) ||
