Of a fan-out of which nothing is answered, at most three late parts go to a second backend server

Cause: lateness is judged by the backend server's usual times, though with no part answered it may well be the request that is slow.

Test: a slow fan-out of six reaches 9 backend servers before any answers, 12 before.

--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -17,6 +17,15 @@
 /// @brief Identity of an attempt: one sending of a subquery to one backend server.
 using attempt_id = std::uint64_t;
 
+/// @brief What the parts of one fan-out know of one another.
+struct fan_out_progress
+{
+    /// Whether some part was answered.
+    bool any_answered = false;
+    /// Late parts that were sent to a second backend server.
+    int sent_again = 0;
+};
+
 /// @brief One shard's part of a query, to be run on one of the shard's backend servers.
 struct subquery
 {
@@ -35,6 +44,9 @@
     /// server and at most one other, and the one that runs it again only this one. Together they stay within
     /// two.
     backend_server_name designated;
+    /// Set for a part of a fan-out. While none of them is answered, it may be the request that is slow rather
+    /// than the backend servers, so that only a few late parts are sent to a second one.
+    std::shared_ptr<fan_out_progress> fan_out;
     /// Whether it is held from the start; see scheduler::hold.
     bool held = false;
     /// The regions whose backend servers it may be sent to; null for all.
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -214,6 +214,8 @@
         time_point timer_at;
         std::vector<part> parts;
         std::vector<group> groups;
+        /// Shared by the parts that are run here; null where these are too few to tell anything.
+        std::shared_ptr<dispatch::fan_out_progress> progress{};
         int in = 0;
         int missing = 0;
         int attempts = 0;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -16,6 +16,10 @@
 {
 
 constexpr double ms_per_s = 1000.0;
+/// A late attempt that must wait for another one's answer is looked at again after this share of its limit.
+constexpr double look_again_share = 0.1;
+/// So many late parts of a fan-out go elsewhere before any part of it is answered.
+constexpr int most_before_an_answer = 3;
 
 } // namespace
 
@@ -342,9 +346,11 @@
         // Its deadline's own timer is next; this process was stopped for a while.
         return;
     }
-    if (item.held)
+    const bool waits = item.wanted.fan_out && !item.wanted.fan_out->any_answered &&
+                       item.wanted.fan_out->sent_again >= most_before_an_answer;
+    if (item.held || waits)
     {
-        arm_late(id, item, now + limit);
+        arm_late(id, item, now + limit * look_again_share);
         return;
     }
     if (item.queued || item.attempts >= m_options.most_attempts || !has_attempts_left(item) ||
@@ -362,6 +368,10 @@
         arm_late(id, item, now + limit);
         return;
     }
+    if (item.wanted.fan_out)
+    {
+        ++item.wanted.fan_out->sent_again;
+    }
     if (elsewhere)
     {
         start(item, *elsewhere, now);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -17,6 +17,8 @@
 constexpr double unknown_allowance = 0.01;
 /// Half of the slack may be spent at once, and half comes with time: no window sees more than all of it.
 constexpr double at_once = 0.5;
+/// With fewer parts all may well be on backend servers that are slow just now.
+constexpr std::size_t enough_to_compare = 4;
 
 } // namespace
 
@@ -215,6 +217,10 @@
 {
     open_request& opened = m_open.at(number);
     const double size = m_sizes.size_of(opened.by->name, opened.list);
+    if (wanted.size() >= enough_to_compare)
+    {
+        opened.progress = std::make_shared<dispatch::fan_out_progress>();
+    }
     std::vector<lane_index> lanes;
     for (const std::size_t at : wanted)
     {
@@ -275,7 +281,12 @@
     const auto whose = m_origins.find(ended.subquery);
     if (whose != m_origins.end() && answer)
     {
-        m_open.at(whose->second.request).parts[whose->second.part].answer = std::move(answer);
+        open_request& opened = m_open.at(whose->second.request);
+        opened.parts[whose->second.part].answer = std::move(answer);
+        if (opened.progress && result.status == dispatch::attempt_status::answered)
+        {
+            opened.progress->any_answered = true;
+        }
     }
     const auto at = m_lanes.find(ended.at);
     if (at != m_lanes.end())
--- a/src/routing/router_groups.cpp
+++ b/src/routing/router_groups.cpp
@@ -382,6 +382,7 @@
     asked.regions = opened.regions;
     asked.size = size;
     asked.held = opened.held;
+    asked.fan_out = opened.progress;
     m_lanes.at(wanted.at).scheduler.submit(asked, now);
 }
 
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -473,6 +473,21 @@
     }
 }
 
+TEST_CASE("a fan-out of which nothing is answered is sent to few second backend servers", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"all", fan_out_over(6, 0.75)}}, 6);
+    // For the allowance to grow.
+    driver.pass(10000);
+    driver.ask("/all/slow");
+    REQUIRE(driver.started.size() == 6);
+    driver.pass(60);
+    CHECK(driver.started.size() == 9);
+    driver.end("s0", attempt_status::answered);
+    driver.pass(15);
+    CHECK(driver.started.size() > 9);
+}
+
 TEST_CASE("what other entries still run for a request is abandoned once it is answered", "[router]")
 {
     router_driver driver;
