Leases and deadlines count the time for which a machine was suspended

What would be seen: a leader whose machine is suspended, cut off and woken answers a read of the configuration with an older revision (CONFIG), for as long as its lease still had. Cause: the steady clock stands still meanwhile, the others' clocks don't. Class: a lease measured by a clock that may stop.

Time is read from CLOCK_BOOTTIME now. Timers still don't count a suspension: processes notice it (was_suspended), and entries do at once what was due.

--- a/include/flaxtiller/core/clock.hpp
+++ b/include/flaxtiller/core/clock.hpp
@@ -2,8 +2,8 @@
 
 #include <flaxtiller/core/time_point.hpp>
 
-#include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace flaxtiller
 {
@@ -17,16 +17,20 @@
     // clang-format on
 };
 
-/// @brief The machine's monotonic clock.
+/// @brief The machine's monotonic clock. It goes on while the machine is suspended, as the leases and
+/// deadlines that other machines count do; the standard library's steady clock stands still then.
 class monotonic_clock
 {
   public:
     /// @return the present moment; never goes back, also when the wall clock is set
     time_point now() const noexcept
     {
-        const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-        const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since_start).count();
-        return time_point(duration::from_us(us));
+        constexpr std::int64_t us_per_s = 1000000;
+        constexpr std::int64_t ns_per_us = 1000;
+        timespec since_boot{};
+        // It fails for no clock that the kernel has.
+        (void)::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+        return time_point(duration::from_us(since_boot.tv_sec * us_per_s + since_boot.tv_nsec / ns_per_us));
     }
 };
 
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -287,6 +287,10 @@
 void control_process::implementation::tick()
 {
     const time_point now = clock.now();
+    if (const duration span = suspensions.since_last(); span > duration{})
+    {
+        log(log_level::warning, "was_suspended", {{"for_ms", span.ms()}});
+    }
     if (now >= tick_links_at)
     {
         tick_links_at = now + tick_links_every;
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -7,6 +7,7 @@
 #include "shell/log.hpp"
 #include "shell/peer_links.hpp"
 #include "shell/registration_hub.hpp"
+#include "shell/suspension_watch.hpp"
 #include "shell/system.hpp"
 
 #include <flaxtiller/catalog/catalog_state.hpp>
@@ -139,6 +140,7 @@
     time_point tick_links_at{};
     /// The replicas that the hub was told of and that were linked to last.
     std::set<std::string> linked;
+    suspension_watch suspensions;
     bool pump_posted = false;
     /// Whether the catalog's replica gave no vote yet, when last looked at.
     bool awaits_lease = false;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -9,6 +9,7 @@
 #include "shell/register_client.hpp"
 #include "shell/routed_front.hpp"
 #include "shell/service_lane.hpp"
+#include "shell/suspension_watch.hpp"
 #include "shell/system.hpp"
 #include "shell/trace_writer.hpp"
 
@@ -150,6 +151,7 @@
     bool answered_all = false;
     /// New connections may come until then: the balancer needs to notice.
     time_point drained_at_least{};
+    suspension_watch suspensions;
     std::set<std::string> reachable;
     control_directory control;
     const shared_value<std::map<std::string, std::string>> region_of_zone;
@@ -298,6 +300,9 @@
 
     // ------------------------------------------------------------------ life
 
+    /// After a suspension, what was due meanwhile is done at once, before its timers go off.
+    void check_suspension();
+
     /// @brief Does @a work once, unless the timer is stopped or set anew before.
     template <typename Work>
     void after(net::steady_timer& timer, duration pause, Work work)
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -75,6 +75,24 @@
         });
 }
 
+void entry_process::implementation::check_suspension()
+{
+    const duration span = suspensions.since_last();
+    if (span == duration{})
+    {
+        return;
+    }
+    log(log_level::warning, "was_suspended", {{"for_ms", span.ms()}});
+    if (routed)
+    {
+        routed->catch_up();
+    }
+    for (const auto& [service, lane] : table.load()->lanes)
+    {
+        lane->post(time_passed{});
+    }
+}
+
 void entry_process::implementation::drain()
 {
     draining = true;
@@ -184,6 +202,7 @@
         },
         [&self]
         {
+            self.check_suspension();
             self.links.tick();
         });
     self.repeat(self.report_timer, self.settings.report_every,
--- a/src/shell/routed_front.hpp
+++ b/src/shell/routed_front.hpp
@@ -79,6 +79,9 @@
     /// @brief Gives every open request its final answer, before this process ends.
     void answer_all();
 
+    /// @brief Does what is due, whatever the timers say. Thread-safe.
+    void catch_up();
+
     /// @return requests that aren't replied to yet
     std::size_t in_flight() const noexcept;
 
@@ -133,6 +136,7 @@
     void carry(const tell_crash_records& action);
     void carry(const note_standing& action);
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
+    void on_time();
     void schedule();
     void configure_pools(const placement& placed);
     void configure_pool(const backend_server& server, int sharers);
--- a/src/shell/routed_front_actions.cpp
+++ b/src/shell/routed_front_actions.cpp
@@ -351,12 +351,26 @@
         {
             if (!stopped && m_timer_at == next)
             {
-                m_timer_at = time_point::never();
-                m_admission.on_time(m_clock.now());
-                m_router.on_time(m_clock.now());
-                carry_out();
+                on_time();
             }
         });
 }
 
+void routed_front::on_time()
+{
+    m_timer_at = time_point::never();
+    m_admission.on_time(m_clock.now());
+    m_router.on_time(m_clock.now());
+    carry_out();
+}
+
+void routed_front::catch_up()
+{
+    net::dispatch(m_strand,
+                  [this]
+                  {
+                      on_time();
+                  });
+}
+
 } // namespace flaxtiller::shell
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -7,6 +7,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -15,6 +16,7 @@
 BUILD = os.environ.get("FLAXTILLER_BUILD", os.path.join(ROOT, "build"))
 FLAXTILLER = os.path.join(BUILD, "flaxtiller")
 STAND_IN = os.path.join(BUILD, "stand_in")
+SUSPENSION = os.path.join(BUILD, "libsuspension.so")
 
 # Bounds on waiting for what must come; generous, since a busy machine must not change a verdict.
 PATIENCE_S = 30.0
@@ -88,12 +90,37 @@
         self.arguments = arguments
         self.log = log
         self.handle = None
+        self.clock_file, self.suspended_ms, self.frozen_at = None, 0, None
 
     def start(self):
+        environment = dict(os.environ)
+        if self.clock_file:
+            environment.update({"LD_PRELOAD": SUSPENSION, "SUSPENSION_FILE": self.clock_file})
         with open(self.log, "ab") as log:
-            self.handle = subprocess.Popen(self.arguments, stdout=log, stderr=log)
+            self.handle = subprocess.Popen(self.arguments, stdout=log, stderr=log, env=environment)
         return self
 
+    def may_be_suspended(self):
+        """To be called before the process starts."""
+        self.clock_file = self.log + ".suspended"
+        self.write_suspended()
+        return self
+
+    def write_suspended(self):
+        with open(self.clock_file, "wb") as file:
+            file.write(struct.pack("q", self.suspended_ms))
+
+    def suspend(self):
+        """As a machine that is suspended: it stands still, and its steady clock with it."""
+        self.frozen_at = time.monotonic()
+        self.freeze()
+
+    def resume(self):
+        self.suspended_ms += int((time.monotonic() - self.frozen_at) * 1000)
+        with open(self.clock_file, "r+b") as file:
+            file.write(struct.pack("q", self.suspended_ms))
+        self.thaw()
+
     def signal(self, number):
         os.kill(self.handle.pid, number)
 
@@ -120,7 +147,7 @@
     """Control replicas, entries and stand-in backend servers in a temporary folder."""
 
     def __init__(self, controls=1, entries=2, shards=3, replicas=2, behaviour=None, relays=False, drain_ms=5000,
-                 connection_limit=25):
+                 connection_limit=25, suspendable=False):
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-")
         self.processes = []
         self.ports = {}
@@ -129,6 +156,7 @@
         self.behaviour = behaviour or {}
         self.drain_ms = drain_ms
         self.connection_limit = connection_limit
+        self.suspendable = suspendable
         self.relays = {}
         self.control_names = ["c%d" % i for i in range(1, controls + 1)]
         self.entry_names = ["e%d" % i for i in range(1, entries + 1)]
@@ -158,7 +186,7 @@
         process = Process(name, arguments, os.path.join(self.folder, name + ".log"))
         self.processes.append(process)
         self.by_name[name] = process
-        return process
+        return process.may_be_suspended() if self.suspendable else process
 
     def start_relays(self):
         """One relay for each ordered pair of control replicas, so that each direction can be cut."""
--- a/tests/faults/test_control.py
+++ b/tests/faults/test_control.py
@@ -113,6 +113,24 @@
                 self.assertGreaterEqual(answer["revision"], 2)
             time.sleep(0.01)
 
+    def test_suspended_leader_does_not_answer_on_waking(self):
+        # Cut off, so that no other's word, but its own clock alone tells it of the time that has passed.
+        cluster = self.controls(suspendable=True, relays=True)
+        cluster.apply("a", 0, patch(1), "patch")
+        old = cluster.leader()
+        cluster.by_name[old].suspend()
+        cluster.cut(old)
+        others = [name for name in cluster.control_names if name != old]
+        eventually("another leads", lambda: any(
+            call(cluster.ports[name]["operators"], "GET", "/status", timeout=1)[0] == 200 for name in others))
+        self.assertEqual(cluster.apply("b", 1, patch(2), "patch")["revision"], 2)
+        cluster.by_name[old].resume()
+        for _ in range(30):
+            status, answer = call(cluster.ports[old]["operators"], "GET", "/configuration")
+            if status == 200:
+                self.assertGreaterEqual(answer["revision"], 2)
+            time.sleep(0.01)
+
     def test_wiped_disk_then_second_loss(self):
         cluster = self.controls()
         for i in range(20):
