--- a/tests/faults/test_crashing_request.py
+++ b/tests/faults/test_crashing_request.py
@@ -59,8 +59,12 @@
 
 
 class CrashingRequestTest(unittest.TestCase):
-    def play(self, shards=3, replicas=2, entries=3):
+    def play(self, shards=3, replicas=2, entries=3, suspendable=False):
         platform = Platform(entries=entries)
+        if suspendable:
+            for machine in platform.machines:
+                for process in machine.processes.values():
+                    process.may_be_suspended()
         platform.deadly = DeadlyLog()
         platform.__enter__()
         self.addCleanup(platform.__exit__)
@@ -130,6 +134,39 @@
         self.check_contained(platform, path)
         self.assertLessEqual(len(platform.deadly.crashes) - before, 1)
 
+    def test_a_crashing_request_is_known_after_a_disk_was_lost_and_all_others_lost_power(self):
+        platform = self.play()
+        path = "/all/" + DEADLY
+        self.send_copies(platform, path, platform.machines[:1], CONTACT_S + 2)
+        for machine in platform.machines:
+            for process in machine.processes.values():
+                process.signal(signal.SIGKILL)
+                process.handle.wait(30)
+        platform.machines[0].wipe()
+        for machine in platform.machines:
+            for role in machine.processes:
+                machine.start(role)
+        self.await_service(platform)
+        time.sleep(CONTACT_S)
+        before = len(platform.deadly.arrivals)
+        self.send_copies(platform, path, platform.machines, CONTACT_S)
+        self.assertEqual(len(platform.deadly.arrivals), before)
+
+    def test_a_crashing_request_is_known_to_an_entry_that_was_suspended_meanwhile(self):
+        platform = self.play(suspendable=True)
+        path = "/all/" + DEADLY
+        asleep = platform.machines[1].processes["entry"]
+        asleep.suspend()
+        self.send_copies(platform, path, platform.machines[:1], CONTACT_S + 2)
+        asleep.resume()
+        self.await_service(platform)
+        time.sleep(CONTACT_S)
+        before = len(platform.deadly.arrivals)
+        self.send_copies(platform, path, platform.machines[1:2], 2.0)
+        self.assertEqual(len(platform.deadly.arrivals), before)
+        with open(asleep.log) as file:
+            self.assertIn(" was_suspended ", file.read())
+
     def test_a_crashing_request_is_known_to_an_entry_that_was_frozen_meanwhile(self):
         platform = self.play()
         path = "/all/" + DEADLY
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -461,6 +461,29 @@
                 caller.join()
             self.assertEqual(ended, [504, 504])
 
+    def test_a_change_survives_a_lost_disk_while_all_other_machines_lose_power(self):
+        with Platform(entries=4) as platform:
+            self.serve(platform)
+            version = 7
+            for wiped in platform.machines[:3]:
+                version += 2
+                self.assertEqual(platform.put(configuration(version)), 200)
+                for machine in platform.machines:
+                    for process in machine.processes.values():
+                        process.signal(9)
+                for machine in platform.machines:
+                    for process in machine.processes.values():
+                        process.handle.wait(30)
+                wiped.wipe()
+                for machine in platform.machines:
+                    for role in machine.processes:
+                        machine.start(role)
+                self.assertEqual(platform.read()["version"], version)
+                for machine in platform.machines:
+                    eventually("machine %d serves" % machine.number,
+                               lambda m=machine: self.whole(platform, m, "x-%d" % time.monotonic_ns()))
+                eventually("the new disk votes", lambda m=wiped: self.votes_anew(platform, m))
+
     def test_core_mends_itself(self):
         with Platform() as platform:
             self.serve(platform)
