Crash records: a bounded rate of writes and of what is told again; only suspects delay trials

Read through for the size of the fleet: a storm of crashes would have written the file anew every 10 ms, and sent each record to each entry each 1.5 s for as long as it is kept. And an entry that loses an attempt now and then to whatever cause would never have tried a request that it holds back. Not measured at that size.

--- a/src/routing/router_suspects.cpp
+++ b/src/routing/router_suspects.cpp
@@ -57,11 +57,14 @@
         // Other backend servers ran it to a good end.
         return;
     }
-    m_next_trial_at = now + m_options.trial_pause;
     const request_fingerprint fingerprint =
         found != m_open.end() ? fingerprint_of(found->second) : flaxtiller::fingerprint_of(*ended.sent);
     const standing before = m_crashes.standing_of(fingerprint, now);
     m_crashes.on_crash(fingerprint, {ended.server, born_ms_of(ended), ended.on_trial}, now);
+    if (m_crashes.standing_of(fingerprint, now) != standing::clear)
+    {
+        m_next_trial_at = now + m_options.trial_pause;
+    }
     if (found != m_open.end())
     {
         found->second.crashes = {m_crashes.record_of(fingerprint, now)};
--- a/src/shell/crash_hub.cpp
+++ b/src/shell/crash_hub.cpp
@@ -14,20 +14,41 @@
 
 /// Crashes under one request come within this, and share a message.
 constexpr duration gather = duration::from_ms(10);
-/// Links may lose what was sent on them; so entries are told all again this often.
-constexpr duration tell_all_every = duration::from_ms(1500);
+/// Links may lose what was sent on them; so entries are told again this often, for a while. Whoever wasn't
+/// reached for longer is told all when its link comes up.
+constexpr duration tell_again_every = duration::from_ms(1500);
+constexpr duration tell_again_for = duration::from_ms(15000);
+constexpr std::size_t most_told_again = 64;
+/// Many crashes at once share a write.
+constexpr duration save_every = duration::from_ms(100);
 /// Entries act on no fewer crashes, but for their own.
 constexpr std::size_t least_told_to_entries = 2;
 
-std::vector<crash_record> for_entries(const std::vector<crash_record>& records)
+std::vector<crash_record> for_entries(std::vector<crash_record> records)
 {
-    std::vector<crash_record> told;
-    std::copy_if(records.begin(), records.end(), std::back_inserter(told),
-                 [](const crash_record& item)
-                 {
-                     return item.cleared || item.crashes.size() >= least_told_to_entries;
-                 });
-    return told;
+    std::erase_if(records,
+                  [](const crash_record& item)
+                  {
+                      return !item.cleared && item.crashes.size() < least_told_to_entries;
+                  });
+    return records;
+}
+
+/// Those that changed lately, the newest where these are many.
+std::vector<crash_record> to_tell_again(std::vector<crash_record> records)
+{
+    std::erase_if(records,
+                  [](const crash_record& item)
+                  {
+                      return item.age > tell_again_for;
+                  });
+    std::sort(records.begin(), records.end(),
+              [](const crash_record& a, const crash_record& b)
+              {
+                  return a.age < b.age;
+              });
+    records.resize(std::min(records.size(), most_told_again));
+    return records;
 }
 
 } // namespace
@@ -99,7 +120,14 @@
     m_all.clear();
     m_tell_at = time_point::never();
     (void)m_ledger.take_changes(now);
-    m_file.save(m_ledger.all(1, now), unix_ms());
+    m_save_at = std::min(m_save_at, std::max(now, m_saved_at + save_every));
+}
+
+void crash_hub::save(time_point now)
+{
+    m_saved_at = now;
+    m_save_at = time_point::never();
+    m_file.save(m_ledger.all(least_told_to_entries, now), unix_ms());
 }
 
 void crash_hub::tick(const std::set<std::string>& replicas, const std::vector<std::string>& entries,
@@ -109,15 +137,19 @@
     {
         tell_changes(replicas, entries, now);
     }
-    if (!is_all_due(now))
+    if (now >= m_save_at)
+    {
+        save(now);
+    }
+    if (!is_telling_again_due(now))
     {
         return;
     }
-    m_tell_all_at = now + tell_all_every;
+    m_tell_again_at = now + tell_again_every;
     m_ledger.expire(now);
-    if (const auto known = for_entries(m_ledger.all(1, now)); !known.empty())
+    if (const auto told = to_tell_again(m_ledger.all(least_told_to_entries, now)); !told.empty())
     {
-        m_links.send(entries, crash_news{known});
+        m_links.send(entries, crash_news{told});
     }
 }
 
--- a/src/shell/crash_hub.hpp
+++ b/src/shell/crash_hub.hpp
@@ -35,10 +35,10 @@
     /// @return whether @ref tick has anything to do
     bool is_due(time_point now) const noexcept
     {
-        return now >= m_tell_at || is_all_due(now);
+        return now >= m_tell_at || now >= m_save_at || is_telling_again_due(now);
     }
 
-    /// @brief Tells what changed, and from time to time all.
+    /// @brief Tells what changed, some of it again, and saves it.
     /// @param entries the entries that report to this replica
     void tick(const std::set<std::string>& replicas, const std::vector<std::string>& entries, time_point now);
 
@@ -48,11 +48,13 @@
     }
 
   private:
-    bool is_all_due(time_point now) const noexcept
+    bool is_telling_again_due(time_point now) const noexcept
     {
-        return !m_ledger.empty() && now >= m_tell_all_at;
+        return !m_ledger.empty() && now >= m_tell_again_at;
     }
 
+    void save(time_point now);
+
     void tell_changes(const std::set<std::string>& replicas, const std::vector<std::string>& entries,
                       time_point now);
 
@@ -63,7 +65,9 @@
     std::set<request_fingerprint> m_own;
     std::set<request_fingerprint> m_all;
     time_point m_tell_at = time_point::never();
-    time_point m_tell_all_at{};
+    time_point m_tell_again_at{};
+    time_point m_save_at = time_point::never();
+    time_point m_saved_at{};
 };
 
 } // namespace flaxtiller::shell
