A service that is withdrawn while requests wait for it no longer ends the process

What callers would see: an entry that ends with 'map::at', and all its connections with it, when a configuration withdraws a service of which a subquery is parked (its backend servers refused it, and it waits for a moment) or held back. Cause: the service's scheduler was dropped once nothing was queued or running; what waits for a moment is neither.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -117,6 +117,9 @@
     /// @return subqueries that wait for a slot
     std::size_t queued() const noexcept;
 
+    /// @return whether nothing waits, for a slot or anything else, and nothing runs
+    bool is_idle() const noexcept;
+
     /// @return attempts that were started and haven't ended
     std::size_t running() const noexcept;
 
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -483,6 +483,11 @@
     return m_queued;
 }
 
+bool scheduler::is_idle() const noexcept
+{
+    return m_work.empty() && m_attempts.empty();
+}
+
 std::size_t scheduler::running() const noexcept
 {
     return m_attempts.size();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -181,7 +181,7 @@
             continue;
         }
         configure_lane(current->first, none, false, now);
-        if (item.scheduler.queued() == 0 && item.scheduler.running() == 0)
+        if (item.scheduler.is_idle())
         {
             m_due.erase({item.due, current->first});
             m_lane_of.erase(item.service);
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -354,6 +354,15 @@
         REQUIRE(driver.started.size() == 2);
         CHECK(driver.started[1].request == second);
     }
+    SECTION("also where its services are withdrawn meanwhile")
+    {
+        driver.serve({{"one", single(true)}}, 1);
+        driver.crash("s0");
+        driver.gone(second);
+        driver.pass(501);
+        CHECK(driver.answers.count(first) == 1);
+        CHECK(driver.started.empty());
+    }
     SECTION("what was never tried is refused as not run when its time is up")
     {
         driver.pass(501);
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -488,6 +488,20 @@
     CHECK(driver.started.size() > 9);
 }
 
+TEST_CASE("a request that waits for a moment outlives its withdrawn service", "[router]")
+{
+    router_driver driver;
+    driver.serve({{"one", single(true)}}, 1, 1);
+    const request_number asked = driver.ask("/one/x");
+    driver.end("s0", attempt_status::shed);
+    REQUIRE(driver.started.empty());
+    REQUIRE(driver.answers.empty());
+    driver.serve({}, 0);
+    driver.gone(asked);
+    driver.pass(600);
+    CHECK(driver.answers.empty());
+}
+
 TEST_CASE("what other entries still run for a request is abandoned once it is answered", "[router]")
 {
     router_driver driver;
