Requests that are released may end others in the same turn

Found by reading: a release starts work, which may give up what is hopeless and so end another request that was noted to be released or ended next. And one whose record was forgotten, as there were too many, stayed held back until its deadline; it is released now.

--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -326,12 +326,13 @@
     void on_standing(const request_fingerprint& fingerprint, crash_ledger::standing before, time_point now);
     void hold_or_release(const request_fingerprint& fingerprint, time_point now);
     void hold(request_number number, open_request& opened);
-    void release(request_number number, time_point now);
+    void release(request_number number, open_request& opened, time_point now);
     void end_trial(dispatch::subquery_id subquery, time_point now);
     void forget_held(request_number number);
     void abandon_asks(const open_request& opened, bool stops);
     void detach_parts(const open_request& opened);
     void settle_held(time_point now);
+    bool is_under_way(const open_request& opened) const;
     void end_quarantined(time_point now);
     void try_next(time_point now);
     bool try_part_of(request_number number, time_point now);
--- a/src/routing/router_suspects.cpp
+++ b/src/routing/router_suspects.cpp
@@ -150,7 +150,12 @@
     std::sort(same.begin(), same.end());
     for (const request_number number : same)
     {
-        holds ? hold(number, m_open.at(number)) : release(number, now);
+        // What is released may end others.
+        const auto found = m_open.find(number);
+        if (found != m_open.end())
+        {
+            holds ? hold(number, found->second) : release(number, found->second, now);
+        }
     }
 }
 
@@ -169,15 +174,10 @@
     }
 }
 
-void router::release(request_number number, time_point now)
+void router::release(request_number number, open_request& opened, time_point now)
 {
-    open_request& opened = m_open.at(number);
     opened.held = false;
-    m_held.erase(number);
-    if (m_trial && m_trial->request == number)
-    {
-        m_trial.reset();
-    }
+    forget_held(number);
     std::vector<lane_index> lanes;
     for (const part& item : opened.parts)
     {
@@ -226,25 +226,41 @@
     try_next(now);
 }
 
+bool router::is_under_way(const open_request& opened) const
+{
+    const bool awaited = std::any_of(opened.groups.begin(), opened.groups.end(),
+                                     [](const group& asked)
+                                     {
+                                         return !asked.over && asked.is_awaited();
+                                     });
+    return awaited || std::any_of(opened.parts.begin(), opened.parts.end(),
+                                  [&](const part& item)
+                                  {
+                                      return !item.over && item.subquery != 0 &&
+                                             !m_lanes.at(item.at).scheduler.is_held_back(item.subquery);
+                                  });
+}
+
 /// What still runs may answer, which would clear the request; without it there is nothing to wait for.
 void router::end_quarantined(time_point now)
 {
     const std::vector<request_number> held(m_held.begin(), m_held.end());
     for (const request_number number : held)
     {
-        open_request& opened = m_open.at(number);
-        const bool awaited = std::any_of(opened.groups.begin(), opened.groups.end(),
-                                         [](const group& asked)
-                                         {
-                                             return !asked.over && asked.is_awaited();
-                                         });
-        const bool runs = std::any_of(opened.parts.begin(), opened.parts.end(),
-                                      [&](const part& item)
-                                      {
-                                          return !item.over && item.subquery != 0 &&
-                                                 !m_lanes.at(item.at).scheduler.is_held_back(item.subquery);
-                                      });
-        if (!awaited && !runs && standing_of(opened, now) == standing::quarantined)
+        const auto found = m_open.find(number);
+        if (found == m_open.end() || !found->second.held)
+        {
+            // What was released before it has ended it, too.
+            continue;
+        }
+        open_request& opened = found->second;
+        const standing known = standing_of(opened, now);
+        if (known == standing::clear)
+        {
+            // Its record was forgotten.
+            release(number, opened, now);
+        }
+        else if (known == standing::quarantined && !is_under_way(opened))
         {
             opened.reason = missing_reason::quarantined;
             opened.retry_after = m_crashes.quarantine_left(fingerprint_of(opened), now);
