A crash under a request needs a backend server that takes no new connection

Cause: a connection that closes before an answer was taken for the end of the backend server. Class: one symptom of two faults.

Now the pool makes a new connection first, which takes the place of the lost one: where it stands, the end is 'cut'. The test of the pool tells both apart; it took each closed connection for a crash before.

--- a/include/flaxtiller/dispatch/attempt_result.hpp
+++ b/include/flaxtiller/dispatch/attempt_result.hpp
@@ -39,8 +39,8 @@
     duration retry_after{};
     /// The backend server answered but says that it is leaving.
     bool leaving = false;
-    /// Of one that was cut: the backend server took it and closed the connection before the first byte of an
-    /// answer, as one that crashes does.
+    /// Of one that was cut: the backend server took it, closed the connection before the first byte of an
+    /// answer and takes no new one, as one that crashed.
     bool hung_up = false;
 
     bool operator==(const attempt_result&) const = default;
--- a/src/shell/connection_pool.cpp
+++ b/src/shell/connection_pool.cpp
@@ -23,6 +23,8 @@
 
 /// A peer that doesn't take a connection within this can't be reached.
 constexpr duration connect_timeout = duration::from_ms(1000);
+/// A peer that lost a connection is asked for a new one for this long: a way between regions and back.
+constexpr duration probe_timeout = duration::from_ms(100);
 /// Beyond one, a connection that rested this long is closed. A backend server that doesn't learn of an
 /// instance's loss of power still counts its connections for some seconds, beside the new ones.
 constexpr duration surplus_rest = duration::from_ms(1000);
@@ -81,11 +83,11 @@
 
     /// @param done gets the connection, or nothing
     template <typename Done>
-    void dial(Done done)
+    void dial(Done done, duration patience = connect_timeout)
     {
         ++open;
         auto fresh = std::make_shared<http_connection>(strand);
-        fresh->connect(at, connect_timeout,
+        fresh->connect(at, patience,
                        [self = shared_from_this(), fresh, done = std::move(done)](bool stands) mutable
                        {
                            if (!stands)
@@ -206,10 +208,43 @@
                                self->counted.add(metrics::counter::foreign_answers);
                            }
                            self->put_back(used, reusable);
+                           if (result.end == exchange_end::hung_up)
+                           {
+                               self->probe(token, std::move(result), done);
+                               return;
+                           }
                            self->end(token, std::move(result), done);
                        });
     }
 
+    /// Tells a peer that has gone from one that only closed the connection, by a new one to it. That isn't
+    /// wasted: it takes the place of the one that was lost.
+    void probe(std::uint64_t token, http_exchange_result result, completion done)
+    {
+        if (open >= most)
+        {
+            result.end = exchange_end::cut;
+            end(token, std::move(result), done);
+            return;
+        }
+        const time_point begun = clock.now();
+        dial(
+            [self = shared_from_this(), token, begun, result = std::move(result),
+             done = std::move(done)](const connection_ptr& fresh) mutable
+            {
+                if (fresh)
+                {
+                    self->put_back(fresh, true);
+                }
+                if (fresh || self->clock.now() - begun >= probe_timeout)
+                {
+                    result.end = exchange_end::cut;
+                }
+                self->end(token, std::move(result), done);
+            },
+            probe_timeout);
+    }
+
     void end(std::uint64_t token, http_exchange_result result, const completion& done)
     {
         const auto known = under_way.find(token);
--- a/src/shell/http_exchange.hpp
+++ b/src/shell/http_exchange.hpp
@@ -37,7 +37,8 @@
     unreachable,
     /// Something was sent, and no whole reply came.
     cut,
-    /// All was sent, and the peer closed or reset the connection before the first byte of a reply.
+    /// All was sent, the peer closed or reset the connection before the first byte of a reply, and takes no
+    /// new one.
     hung_up,
     /// The user of the pool closed it.
     closed,
--- a/tests/src/unit-connection-pool.cpp
+++ b/tests/src/unit-connection-pool.cpp
@@ -52,6 +52,11 @@
                                            "Content-Length: 2\r\n\r\nok"));
     }
 
+    void stop()
+    {
+        m_acceptor.close();
+    }
+
     int connections = 0;
 
   private:
@@ -192,9 +197,14 @@
     }
     SECTION("whose peer goes away before any reply are told from those whose reply breaks off")
     {
+        pool_fixture* fixture = nullptr;
         pool_fixture on(
-            [](const std::shared_ptr<peer::session>& to, const std::string& id)
+            [&fixture](const std::shared_ptr<peer::session>& to, const std::string& id)
             {
+                if (id == "gone")
+                {
+                    fixture->server.stop();
+                }
                 if (id == "part")
                 {
                     net::write(to->socket, net::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Le")));
@@ -205,15 +215,19 @@
                 }
                 to->socket.close();
             });
+        fixture = &on;
         std::size_t count = 0;
-        for (const char* id : {"none", "reset", "part"})
+        for (const char* id : {"none", "reset", "part", "gone"})
         {
             on.send(id);
             on.await(++count);
         }
-        CHECK(on.results[0].end == exchange_end::hung_up);
-        CHECK(on.results[1].end == exchange_end::hung_up);
+        // It takes new connections, so that it only lost this one.
+        CHECK(on.results[0].end == exchange_end::cut);
+        CHECK(on.results[1].end == exchange_end::cut);
         CHECK(on.results[2].end == exchange_end::cut);
+        CHECK(on.results[3].end == exchange_end::hung_up);
+        CHECK(on.pool.connections() == 0);
     }
     SECTION("that the user closes end so, and at once")
     {
