Read once more: changes of crash records are noted once; tests share the loss of all power

The hub kept a set of what had changed beside the ledger's own. And three tests spelled out how all processes end and start again.

--- a/src/shell/crash_hub.cpp
+++ b/src/shell/crash_hub.cpp
@@ -4,7 +4,7 @@
 #include "system.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <iterator>
 
 namespace flaxtiller::shell
 {
@@ -72,7 +72,6 @@
         {
             continue;
         }
-        m_all.insert(item.request);
         if (!by_replica)
         {
             m_own.insert(item.request);
@@ -98,28 +97,23 @@
 void crash_hub::tell_changes(const std::set<std::string>& replicas, const std::vector<std::string>& entries,
                              time_point now)
 {
-    const auto records_of = [&](const std::set<request_fingerprint>& requests)
+    const std::vector<crash_record> changes = m_ledger.take_changes(now);
+    std::vector<crash_record> own;
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(own),
+                 [&](const crash_record& item)
+                 {
+                     return m_own.count(item.request) > 0;
+                 });
+    if (!own.empty())
     {
-        std::vector<crash_record> records;
-        for (const request_fingerprint& item : requests)
-        {
-            records.push_back(m_ledger.record_of(item, now));
-        }
-        return records;
-    };
-    if (!m_own.empty())
-    {
-        m_links.send(std::vector<std::string>(replicas.begin(), replicas.end()),
-                     crash_news{records_of(m_own)});
+        m_links.send(std::vector<std::string>(replicas.begin(), replicas.end()), crash_news{own});
     }
-    if (const auto told = for_entries(records_of(m_all)); !told.empty())
+    if (const auto told = for_entries(changes); !told.empty())
     {
         m_links.send(entries, crash_news{told});
     }
     m_own.clear();
-    m_all.clear();
     m_tell_at = time_point::never();
-    (void)m_ledger.take_changes(now);
     m_save_at = std::min(m_save_at, std::max(now, m_saved_at + save_every));
 }
 
--- a/src/shell/crash_hub.hpp
+++ b/src/shell/crash_hub.hpp
@@ -61,9 +61,8 @@
     peer_links& m_links;
     crash_file m_file;
     crash_ledger m_ledger;
-    /// Changes that entries told, and all changes, since they were told on.
+    /// Of what changed and wasn't told on yet, that which entries told.
     std::set<request_fingerprint> m_own;
-    std::set<request_fingerprint> m_all;
     time_point m_tell_at = time_point::never();
     time_point m_tell_again_at{};
     time_point m_save_at = time_point::never();
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -7,6 +7,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import socketserver
 import tempfile
@@ -284,6 +285,19 @@
         if os.environ.get("FLAXTILLER_KEEP") is None:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def kill_all(self):
+        """All machines lose power at the same moment."""
+        processes = [process for machine in self.machines for process in machine.processes.values()]
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            process.handle.wait(30)
+
+    def start_again(self):
+        for machine in self.machines:
+            for role in machine.processes:
+                machine.start(role)
+
     def core(self):
         return [machine for machine in self.machines if machine.in_core and machine.running("control")]
 
--- a/tests/faults/test_crashing_request.py
+++ b/tests/faults/test_crashing_request.py
@@ -121,13 +121,8 @@
         platform = self.play()
         path = "/all/" + DEADLY
         self.send_copies(platform, path, platform.machines[:1], CONTACT_S + 2)
-        for machine in platform.machines:
-            for process in machine.processes.values():
-                process.signal(signal.SIGKILL)
-                process.handle.wait(30)
-        for machine in platform.machines:
-            for role in machine.processes:
-                machine.start(role)
+        platform.kill_all()
+        platform.start_again()
         self.await_service(platform)
         before = len(platform.deadly.crashes)
         self.send_copies(platform, path, platform.machines, CONTACT_S)
@@ -138,14 +133,9 @@
         platform = self.play()
         path = "/all/" + DEADLY
         self.send_copies(platform, path, platform.machines[:1], CONTACT_S + 2)
-        for machine in platform.machines:
-            for process in machine.processes.values():
-                process.signal(signal.SIGKILL)
-                process.handle.wait(30)
+        platform.kill_all()
         platform.machines[0].wipe()
-        for machine in platform.machines:
-            for role in machine.processes:
-                machine.start(role)
+        platform.start_again()
         self.await_service(platform)
         time.sleep(CONTACT_S)
         before = len(platform.deadly.arrivals)
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -468,16 +468,9 @@
             for wiped in platform.machines[:3]:
                 version += 2
                 self.assertEqual(platform.put(configuration(version)), 200)
-                for machine in platform.machines:
-                    for process in machine.processes.values():
-                        process.signal(9)
-                for machine in platform.machines:
-                    for process in machine.processes.values():
-                        process.handle.wait(30)
+                platform.kill_all()
                 wiped.wipe()
-                for machine in platform.machines:
-                    for role in machine.processes:
-                        machine.start(role)
+                platform.start_again()
                 self.assertEqual(platform.read()["version"], version)
                 for machine in platform.machines:
                     eventually("machine %d serves" % machine.number,
