Shells: one folder each for HTTP, links, process and the two kinds of process

Cause: src/shell/ held 60 files of four concerns (7,988 lines), so that a reader could not tell which ones carry out whose actions. Ruled out: renaming types or the namespace in the same step, as moves alone can be checked token by token. Change: http/ (server, connections, pools), links/ (messages and links), process/ (settings, logs, metrics, dumps), and the rest beside what calls it in entry/ and control/.

--- a/src/command/ask.cpp
+++ b/src/command/ask.cpp
@@ -4,9 +4,9 @@
 #include "commands.hpp"
 #include "exit_status.hpp"
 
-#include "shell/http_call.hpp"
-#include "shell/http_status.hpp"
-#include "shell/system.hpp"
+#include "http/http_call.hpp"
+#include "http/http_status.hpp"
+#include "process/system.hpp"
 
 #include <flaxtiller/query/query_answer.hpp>
 
--- a/src/command/check.cpp
+++ b/src/command/check.cpp
@@ -1,7 +1,7 @@
 #include "commands.hpp"
 #include "exit_status.hpp"
 
-#include "shell/settings.hpp"
+#include "process/settings.hpp"
 
 #include <flaxtiller/catalog/configuration.hpp>
 
--- a/src/command/control_client.cpp
+++ b/src/command/control_client.cpp
@@ -1,7 +1,7 @@
 #include "control_client.hpp"
 
-#include "shell/http_call.hpp"
-#include "shell/http_status.hpp"
+#include "http/http_call.hpp"
+#include "http/http_status.hpp"
 
 #include <flaxtiller/core/clock.hpp>
 
--- a/src/command/control_client.hpp
+++ b/src/command/control_client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "shell/http_server.hpp"
+#include "http/http_server.hpp"
 
 #include <optional>
 #include <string>
--- a/src/command/operate.cpp
+++ b/src/command/operate.cpp
@@ -6,8 +6,8 @@
 #include "control_client.hpp"
 #include "exit_status.hpp"
 
-#include "shell/http_status.hpp"
-#include "shell/settings.hpp"
+#include "http/http_status.hpp"
+#include "process/settings.hpp"
 
 #include <flaxtiller/catalog/change.hpp>
 
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -2,13 +2,13 @@
 
 #include "control_process.hpp"
 
-#include "shell/crash_record_distributor.hpp"
-#include "shell/http_server.hpp"
-#include "shell/log.hpp"
-#include "shell/peer_links.hpp"
-#include "shell/registration_distributor.hpp"
-#include "shell/suspension_watch.hpp"
-#include "shell/system.hpp"
+#include "crash_record_distributor.hpp"
+#include "http/http_server.hpp"
+#include "links/peer_links.hpp"
+#include "process/log.hpp"
+#include "process/suspension_watch.hpp"
+#include "process/system.hpp"
+#include "registration_distributor.hpp"
 
 #include <flaxtiller/catalog/catalog_state.hpp>
 #include <flaxtiller/core/hash.hpp>
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -1,8 +1,8 @@
 #include "control_implementation.hpp"
 
-#include "shell/http_status.hpp"
-#include "shell/json_reply.hpp"
-#include "shell/machine_dump.hpp"
+#include "http/http_status.hpp"
+#include "http/json_reply.hpp"
+#include "process/machine_dump.hpp"
 
 #include <flaxtiller/catalog/diff.hpp>
 #include <flaxtiller/catalog/placement.hpp>
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -1,6 +1,6 @@
 #include "control_implementation.hpp"
 
-#include "shell/run_guarded.hpp"
+#include "process/run_guarded.hpp"
 
 #include <fmt/format.h>
 
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "shell/http_server.hpp"
-#include "shell/settings.hpp"
+#include "http/http_server.hpp"
+#include "process/settings.hpp"
 
 #include <flaxtiller/catalog/change.hpp>
 #include <flaxtiller/catalog/configuration.hpp>
--- a/src/shell/crash_record_distributor.cpp
+++ b/src/control/crash_record_distributor.cpp
@@ -1,7 +1,7 @@
 #include "crash_record_distributor.hpp"
 
-#include "log.hpp"
-#include "system.hpp"
+#include "process/log.hpp"
+#include "process/system.hpp"
 
 #include <algorithm>
 #include <iterator>
--- a/src/shell/crash_record_distributor.hpp
+++ b/src/control/crash_record_distributor.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "crash_record_file.hpp"
-#include "peer_links.hpp"
+#include "links/peer_links.hpp"
 
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
--- a/src/shell/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -1,6 +1,6 @@
 #include "registration_distributor.hpp"
 
-#include "log.hpp"
+#include "process/log.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/shell/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer_links.hpp"
+#include "links/peer_links.hpp"
 #include "registration_file.hpp"
 
 #include <flaxtiller/core/token_bucket.hpp>
--- a/src/shell/registration_file.cpp
+++ b/src/control/registration_file.cpp
@@ -1,7 +1,7 @@
 #include "registration_file.hpp"
 
-#include "log.hpp"
-#include "replace_file.hpp"
+#include "process/log.hpp"
+#include "process/replace_file.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/entry_callers.cpp
+++ b/src/entry/entry_callers.cpp
@@ -1,7 +1,7 @@
 #include "entry_implementation.hpp"
 
-#include "shell/http_status.hpp"
-#include "shell/json_reply.hpp"
+#include "http/http_status.hpp"
+#include "http/json_reply.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -3,15 +3,15 @@
 #include "entry_process.hpp"
 #include "known_control_replicas.hpp"
 
-#include "shell/log.hpp"
-#include "shell/peer_links.hpp"
-#include "shell/pools_by_server.hpp"
-#include "shell/register_client.hpp"
-#include "shell/routing_frontend.hpp"
-#include "shell/service_runner.hpp"
-#include "shell/suspension_watch.hpp"
-#include "shell/system.hpp"
-#include "shell/trace_writer.hpp"
+#include "http/pools_by_server.hpp"
+#include "links/peer_links.hpp"
+#include "process/log.hpp"
+#include "process/suspension_watch.hpp"
+#include "process/system.hpp"
+#include "process/trace_writer.hpp"
+#include "register_client.hpp"
+#include "routing_frontend.hpp"
+#include "service_runner.hpp"
 
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/control_replica_selector.hpp>
--- a/src/entry/entry_platform_list.cpp
+++ b/src/entry/entry_platform_list.cpp
@@ -1,6 +1,6 @@
 #include "entry_implementation.hpp"
 
-#include "shell/http_call.hpp"
+#include "http/http_call.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,6 +1,6 @@
 #include "entry_implementation.hpp"
 
-#include "shell/run_guarded.hpp"
+#include "process/run_guarded.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "shell/http_server.hpp"
-#include "shell/service_runner.hpp"
-#include "shell/settings.hpp"
+#include "http/http_server.hpp"
+#include "process/settings.hpp"
+#include "service_runner.hpp"
 
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
--- a/src/entry/known_control_replicas.hpp
+++ b/src/entry/known_control_replicas.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "shell/settings.hpp"
+#include "process/settings.hpp"
 
 #include <algorithm>
 #include <map>
--- a/src/shell/register_client.hpp
+++ b/src/entry/register_client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer_links.hpp"
+#include "links/peer_links.hpp"
 
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
--- a/src/shell/routed_http_codec.cpp
+++ b/src/entry/routed_http_codec.cpp
@@ -1,7 +1,7 @@
 #include "routed_http_codec.hpp"
 
-#include "http_status.hpp"
-#include "json_reply.hpp"
+#include "http/http_status.hpp"
+#include "http/json_reply.hpp"
 
 #include <fmt/format.h>
 
--- a/src/shell/routed_http_codec.hpp
+++ b/src/entry/routed_http_codec.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http_exchange.hpp"
-#include "http_server.hpp"
+#include "http/http_exchange.hpp"
+#include "http/http_server.hpp"
 #include "routed_header_names.hpp"
 
 #include <flaxtiller/dispatch/attempt_result.hpp>
--- a/src/shell/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -1,8 +1,8 @@
 #include "routing_frontend.hpp"
 
-#include "http_status.hpp"
-#include "json_reply.hpp"
-#include "log.hpp"
+#include "http/http_status.hpp"
+#include "http/json_reply.hpp"
+#include "process/log.hpp"
 
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
--- a/src/shell/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "connection_pool.hpp"
-#include "http_server.hpp"
-#include "link_message.hpp"
-#include "pools_by_server.hpp"
+#include "http/connection_pool.hpp"
+#include "http/http_server.hpp"
+#include "http/pools_by_server.hpp"
+#include "links/link_message.hpp"
 #include "routed_http_codec.hpp"
 
 #include <flaxtiller/catalog/configuration.hpp>
--- a/src/shell/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -2,7 +2,7 @@
 
 #include "routing_frontend.hpp"
 
-#include "log.hpp"
+#include "process/log.hpp"
 
 #include <flaxtiller/quarantine/request_fingerprint.hpp>
 
--- a/src/shell/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -2,7 +2,7 @@
 
 #include "routing_frontend.hpp"
 
-#include "log.hpp"
+#include "process/log.hpp"
 
 #include <boost/asio/dispatch.hpp>
 
--- a/src/shell/service_runner.cpp
+++ b/src/entry/service_runner.cpp
@@ -1,8 +1,8 @@
 #include "service_runner.hpp"
 
-#include "json_reply.hpp"
-#include "log.hpp"
-#include "system.hpp"
+#include "http/json_reply.hpp"
+#include "process/log.hpp"
+#include "process/system.hpp"
 
 #include <utility>
 
--- a/src/shell/service_runner.hpp
+++ b/src/entry/service_runner.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "backend_pool.hpp"
-#include "http_server.hpp"
-#include "peer_links.hpp"
-#include "pools_by_server.hpp"
+#include "http/backend_pool.hpp"
+#include "http/http_server.hpp"
+#include "http/pools_by_server.hpp"
+#include "links/peer_links.hpp"
+#include "process/trace_writer.hpp"
 #include "register_client.hpp"
-#include "trace_writer.hpp"
 
 #include <flaxtiller/coordinator/service_coordinator.hpp>
 
--- a/src/shell/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -3,7 +3,7 @@
 #include "address.hpp"
 #include "http_connection.hpp"
 #include "http_exchange.hpp"
-#include "metrics.hpp"
+#include "process/metrics.hpp"
 
 #include <functional>
 #include <memory>
--- a/src/shell/pools_by_server.hpp
+++ b/src/http/pools_by_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "address.hpp"
-#include "metrics.hpp"
+#include "process/metrics.hpp"
 
 #include <flaxtiller/core/identifier.hpp>
 
--- a/src/shell/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -1,6 +1,6 @@
 #include "peer_links.hpp"
 
-#include "log.hpp"
+#include "process/log.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/shell/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -2,8 +2,8 @@
 
 #include "link_endpoint.hpp"
 #include "link_message.hpp"
-#include "metrics.hpp"
-#include "settings.hpp"
+#include "process/metrics.hpp"
+#include "process/settings.hpp"
 
 #include <flaxtiller/core/clock.hpp>
 
--- a/src/shell/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "link_message.hpp"
+#include "links/link_message.hpp"
 
 #include <flaxtiller/core/duration.hpp>
 
--- a/src/shell/settings.hpp
+++ b/src/process/settings.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "address.hpp"
+#include "entry/routed_header_names.hpp"
+#include "http/address.hpp"
 #include "log.hpp"
-#include "routed_header_names.hpp"
 
 #include <flaxtiller/core/findings.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
--- a/src/shell/trace_writer.cpp
+++ b/src/process/trace_writer.cpp
@@ -1,6 +1,6 @@
 #include "trace_writer.hpp"
 
-#include "json_reply.hpp"
+#include "http/json_reply.hpp"
 
 #include <flaxtiller/coordinator/event_codec.hpp>
 
--- a/tests/src/unit-connection-pool.cpp
+++ b/tests/src/unit-connection-pool.cpp
@@ -1,4 +1,4 @@
-#include "shell/connection_pool.hpp"
+#include "http/connection_pool.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
--- a/tests/src/unit-http-wire.cpp
+++ b/tests/src/unit-http-wire.cpp
@@ -1,4 +1,4 @@
-#include "shell/http_wire.hpp"
+#include "http/http_wire.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -1,5 +1,5 @@
-#include "shell/compression.hpp"
-#include "shell/link_message.hpp"
+#include "links/compression.hpp"
+#include "links/link_message.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -3,7 +3,7 @@
 #include <flaxtiller/quarantine/crash_ledger.hpp>
 #include <flaxtiller/quarantine/request_fingerprint.hpp>
 
-#include "shell/crash_record_file.hpp"
+#include "control/crash_record_file.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/src/unit-registration-file.cpp
+++ b/tests/src/unit-registration-file.cpp
@@ -1,4 +1,4 @@
-#include "shell/registration_file.hpp"
+#include "control/registration_file.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/src/unit-routed-http-codec.cpp
+++ b/tests/src/unit-routed-http-codec.cpp
@@ -1,4 +1,4 @@
-#include "shell/routed_http_codec.hpp"
+#include "entry/routed_http_codec.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -1,4 +1,4 @@
-#include "shell/settings.hpp"
+#include "process/settings.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/src/unit-teams.cpp
+++ b/tests/src/unit-teams.cpp
@@ -1,6 +1,6 @@
+#include "entry/routed_http_codec.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/names.hpp"
-#include "shell/routed_http_codec.hpp"
 
 #include <flaxtiller/catalog/catalog_state.hpp>
 #include <flaxtiller/catalog/diff.hpp>
--- a/tests/stand_in/backend.cpp
+++ b/tests/stand_in/backend.cpp
@@ -1,6 +1,6 @@
 #include "backend.hpp"
 
-#include "shell/http_status.hpp"
+#include "http/http_status.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/stand_in/backend.hpp
+++ b/tests/stand_in/backend.hpp
@@ -2,7 +2,7 @@
 
 #include "behaviour.hpp"
 
-#include "shell/http_server.hpp"
+#include "http/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/stand_in/load.hpp
+++ b/tests/stand_in/load.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "shell/address.hpp"
+#include "http/address.hpp"
 
 #include <string>
 
