--- a/include/flaxtiller/dispatch/attempt_result.hpp
+++ b/include/flaxtiller/dispatch/attempt_result.hpp
@@ -2,8 +2,10 @@
 
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/identifier.hpp>
+#include <flaxtiller/dispatch/load_report.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,8 @@
     /// For the status @ref attempt_status::cut : whether the backend server accepted the connection, closed
     /// it before the first byte of an answer, and refuses new connections, as a crashed process does.
     bool hung_up = false;
+    /// The load that the backend server reported with its answer or refusal, if any.
+    std::optional<load_report> load{};
 
     bool operator==(const attempt_result&) const = default;
 };
--- a/include/flaxtiller/dispatch/subquery.hpp
+++ b/include/flaxtiller/dispatch/subquery.hpp
@@ -58,6 +58,12 @@
     double size = 1.0;
     /// The request body, which the scheduler does not interpret.
     std::shared_ptr<const std::string> body;
+    /// The priority of the request; 0 is the most urgent.
+    int priority = 0;
+    /// The team that sent the request; empty for none.
+    team_name team;
+    /// The time until which the answer has its full value.
+    time_point objective_at = time_point::never();
 
     bool operator==(const subquery&) const = default;
 };
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -62,6 +62,8 @@
     std::vector<instance_name> delegates;
     /// The time from arrival to this outcome; set for a delegating entry.
     duration took{};
+    /// The time that a group of shards delegated now would wait at this instance; set for a delegating entry.
+    duration runner_delay{};
     /// The request's crash record, for a delegating entry; set if backend servers crashed while running the
     /// request.
     std::vector<crash_record> crashes;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/dispatch/scheduler.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
+#include <flaxtiller/routing/processing_delay.hpp>
 #include <flaxtiller/routing/route_latencies.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/router_options.hpp>
@@ -72,6 +73,12 @@
     /// @brief Handles everything that is due at @a now.
     void on_time(time_point now);
 
+    /// @brief Takes in that this process handled something @a late after it was due.
+    void observe_processing_delay(duration late, time_point now)
+    {
+        m_processing_delay.observe(late, now);
+    }
+
     /// @brief Answers each open request at once, with the received parts, since this instance is stopping.
     void answer_all();
 
@@ -217,6 +224,10 @@
         time_point deadline;
         /// The time from which a fan-out is answered with the received parts.
         time_point answer_at;
+        /// The time until which an answer has its full value.
+        time_point objective_at = time_point::never();
+        /// The priority of the team, or of the route if the team has none; 0 is the most urgent.
+        int priority = 0;
         /// The time at which silent groups are reassigned.
         time_point group_check_at = time_point::never();
         /// The time at which the next partial outcome is sent to the delegating entry.
@@ -311,6 +322,8 @@
     double retry_budget_share_of(const service_name& service) const;
     double least_share_of(const open_request& opened) const;
     duration time_to_answer(const route& matched_route, const routed_request& request) const;
+    duration time_to_objective(const route& matched_route, const routed_request& request) const;
+    int priority_of(const route& matched_route, const team_name& name) const;
     void set_timer(request_number number, open_request& opened);
     void configure_scheduler(scheduler_index at, const shared_value<placed_service>& placed,
                              bool places_changed, time_point now);
@@ -384,6 +397,7 @@
     std::unordered_map<routed_attempt_number, started> m_started;
     std::map<std::pair<scheduler_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_latencies m_route_latencies;
+    processing_delay m_processing_delay;
     crash_ledger m_crashes;
     /// Requests that are held back, the running trial, and the time from which the next trial may start.
     std::set<request_number> m_held;
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
+#include <flaxtiller/routing/load_options.hpp>
 
 #include <cstddef>
 
@@ -61,6 +62,9 @@
     double warmup_overage = 1.0;
     double warmup_slack = 0.0;
 
+    /// The decisions under load that are switched on.
+    load_options load{};
+
     bool operator==(const router_options&) const = default;
 
   private:
--- a/src/entry/routed_header_names.hpp
+++ b/src/entry/routed_header_names.hpp
@@ -25,6 +25,8 @@
     std::string signature = "X-Signature";
     /// Reply of a backend server: present if the backend server didn't run the request.
     std::string not_run = "X-Not-Run";
+    /// Reply of a backend server: its load; see dispatch::parse_load_report.
+    std::string load = "X-Load";
     /// Merged answer: the signatures of its parts, and the number of missing parts.
     std::string part_signatures = "X-Part-Signatures";
     std::string missing_parts = "X-Missing-Parts";
--- a/src/entry/routed_http_codec.cpp
+++ b/src/entry/routed_http_codec.cpp
@@ -196,6 +196,13 @@
     case exchange_end::replied:
         break;
     }
+    // A different server than the one asked answers with its own load.
+    const std::string* load = reply.headers.find(m_names.load);
+    if (load != nullptr && reply.status != http_not_leader)
+    {
+        read.result.load = dispatch::parse_load_report(*load);
+        read.has_malformed_load = !read.result.load;
+    }
     if (confirms_not_run(reply, m_names.not_run))
     {
         const bool different_instance = reply.status == http_not_leader;
--- a/src/entry/routed_http_codec.hpp
+++ b/src/entry/routed_http_codec.hpp
@@ -21,6 +21,8 @@
     /// The complete answer, whether success or failure; null if the request wasn't run or no answer was
     /// received.
     std::shared_ptr<const backend_answer> answer;
+    /// Whether the reply has a load report that cannot be read.
+    bool has_malformed_load = false;
 };
 
 /// @brief Converts routed requests, attempts and answers to and from HTTP messages.
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -223,6 +223,10 @@
     const exchange_end end = reply.end;
     const int status = reply.status;
     routed_reply read = m_codec.read_reply(std::move(reply), sent.part);
+    if (read.has_malformed_load)
+    {
+        m_metrics.add(metrics::counter::malformed_load_reports);
+    }
     const bool failed = read.result.status != dispatch::attempt_status::answered;
     m_router.attempt_ended(sent.attempt, read.result, std::move(read.answer), now);
     if (failed)
@@ -354,6 +358,8 @@
         {
             if (!error && m_timer_expiry == next)
             {
+                const time_point now = m_clock.now();
+                m_router.observe_processing_delay(now - next, now);
                 on_time();
             }
         });
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -34,6 +34,8 @@
         foreign_answers,
         connections_opened,
         malformed_requests,
+        /// Load reports of backend servers that could not be read, and were ignored.
+        malformed_load_reports,
         /// Requests that became suspect of crashing backend servers, and those that were found to.
         requests_suspected,
         requests_quarantined,
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -175,6 +175,15 @@
     }
 }
 
+void read_load(json_reader& reader, load_options& into)
+{
+    reader.flag("order_by_priority", into.orders_by_priority);
+    reader.flag("read_server_load", into.reads_server_load);
+    reader.flag("limit_admission", into.limits_admission);
+    reader.flag("balance_owners", into.balances_owners);
+    reader.flag("spread_returns", into.spreads_returns);
+}
+
 void read_routing(json_reader& reader, router_options& into)
 {
     reader.number("objective_share", into.objective_share, 0.0, 1.0);
@@ -193,6 +202,11 @@
                  {
                      read_dispatch(r, into.scheduling);
                  });
+    read_section(reader, "load", false,
+                 [&](json_reader& r)
+                 {
+                     read_load(r, into.load);
+                 });
 }
 
 /// Reads addresses of which perhaps only the IP counts: `link_port` takes the place of their ports.
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -62,10 +62,16 @@
     j = nlohmann::json::array({static_cast<int>(value.end), value.is_progress, value.merged, value.signatures,
                                value.missing_shards, value.reason, value.retry_after.us(), value.attempts,
                                value.took.us()});
-    if (!value.crashes.empty())
+    // The last elements are optional. An older process ignores those that it does not know.
+    const bool states_delay = value.runner_delay > duration{};
+    if (!value.crashes.empty() || states_delay)
     {
         j.push_back(value.crashes);
     }
+    if (states_delay)
+    {
+        j.push_back(value.runner_delay.us());
+    }
 }
 
 void from_json(const nlohmann::json& j, routed_outcome& value)
@@ -90,6 +96,10 @@
     {
         value.crashes = next().get<std::vector<crash_record>>();
     }
+    if (at < j.size())
+    {
+        value.runner_delay = std::max(duration::from_us(next().get<std::int64_t>()), duration{});
+    }
 }
 
 } // namespace flaxtiller
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -111,6 +111,28 @@
                     duration{});
 }
 
+/// @return the time in which an answer has its full value; the time-out of a route without an objective
+duration router::time_to_objective(const route& matched_route, const routed_request& request) const
+{
+    if (request.is_delegated())
+    {
+        return request.answer_within;
+    }
+    if (matched_route.objective <= duration{})
+    {
+        return matched_route.timeout;
+    }
+    return std::max(matched_route.objective - m_options.response_margin, duration{});
+}
+
+/// The priority of a team takes precedence over that of the route.
+int router::priority_of(const route& matched_route, const team_name& name) const
+{
+    const team* sender = name.empty() ? nullptr : m_view.teams->find(name);
+    const bool has_own = sender != nullptr && sender->priority;
+    return has_own ? *sender->priority : matched_route.priority;
+}
+
 /// @return the regions that are allowed by this entry's route and by the delegating entry's route, which may
 /// be of different revisions
 std::shared_ptr<const region_set> router::regions_of(const route& matched_route,
@@ -213,6 +235,8 @@
     const duration patience = std::max(request->patience - m_options.response_margin, duration{});
     opened.deadline = now + std::min(patience, matched_route->timeout);
     opened.answer_at = std::min(now + time_to_answer(*matched_route, *request), opened.deadline);
+    opened.objective_at = std::min(now + time_to_objective(*matched_route, *request), opened.deadline);
+    opened.priority = priority_of(*matched_route, request->team);
     opened.request = std::move(request);
     if (opened.request->is_delegated() && opened.request->progress_within > duration{})
     {
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -398,6 +398,9 @@
     new_subquery.size = size;
     new_subquery.held = opened.held;
     new_subquery.fan_out = opened.progress;
+    new_subquery.priority = opened.priority;
+    new_subquery.team = opened.request->team;
+    new_subquery.objective_at = opened.objective_at;
     m_service_schedulers.at(submitted.scheduler_id).scheduler.submit(new_subquery, now);
 }
 
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -1,6 +1,8 @@
 #include "links/compression.hpp"
 #include "links/link_message.hpp"
 
+#include <flaxtiller/routing/routed_json.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace flaxtiller;
@@ -21,6 +23,9 @@
 
 } // namespace
 
+/// The length of an outcome's array without the optional elements, as older processes write and read it.
+constexpr std::size_t outcome_elements_without_delay = 9;
+
 TEST_CASE("messages of routed requests are unchanged by encoding and decoding", "[link]")
 {
     SECTION("a delegated request whose body is not valid UTF-8")
@@ -70,6 +75,17 @@
         CHECK(decoded_message.attempts == 4);
         CHECK(decoded_message.took == returned.outcome.took);
     }
+    SECTION("the delay of a runner is optional, so that processes of both builds understand each other")
+    {
+        routed_return returned;
+        returned.outcome.took = duration::from_ms(31);
+        CHECK(nlohmann::json(returned.outcome).size() == outcome_elements_without_delay);
+        returned.outcome.runner_delay = duration::from_ms(12.5);
+        const routed_outcome decoded_message = encode_and_decode(returned).outcome;
+        CHECK(decoded_message.runner_delay == returned.outcome.runner_delay);
+        CHECK(decoded_message.crashes.empty());
+        CHECK(decoded_message.took == returned.outcome.took);
+    }
     SECTION("the end of a delegation")
     {
         CHECK(encode_and_decode(routed_abandon{9}).number == 9);
--- a/tests/src/unit-routed-http-codec.cpp
+++ b/tests/src/unit-routed-http-codec.cpp
@@ -130,6 +130,26 @@
             codec.read_reply(reply_with(503, {{"X-Not-Run", "1"}, {"Retry-After", "0.25"}}), false);
         CHECK(read.result.retry_after == duration::from_ms(250));
     }
+    SECTION("a load report is read from answers and refusals, and a malformed one loses nothing else")
+    {
+        const auto answer =
+            codec.read_reply(reply_with(200, {{"X-Signature", "s"}, {"X-Load", "2,1,2"}}), true);
+        REQUIRE(answer.result.load);
+        CHECK(answer.result.load->waiting == 1);
+        const auto refusal =
+            codec.read_reply(reply_with(503, {{"X-Not-Run", "1"}, {"X-Load", "2,9,2,130"}}), true);
+        REQUIRE(refusal.result.load);
+        CHECK(refusal.result.load->slowdown == 1.3);
+        const auto malformed =
+            codec.read_reply(reply_with(200, {{"X-Signature", "s"}, {"X-Load", "2,-1,2"}}), true);
+        CHECK(malformed.has_malformed_load);
+        CHECK_FALSE(malformed.result.load);
+        CHECK(malformed.result.status == attempt_status::answered);
+    }
+    SECTION("the load of a server other than the one asked is ignored")
+    {
+        CHECK_FALSE(codec.read_reply(reply_with(421, {{"X-Load", "2,1,2"}}), true).result.load);
+    }
     SECTION("each end without a reply maps to a result")
     {
         http_exchange_result none;
