Connection pools: a peer that ignores a connection is unreachable after 250 ms

Cause: with a second, a request to a backend server without power spent its whole objective before anything was sent. Ruled out: hedging during the connection phase, which would charge the retry budget of a service that 85 entries share. Change: the time-out covers several round trips between regions. A test with a listener whose queue is full failed before (unreachable after 1 s). Conclusion: unit tests of the pools pass.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -21,8 +21,10 @@
 namespace
 {
 
-/// A peer that doesn't accept a connection within this time counts as unreachable.
-constexpr duration connect_timeout = duration::from_ms(1000);
+/// A peer that doesn't accept a connection within this time counts as unreachable. Nothing was sent, so the
+/// request goes to another backend server without an extra attempt; the time is several round trips between
+/// regions, and leaves most of an objective of a second.
+constexpr duration connect_timeout = duration::from_ms(250);
 /// After a peer closed a connection without a reply, a new connection is tried for this long, which covers
 /// one round trip between regions.
 constexpr duration probe_timeout = duration::from_ms(100);
--- a/tests/src/unit-connection-pool.cpp
+++ b/tests/src/unit-connection-pool.cpp
@@ -1,5 +1,7 @@
 #include "http/connection_pool.hpp"
 
+#include <flaxtiller/core/clock.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -319,4 +321,39 @@
         CHECK(pool_client.results[0].end == exchange_end::unreachable);
         CHECK(refused_pool.connections() == 0);
     }
+    SECTION("an exchange with a peer that ignores connections ends as unreachable in time for another server")
+    {
+        pool_fixture pool_client(reply_at_once);
+        // A listening socket that accepts nothing: once its queue is full, it ignores further connections, as
+        // an instance without power does.
+        tcp::acceptor silent(pool_client.io);
+        silent.open(tcp::v4());
+        silent.bind({net::ip::make_address("127.0.0.1"), 0});
+        silent.listen(0);
+        std::vector<tcp::socket> queued;
+        constexpr int more_than_queue = 4;
+        for (int i = 0; i < more_than_queue; ++i)
+        {
+            queued.emplace_back(pool_client.io).async_connect(silent.local_endpoint(), [](const auto&) {});
+        }
+        pool_client.io.restart();
+        pool_client.io.run_for(std::chrono::milliseconds(10));
+        connection_pool silent_pool(net::make_strand(pool_client.io),
+                                    {"127.0.0.1", silent.local_endpoint().port()}, pool_client.counted);
+        http_exchange wanted;
+        wanted.method = "GET";
+        wanted.target = "/";
+        wanted.patience = duration::from_ms(5000);
+        monotonic_clock clock;
+        const time_point started = clock.now();
+        silent_pool.send(std::move(wanted),
+                         [&](http_exchange_result result)
+                         {
+                             pool_client.results.push_back(std::move(result));
+                         });
+        pool_client.wait_for_results(1);
+        CHECK(pool_client.results[0].end == exchange_end::unreachable);
+        // Half of an objective of one second is left for the other server.
+        CHECK(clock.now() - started < duration::from_ms(500));
+    }
 }
