Owner selection by delay: reports, the share of the second owner and the call sites

Cause: a group always goes to the first owner that is not known to be down, whatever its delay. Ruled out: a message of its own for the delay; outcomes carry it as an optional last element. Change: owner_delays keeps the last report of each owner, weighted by age, and divides groups between the first two candidates by error diffusion. Outcomes of delegated requests state the processing delay and the longest wait. All of it behind balance_owners (limit_admission needs the reports, too, and switches them on).

--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -113,6 +113,12 @@
         return m_schedulers_configured;
     }
 
+    /// @return the delays that owners of shards reported, and their use
+    const owner_delays& delays_of_owners() const noexcept
+    {
+        return m_groups.delays();
+    }
+
     /// @return the scheduler of a service, or null if there is none
     const dispatch::scheduler* scheduler_of(const service_name& service) const;
 
@@ -297,7 +303,8 @@
                          time_point now);
     void delegate_groups(request_number number, open_request& opened, time_point now);
     void delegate_group(request_number number, open_request& opened, group& target_group,
-                        const instance_name& peer, bool again, time_point now);
+                        const instance_name& peer, bool again, time_point now,
+                        std::optional<owner_shift> shift = {});
     void run_locally(request_number number, const std::vector<std::size_t>& part_indexes, bool again,
                      time_point now);
     bool run_group_locally(request_number number, group& failed_group, bool again, time_point now);
@@ -311,6 +318,11 @@
     static void end_group(open_request& opened, group& delegated_group);
     static void describe(const open_request& opened, routed_outcome& outcome);
     void send_progress(request_number number, open_request& opened, time_point now);
+    bool uses_owner_delays() const noexcept;
+    duration longest_wait(const std::vector<service_name>& services) const;
+    duration runner_delay_of(const open_request& opened, time_point now) const;
+    std::vector<group_choice::group> choose_groups(const route& matched_route, time_point now);
+    void record_owner_delay(const instance_name& peer, const routed_outcome& outcome, time_point now);
     duration round_trip_to(const instance_name& peer) const;
     void record_round_trip(const instance_name& peer, duration round_trip);
     bool group_has_retry_budget(const open_request& opened, const group& target_group) const;
@@ -398,6 +410,8 @@
     std::map<std::pair<scheduler_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_latencies m_route_latencies;
     processing_delay m_processing_delay;
+    /// The time of the last event that could end a request, for the delay that its outcome states.
+    time_point m_settled_at{};
     crash_ledger m_crashes;
     /// Requests that are held back, the running trial, and the time from which the next trial may start.
     std::set<request_number> m_held;
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -4,11 +4,13 @@
 #include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
+#include <flaxtiller/routing/owner_shift.hpp>
 #include <flaxtiller/routing/routed_outcome.hpp>
 #include <flaxtiller/routing/routed_request.hpp>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -76,6 +78,8 @@
     duration progress_within{};
     /// Whether another entry may have run these shards already.
     bool again = false;
+    /// Set if the peer is the second owner of the group and was chosen by the delays of both.
+    std::optional<owner_shift> shift{};
     /// The regions in which the request may run; the peer is in one of them.
     region_set regions;
     std::shared_ptr<const routed_request> sent;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-router::router(router_options options) : m_options(options)
+router::router(router_options options) : m_options(options), m_groups(options.load.balances_owners)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
@@ -405,6 +405,7 @@
 
 void router::on_timer(request_number number, time_point now)
 {
+    m_settled_at = now;
     open_request& opened = m_open.at(number);
     opened.past_objective = opened.past_objective || now >= opened.answer_at;
     if (opened.past_objective && opened.matched_route->fans_out() && has_min_share(opened) &&
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -24,6 +24,7 @@
 
 void router::settle(request_number number, open_request& opened, time_point now)
 {
+    m_settled_at = now;
     if (opened.matched_route->fans_out())
     {
         settle_fan_out(number, opened, now);
@@ -131,6 +132,7 @@
     }
     result.is_progress = true;
     describe(opened, result);
+    result.runner_delay = runner_delay_of(opened, now);
     result.took = now - opened.arrived_at;
     for (part& item : opened.parts)
     {
@@ -233,6 +235,7 @@
         outcome.missing_services.push_back(opened.matched_route->fan_out.at(shard));
     }
     outcome.reason = opened.reason;
+    outcome.runner_delay = runner_delay_of(opened, m_settled_at);
     abandon_delegations(opened, false);
     m_timers.erase({opened.timer_at, number});
     detach_parts(opened);
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -21,20 +21,22 @@
     {
         return;
     }
-    const auto chosen_groups = m_groups.groups_of(*opened.matched_route, now);
+    const auto chosen_groups = choose_groups(*opened.matched_route, now);
     opened.designates_servers = !chosen_groups.empty() && !fits_attempt_limit(opened);
     for (const group_choice::group& chosen : chosen_groups)
     {
         group& target_group = opened.groups.emplace_back();
         target_group.parts = chosen.shards;
-        delegate_group(number, opened, target_group, chosen.peer, false, now);
+        delegate_group(number, opened, target_group, chosen.peer, false, now, chosen.shift);
     }
 }
 
 void router::delegate_group(request_number number, open_request& opened, group& target_group,
-                            const instance_name& peer, bool again, time_point now)
+                            const instance_name& peer, bool again, time_point now,
+                            std::optional<owner_shift> shift)
 {
     delegate_shards sent;
+    sent.shift = std::move(shift);
     sent.number = m_next_delegation++;
     sent.peer = peer;
     sent.list = opened.list;
@@ -228,6 +230,7 @@
 void router::on_entry_disconnected(const instance_name& peer, time_point now)
 {
     m_groups.failed(peer, now);
+    m_groups.drop_delay_report(peer);
     std::vector<std::pair<request_number, std::size_t>> affected_groups;
     for (auto& [number, opened] : m_open)
     {
@@ -312,6 +315,7 @@
                                    const routed_outcome& outcome, time_point now)
 {
     merge_crash_records(outcome.crashes, now);
+    record_owner_delay(peer, outcome, now);
     process_outcome(peer, number, outcome, now);
     process_held(now);
 }
--- a/src/routing/router_quarantine.cpp
+++ b/src/routing/router_quarantine.cpp
@@ -272,6 +272,7 @@
             opened.reason = missing_reason::quarantined;
             opened.retry_after = m_crashes.quarantine_time_left(fingerprint_of(opened), now);
             opened.crashes = {m_crashes.record_of(fingerprint_of(opened), now)};
+            m_settled_at = now;
             fail(number, opened, false);
         }
     }
