--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -36,6 +36,20 @@
     return limits;
 }
 
+/// @return the owners with the longest reported delays and the ages of these reports
+nlohmann::json dump_of(const owner_delays& delays, time_point now)
+{
+    constexpr std::size_t max_shown = 10;
+    nlohmann::json dumped = nlohmann::json::array();
+    for (const delay_report& item : delays.longest(max_shown, now))
+    {
+        dumped.push_back({{"entry", item.owner.str()},
+                          {"delay_ms", item.delay.ms()},
+                          {"heard_ms_ago", (now - item.received_at).ms()}});
+    }
+    return dumped;
+}
+
 } // namespace
 
 routing_frontend::routing_frontend(net::io_context& io, metrics& counted, const router_options& options,
@@ -302,6 +316,7 @@
             {"teams", std::move(teams)},
             {"crash_records", m_router.crashes().all(1, m_clock.now())},
             {"open_requests", m_router.open_requests()},
+            {"owner_delays", dump_of(m_router.delays_of_owners(), m_clock.now())},
             {"backend_servers", m_servers.size()},
             {"running_attempts", m_attempts.size()}};
 }
--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -158,6 +158,18 @@
              {"shards", action.shards.size()},
              {"first", action.shards.front()}});
     }
+    if (action.shift)
+    {
+        m_metrics.add(metrics::counter::groups_to_second_owner);
+        log(log_level::debug, "group_to_second_owner",
+            {{"request", action.sent->id},
+             {"entry", action.peer.str()},
+             {"delay_ms", action.shift->second_delay.ms()},
+             {"first_owner", action.shift->first.str()},
+             {"first_delay_ms", action.shift->first_delay.ms()},
+             {"share", action.shift->second_share},
+             {"first", action.shards.front()}});
+    }
     routed_ask delegated{action.number, *action.sent};
     delegated.request.patience = action.patience;
     delegated.request.delegated_list = action.list;
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -30,6 +30,7 @@
                                    "malformed_load_reports",
                                    "requests_suspected",
                                    "requests_quarantined",
+                                   "groups_to_second_owner",
                                    "link_messages_sent",
                                    "link_bytes_sent"};
 constexpr std::array timer_names{"query", "attempt"};
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -39,6 +39,9 @@
         /// Requests that became suspect of crashing backend servers, and those that were found to.
         requests_suspected,
         requests_quarantined,
+        /// Groups of shards that were delegated to their second owner, as the first one reported a longer
+        /// delay.
+        groups_to_second_owner,
         link_messages_sent,
         link_bytes_sent,
         count_,
--- a/src/routing/group_choice.cpp
+++ b/src/routing/group_choice.cpp
@@ -73,8 +73,8 @@
     {
         return owner == m_self && own_delay ? own_delay(item.shards) : delay_of(owner, now);
     };
-    const bool are_available = (first == m_self || is_available(first, now)) &&
-                               (second == m_self || is_available(second, now));
+    const bool are_available =
+        (first == m_self || is_available(first, now)) && (second == m_self || is_available(second, now));
     if (!are_available)
     {
         return std::nullopt;
@@ -82,7 +82,7 @@
     owner_shift shift{first, delay(first), delay(second)};
     shift.second_share = owner_delays::second_share(shift.first_delay, shift.second_delay, objective);
     return m_delays.is_turn_of_second(m_self, first, second, shift.second_share, now) ? std::optional(shift)
-                                                                                     : std::nullopt;
+                                                                                      : std::nullopt;
 }
 
 std::vector<group_choice::group> group_choice::groups_of(const route& matched_route, time_point now,
--- a/src/routing/owner_delays.cpp
+++ b/src/routing/owner_delays.cpp
@@ -24,8 +24,7 @@
 void owner_delays::report(const instance_name& owner, duration delay, time_point now)
 {
     remove_expired(now);
-    m_reports.insert_or_assign(owner,
-                               delay_report{owner, std::clamp(delay, duration{}, max_counted), now});
+    m_reports.insert_or_assign(owner, delay_report{owner, std::clamp(delay, duration{}, max_counted), now});
 }
 
 void owner_delays::drop(const instance_name& owner)
