--- a/src/routing/router_owner_delays.cpp
+++ b/src/routing/router_owner_delays.cpp
@@ -38,6 +38,7 @@
         return {};
     }
     std::vector<service_name> services;
+    services.reserve(opened.parts.size());
     for (const part& item : opened.parts)
     {
         services.push_back(item.service);
@@ -51,6 +52,7 @@
                               [&](const std::vector<std::size_t>& shards)
                               {
                                   std::vector<service_name> services;
+                                  services.reserve(shards.size());
                                   for (const std::size_t shard : shards)
                                   {
                                       services.push_back(matched_route.fan_out.at(shard));
--- a/tests/src/unit-owner-play.cpp
+++ b/tests/src/unit-owner-play.cpp
@@ -1,6 +1,5 @@
-// Simulations of the load on owners of unequal speed, in virtual time, and the cost of their reports.
+// Simulations of the load on owners of unequal speed, in virtual time.
 
-#include "links/link_message.hpp"
 #include "owned_fan_out.hpp"
 
 #include <flaxtiller/routing/group_choice.hpp>
@@ -14,7 +13,6 @@
 #include <random>
 
 using namespace flaxtiller;
-using namespace flaxtiller::shell;
 using namespace flaxtiller::test;
 
 namespace
@@ -371,42 +369,3 @@
     // A choice of the least delay doesn't return groups to the owners that have warm connections.
     CHECK(least_delay.slow_share_afterwards <= 0.7);
 }
-
-TEST_CASE("reports of delays cost no message, and as many bytes at any number of entries", "[owner_delays]")
-{
-    // Guards against a report that is sent to every entry, or that grows with the number of entries.
-    constexpr int zones = 6;
-    constexpr int shard_count = 90;
-    constexpr std::size_t max_bytes_per_outcome = 6;
-    std::size_t groups_at_30 = 0;
-    for (const int entries : {30, 300, 2000})
-    {
-        const owned_fan_out fan_out(shard_count, entries / zones, entries - entries / zones);
-        group_choice choice(true);
-        choice.configure(fan_out.view_of("b0"));
-        const time_point now{duration::from_ms(1000)};
-        const auto sent = choice.groups_of(fan_out.matched_route, now);
-        std::size_t added_bytes = 0;
-        for (const group_choice::group& item : sent)
-        {
-            routed_return returned;
-            returned.number = 1000;
-            returned.outcome.end = routed_end::merged;
-            returned.outcome.took = 31_ms;
-            returned.outcome.signatures.assign(item.shards.size(), "0123456789abcdef");
-            const std::size_t before = encode(returned).size();
-            returned.outcome.runner_delay = owner_delays::max_counted;
-            added_bytes += encode(returned).size() - before;
-            choice.on_delay_report(item.peer, returned.outcome.runner_delay, now);
-        }
-        groups_at_30 = groups_at_30 == 0 ? sent.size() : groups_at_30;
-        CHECK(sent.size() == groups_at_30);
-        CHECK(added_bytes <= sent.size() * max_bytes_per_outcome);
-        CAPTURE(entries, sent.size(), added_bytes);
-        CHECK(added_bytes == 60);
-        // Groups that move to their second owners are as many messages.
-        CHECK(choice.groups_of(fan_out.matched_route, now).size() == sent.size());
-        // The state is by owner of a group, not by entry.
-        CHECK(choice.delays().size() <= 2 * sent.size());
-    }
-}
