Admission control: estimate, bound on open requests and return times (in progress)

Cause: an overloaded entry holds requests until their deadline. Change: completion_estimate, open_request_limit and return_schedule, called in router::arrive behind their switches.

--- a/include/flaxtiller/routing/group_choice.hpp
+++ b/include/flaxtiller/routing/group_choice.hpp
@@ -36,6 +36,12 @@
     /// shards
     std::vector<group> groups_of(const route& matched_route, time_point now);
 
+    /// @return the groups of the route's fan-out, with all candidates of each
+    const std::vector<shard_plan::group>& candidates_of(const route& matched_route)
+    {
+        return m_plan.groups_of(matched_route);
+    }
+
     /// @return the entry to try after @a failed for the group that begins with @a first_shard: another
     /// candidate, or this instance's own name if it is next; nothing if no candidate is left
     std::optional<instance_name> next_runner(const route& matched_route, std::size_t first_shard,
--- a/include/flaxtiller/routing/route_table.hpp
+++ b/include/flaxtiller/routing/route_table.hpp
@@ -31,11 +31,18 @@
     /// @return the routes that fan out, see @ref route::fans_out
     const std::vector<std::shared_ptr<const route>>& fan_outs() const noexcept;
 
+    /// @return the shortest objective of all routes that have one; zero if none has
+    duration shortest_objective() const noexcept
+    {
+        return m_shortest_objective;
+    }
+
   private:
     using by_prefix = std::unordered_map<std::string, std::shared_ptr<const route>>;
 
     std::unordered_map<std::string, by_prefix> m_hosts;
     std::vector<std::shared_ptr<const route>> m_fan_outs;
+    duration m_shortest_objective{};
 };
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -4,10 +4,12 @@
 #include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/quarantine/crash_record.hpp>
 #include <flaxtiller/query/missing_reason.hpp>
+#include <flaxtiller/routing/admission_decision.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +66,9 @@
     duration took{};
     /// The time that a group of shards delegated now would wait at this instance; set for a delegating entry.
     duration runner_delay{};
+    /// The inputs of the decision that refused the request at its arrival; set for the log if admission
+    /// control refused it.
+    std::optional<admission_decision> admission{};
     /// The request's crash record, for a delegating entry; set if backend servers crashed while running the
     /// request.
     std::vector<crash_record> crashes;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -3,7 +3,9 @@
 #include <flaxtiller/dispatch/scheduler.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
+#include <flaxtiller/routing/open_request_limit.hpp>
 #include <flaxtiller/routing/processing_delay.hpp>
+#include <flaxtiller/routing/return_schedule.hpp>
 #include <flaxtiller/routing/route_latencies.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/router_options.hpp>
@@ -95,6 +97,22 @@
     /// @return the number of requests without a final answer
     std::size_t open_requests() const noexcept;
 
+    /// @return the bound on open requests
+    const open_request_limit& open_limit() const noexcept
+    {
+        return m_open_limit;
+    }
+
+    /// @return the rate at which refused callers are told to return, and the delay of this process
+    const return_schedule& returns() const noexcept
+    {
+        return m_returns;
+    }
+    duration delay_at(time_point now) const
+    {
+        return m_processing_delay.at(now);
+    }
+
     /// @return the other entries that own shards of fan-outs; this instance keeps links to them
     std::set<instance_name> owners_to_link() const;
 
@@ -289,6 +307,21 @@
                             const request_fingerprint& fingerprint, time_point now);
     bool refuse_unservable(request_number number, const route& matched_route,
                            const std::shared_ptr<const region_set>& regions, time_point now);
+    void follow_load(time_point now);
+    admission_decision decide_admission(const route& matched_route, const routed_request& request,
+                                        time_point now);
+    void refuse_overloaded(request_number number, const route& matched_route, const routed_request& request,
+                           const admission_decision& decision, time_point now);
+    completion_estimate::result expected_completion(const route& matched_route, int priority, time_point now);
+    void add_local_shard(completion_estimate& into, const service_name& service, double size,
+                         int priority) const;
+    void add_group(completion_estimate& into, const route& matched_route, const shard_plan::group& item,
+                   double size, time_point now) const;
+    duration reported_delay_of(const instance_name& peer, time_point now) const;
+    duration median_run_of(const service_name& service, double size) const;
+    void spread_return(routed_outcome& refusal, const route& matched_route, const routed_request& request,
+                       time_point now);
+    void spread_last_refusal(const route& matched_route, const routed_request& request, time_point now);
     static std::shared_ptr<const region_set> regions_of(const route& matched_route,
                                                         const routed_request& request);
     std::shared_ptr<const route> route_for(const team_name& name, std::shared_ptr<const route> matched_route);
@@ -337,11 +370,11 @@
     void apply(scheduler_index at, const dispatch::cancel_attempt& action);
     void apply(scheduler_index at, const dispatch::finish_subquery& action, time_point now);
     void settle(request_number number, open_request& opened, time_point now);
-    void settle_single(request_number number, open_request& opened);
+    void settle_single(request_number number, open_request& opened, time_point now);
     void settle_fan_out(request_number number, open_request& opened, time_point now);
     void merge(request_number number, open_request& opened);
-    void end_at_deadline(request_number number, open_request& opened);
-    void fail(request_number number, open_request& opened, bool late);
+    void end_at_deadline(request_number number, open_request& opened, std::optional<time_point> now);
+    void fail(request_number number, open_request& opened, bool late, std::optional<time_point> now);
     static std::vector<std::size_t> missing_shards(const open_request& opened);
     void finish(request_number number, open_request& opened, routed_outcome outcome);
     bool has_min_share(const open_request& opened) const;
@@ -398,6 +431,10 @@
     std::map<std::pair<scheduler_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_latencies m_route_latencies;
     processing_delay m_processing_delay;
+    open_request_limit m_open_limit;
+    return_schedule m_returns;
+    /// The requests of own callers that were answered since the last arrival.
+    std::size_t m_answered = 0;
     crash_ledger m_crashes;
     /// Requests that are held back, the running trial, and the time from which the next trial may start.
     std::set<request_number> m_held;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -34,6 +34,11 @@
         {
             m_fan_outs.push_back(shared);
         }
+        const bool is_shortest = m_shortest_objective <= duration{} || item.objective < m_shortest_objective;
+        if (item.objective > duration{} && is_shortest)
+        {
+            m_shortest_objective = item.objective;
+        }
         m_hosts[host_key(item.host)].emplace(item.path_prefix, std::move(shared));
     }
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-router::router(router_options options) : m_options(options)
+router::router(router_options options)
+    : m_options(options), m_open_limit(options.max_open_requests), m_returns(options.min_retry_after)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
@@ -68,6 +69,7 @@
     const shared_value<cold_servers> cold_before = m_view.cold;
     m_view = std::move(view);
     m_groups.configure(m_view);
+    m_open_limit.set_shortest_objective(m_view.routes->shortest_objective());
     // Limited before the schedulers see a new backend server; otherwise the whole queue would be sent to it
     // at once.
     limit_cold_servers(*cold_before, now);
@@ -415,7 +417,7 @@
     }
     if (now >= opened.deadline)
     {
-        end_at_deadline(number, opened);
+        end_at_deadline(number, opened, now);
         return;
     }
     if (now >= opened.progress_at)
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -169,6 +169,7 @@
 
 void router::arrive(request_number number, std::shared_ptr<const routed_request> request, time_point now)
 {
+    follow_load(now);
     if (!m_view.placed)
     {
         refuse(number, nullptr, missing_reason::no_backend_server);
@@ -205,11 +206,13 @@
     if (m_open.size() >= m_options.max_open_requests)
     {
         refuse(number, matched_route.get(), missing_reason::overloaded);
+        spread_last_refusal(*matched_route, *request, now);
         return;
     }
     if (matched_route->fans_out() && !request->is_delegated() &&
         refuse_unservable(number, *matched_route, regions, now))
     {
+        spread_last_refusal(*matched_route, *request, now);
         return;
     }
     std::optional<request_fingerprint> fingerprint;
@@ -224,6 +227,12 @@
         refuse_quarantined(number, *matched_route, *fingerprint, now);
         return;
     }
+    const admission_decision decision = decide_admission(*matched_route, *request, now);
+    if (!decision.is_admitted())
+    {
+        refuse_overloaded(number, *matched_route, *request, decision, now);
+        return;
+    }
     open_request& opened = m_open[number];
     opened.fingerprint = std::move(fingerprint);
     opened.held = quarantine_state == crash_ledger::quarantine_state::suspect;
@@ -236,7 +245,13 @@
     opened.deadline = now + std::min(patience, matched_route->timeout);
     opened.answer_at = std::min(now + time_to_answer(*matched_route, *request), opened.deadline);
     opened.objective_at = std::min(now + time_to_objective(*matched_route, *request), opened.deadline);
+    if (decision.decided == admission_decision::verdict::admitted_late)
+    {
+        // Late for the order of the queues from the start, so that all shards order it alike.
+        opened.objective_at = now;
+    }
     opened.priority = priority_of(*matched_route, request->team);
+    m_open_limit.on_open(opened.priority, request->is_delegated());
     opened.request = std::move(request);
     if (opened.request->is_delegated() && opened.request->progress_within > duration{})
     {
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -30,11 +30,11 @@
     }
     else
     {
-        settle_single(number, opened);
+        settle_single(number, opened, now);
     }
 }
 
-void router::settle_single(request_number number, open_request& opened)
+void router::settle_single(request_number number, open_request& opened, time_point now)
 {
     const part& item = opened.parts.front();
     // An error answer of the backend server is forwarded too if no attempt succeeded.
@@ -46,7 +46,7 @@
         finish(number, opened, std::move(result));
         return;
     }
-    fail(number, opened, opened.reason == missing_reason::late);
+    fail(number, opened, opened.reason == missing_reason::late, now);
 }
 
 void router::settle_fan_out(request_number number, open_request& opened, time_point now)
@@ -65,7 +65,7 @@
         max_succeeded < least_share_of(opened) * static_cast<double>(all) || max_succeeded == 0.0;
     if (is_share_unreachable || complete)
     {
-        fail(number, opened, now >= opened.deadline);
+        fail(number, opened, now >= opened.deadline, now);
     }
 }
 
@@ -139,14 +139,14 @@
     m_actions.emplace_back(send_partial_outcome{number, std::move(result)});
 }
 
-void router::end_at_deadline(request_number number, open_request& opened)
+void router::end_at_deadline(request_number number, open_request& opened, std::optional<time_point> now)
 {
     if (opened.matched_route->fans_out() && has_min_share(opened))
     {
         merge(number, opened);
         return;
     }
-    fail(number, opened, true);
+    fail(number, opened, true, now);
 }
 
 void router::answer_all()
@@ -160,11 +160,11 @@
     std::sort(numbers.begin(), numbers.end());
     for (const request_number number : numbers)
     {
-        end_at_deadline(number, m_open.at(number));
+        end_at_deadline(number, m_open.at(number), std::nullopt);
     }
 }
 
-void router::fail(request_number number, open_request& opened, bool late)
+void router::fail(request_number number, open_request& opened, bool late, std::optional<time_point> now)
 {
     const bool running = std::any_of(opened.parts.begin(), opened.parts.end(),
                                      [](const part& item)
@@ -183,6 +183,10 @@
         result.end = late ? routed_end::late : routed_end::failed;
     }
     result.retry_after = std::max(opened.retry_after, m_options.min_retry_after);
+    if (result.end == routed_end::refused && opened.reason != missing_reason::quarantined && now)
+    {
+        spread_return(result, *opened.matched_route, *opened.request, *now);
+    }
     finish(number, opened, std::move(result));
 }
 
@@ -241,6 +245,9 @@
         // Without the crash record the delegating entry might delegate the request to another entry.
         outcome.crashes = std::move(opened.crashes);
     }
+    const bool is_answer = outcome.end == routed_end::merged || outcome.end == routed_end::passed_on;
+    m_answered += is_answer && !opened.request->is_delegated() ? 1 : 0;
+    m_open_limit.on_end(opened.priority, opened.request->is_delegated());
     m_open.erase(number);
     forget_held(number);
     m_actions.emplace_back(answer_request{number, std::move(outcome)});
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -437,6 +437,7 @@
     {
         m_timers.erase({found->second.timer_at, number});
         detach_parts(found->second);
+        m_open_limit.on_end(found->second.priority, found->second.request->is_delegated());
         m_open.erase(found);
         forget_held(number);
     }
@@ -451,6 +452,7 @@
     }
     const open_request opened = std::move(found->second);
     m_timers.erase({opened.timer_at, number});
+    m_open_limit.on_end(opened.priority, opened.request->is_delegated());
     m_open.erase(found);
     forget_held(number);
     abandon_delegations(opened, true);
--- /dev/null
+++ b/src/routing/router_load.cpp
@@ -0,0 +1,198 @@
+// Admission under load: the inputs of the estimate, the refusal, and the times at which callers may return.
+
+#include <flaxtiller/routing/router.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flaxtiller
+{
+
+namespace
+{
+
+/// Of the candidates of a group, these are considered as its runners.
+constexpr std::size_t likely_runners = 2;
+/// Callers wait at most this part of their remaining time before they send a refused request again.
+constexpr double longest_wait_share = 1.0 / 3.0;
+
+} // namespace
+
+/// Takes in what happened since the last arrival.
+void router::follow_load(time_point now)
+{
+    if (m_options.load.limits_admission)
+    {
+        m_open_limit.update(m_processing_delay.at(now), now);
+    }
+    if (m_options.load.spreads_returns)
+    {
+        m_returns.note_answers(std::exchange(m_answered, 0), now);
+    }
+}
+
+/// Decides before anything is sent. A request that another entry delegated is always admitted: refusing its
+/// shards would cost the whole request there, after work was done for it.
+admission_decision router::decide_admission(const route& matched_route, const routed_request& request,
+                                            time_point now)
+{
+    using verdict = admission_decision::verdict;
+    using timeliness = completion_estimate::timeliness;
+    admission_decision decision;
+    if (!m_options.load.limits_admission || request.is_delegated())
+    {
+        return decision;
+    }
+    const duration patience = std::max(request.patience - m_options.response_margin, duration{});
+    decision.deadline = std::min(patience, matched_route.timeout);
+    decision.objective = std::min(time_to_objective(matched_route, request), decision.deadline);
+    decision.priority = priority_of(matched_route, request.team);
+    decision.bound = m_open_limit.bound();
+    decision.open = m_open_limit.open();
+    decision.processing_delay = m_processing_delay.at(now);
+    decision.expected = expected_completion(matched_route, decision.priority, now);
+    const timeliness expected =
+        completion_estimate::compare(decision.expected, decision.objective, decision.deadline);
+    if (expected == timeliness::too_late)
+    {
+        decision.decided = verdict::past_deadline;
+        return decision;
+    }
+    const bool late = expected == timeliness::late;
+    // Queues that are ordered by deadline alone would run late work before work that can meet its objective.
+    if (late && !m_options.load.orders_by_priority)
+    {
+        decision.decided = verdict::past_objective;
+        return decision;
+    }
+    if (!m_open_limit.admits(decision.priority, late))
+    {
+        decision.decided = verdict::too_many_open;
+        return decision;
+    }
+    decision.decided = late ? verdict::admitted_late : verdict::admitted;
+    return decision;
+}
+
+void router::refuse_overloaded(request_number number, const route& matched_route,
+                               const routed_request& request, const admission_decision& decision,
+                               time_point now)
+{
+    // The queues are short enough for the objective after this time.
+    const duration excess = std::max(decision.expected.time - decision.objective, duration{});
+    refuse(number, &matched_route, missing_reason::overloaded, excess);
+    std::get<answer_request>(m_actions.back()).outcome.admission = decision;
+    spread_last_refusal(matched_route, request, now);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// estimate
+// ---------------------------------------------------------------------------------------------------------
+
+completion_estimate::result router::expected_completion(const route& matched_route, int priority,
+                                                        time_point now)
+{
+    const duration own_delay = m_processing_delay.at(now);
+    if (!matched_route.fans_out())
+    {
+        // The target is not chosen yet; the most favourable one counts.
+        completion_estimate targets;
+        for (const weighted_service& target : matched_route.targets)
+        {
+            add_local_shard(targets, target.service, 1.0, priority);
+        }
+        return targets.completion(0.0, own_delay);
+    }
+    const double size =
+        m_route_latencies.relative_latency(matched_route.name, list_id(matched_route.fan_out));
+    completion_estimate shards;
+    std::vector<bool> runs_locally(matched_route.fan_out.size(), true);
+    for (const shard_plan::group& item : m_groups.candidates_of(matched_route))
+    {
+        if (item.runner_candidates.empty() || item.runner_candidates.front() == m_view.self)
+        {
+            continue;
+        }
+        add_group(shards, matched_route, item, size, now);
+        for (const std::size_t shard : item.shards)
+        {
+            runs_locally[shard] = false;
+        }
+    }
+    for (std::size_t shard = 0; shard < runs_locally.size(); ++shard)
+    {
+        if (runs_locally[shard])
+        {
+            add_local_shard(shards, matched_route.fan_out[shard], size, priority);
+        }
+    }
+    return shards.completion(matched_route.least_share, own_delay);
+}
+
+duration router::median_run_of(const service_name& service, double size) const
+{
+    const dispatch::scheduler* scheduler = scheduler_of(service);
+    return scheduler == nullptr ? duration{} : scheduler->median_latency() * size;
+}
+
+/// Where queues are ordered by priority, less urgent subqueries are not waited for. The share of the open
+/// requests that is not less urgent stands for the share of the queue.
+void router::add_local_shard(completion_estimate& into, const service_name& service, double size,
+                             int priority) const
+{
+    const dispatch::scheduler* scheduler = scheduler_of(service);
+    const double share_ahead =
+        m_options.load.orders_by_priority ? m_open_limit.share_not_less_urgent(priority) : 1.0;
+    const duration wait = scheduler == nullptr ? duration{} : scheduler->estimated_wait(0) * share_ahead;
+    into.add(1, wait, median_run_of(service, size));
+}
+
+/// Adds a delegated group, with the shorter one of the delays of its likely runners.
+void router::add_group(completion_estimate& into, const route& matched_route, const shard_plan::group& item,
+                       double size, time_point now) const
+{
+    const std::size_t runners = std::min(item.runner_candidates.size(), likely_runners);
+    duration delay = reported_delay_of(item.runner_candidates.front(), now);
+    for (std::size_t i = 1; i < runners; ++i)
+    {
+        delay = std::min(delay, reported_delay_of(item.runner_candidates[i], now));
+    }
+    const duration round_trip = round_trip_to(item.runner_candidates.front());
+    for (const std::size_t shard : item.shards)
+    {
+        into.add(1, delay, median_run_of(matched_route.fan_out[shard], size) + round_trip);
+    }
+}
+
+/// @return the delay that another entry reported for groups delegated to it; zero if unknown, which it is
+/// for all entries until group_choice keeps the reports
+duration router::reported_delay_of(const instance_name&, time_point) const
+{
+    return {};
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// return times
+// ---------------------------------------------------------------------------------------------------------
+
+/// Replaces the retry time of a refusal by a time of the caller's own. Entries that delegated the request
+/// don't return.
+void router::spread_return(routed_outcome& refusal, const route& matched_route, const routed_request& request,
+                           time_point now)
+{
+    if (!m_options.load.spreads_returns || request.is_delegated())
+    {
+        return;
+    }
+    const std::size_t more_urgent =
+        m_open_limit.more_urgent_priorities(priority_of(matched_route, request.team));
+    refusal.retry_after =
+        m_returns.next_wait(more_urgent, refusal.retry_after, request.patience * longest_wait_share, now);
+}
+
+void router::spread_last_refusal(const route& matched_route, const routed_request& request, time_point now)
+{
+    spread_return(std::get<answer_request>(m_actions.back()).outcome, matched_route, request, now);
+}
+
+} // namespace flaxtiller
--- a/src/routing/router_quarantine.cpp
+++ b/src/routing/router_quarantine.cpp
@@ -272,7 +272,7 @@
             opened.reason = missing_reason::quarantined;
             opened.retry_after = m_crashes.quarantine_time_left(fingerprint_of(opened), now);
             opened.crashes = {m_crashes.record_of(fingerprint_of(opened), now)};
-            fail(number, opened, false);
+            fail(number, opened, false, now);
         }
     }
 }
