Admission control: margin of estimates, delay probe, log line, metrics, dump and tests (in progress)

Cause: estimates were too optimistic by the attempts that wait at backend servers, and timers that are no longer needed hide the delay of a busy process. Change: completion_margin adapts the margin; a timer of the router measures the delay while requests are open.

--- a/include/flaxtiller/routing/admission_decision.hpp
+++ b/include/flaxtiller/routing/admission_decision.hpp
@@ -29,6 +29,8 @@
     /// The times from arrival to the objective and to the deadline.
     duration objective{};
     duration deadline{};
+    /// The part of the objective that the estimate had to leave free.
+    double margin = 0.0;
     /// The bound on open requests, and their number.
     std::size_t bound = 0;
     std::size_t open = 0;
--- a/include/flaxtiller/routing/open_request_limit.hpp
+++ b/include/flaxtiller/routing/open_request_limit.hpp
@@ -21,9 +21,9 @@
   public:
     /// The bound never falls below this number of requests, so that the entry continues to serve, and
     /// to observe its delay.
-    static constexpr std::size_t min_bound = 8;
+    static constexpr std::size_t min_bound = 2;
     /// The requests of own callers that are admitted even if delegated requests alone exceed the bound.
-    static constexpr std::size_t min_own_requests = 4;
+    static constexpr std::size_t min_own_requests = 1;
     /// The share of the shortest objective that one delay may take. A request passes the process about four
     /// times (arrival, delegation, result and answer); this leaves half of the objective to the servers.
     static constexpr double tolerated_share = 0.125;
@@ -31,7 +31,7 @@
     /// about ten timers.
     static constexpr duration interval = duration::from_ms(100);
     static constexpr double decrease_factor = 0.8;
-    static constexpr double increase_per_interval = 4.0;
+    static constexpr double increase_per_interval = 1.0;
     static constexpr double idle_increase_factor = 2.0;
     /// With a delay below this share of the tolerated one, or with at most this number of open requests, the
     /// process counts as idle.
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/dispatch/scheduler.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
+#include <flaxtiller/routing/completion_margin.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
 #include <flaxtiller/routing/open_request_limit.hpp>
 #include <flaxtiller/routing/processing_delay.hpp>
@@ -103,11 +104,19 @@
         return m_open_limit;
     }
 
-    /// @return the rate at which refused callers are told to return, and the delay of this process
+    /// @return the times at which refused callers are told to return
     const return_schedule& returns() const noexcept
     {
         return m_returns;
     }
+
+    /// @return the part of the objective that estimates leave free
+    double completion_margin_share() const noexcept
+    {
+        return m_completion_margin.share();
+    }
+
+    /// @return the delay with which this process handles what is due
     duration delay_at(time_point now) const
     {
         return m_processing_delay.at(now);
@@ -246,6 +255,8 @@
         time_point objective_at = time_point::never();
         /// The priority of the team, or of the route if the team has none; 0 is the most urgent.
         int priority = 0;
+        /// Whether the request was admitted with an estimate that it waits, and meets its objective.
+        bool waits_within_objective = false;
         /// The time at which silent groups are reassigned.
         time_point group_check_at = time_point::never();
         /// The time at which the next partial outcome is sent to the delegating entry.
@@ -307,11 +318,17 @@
                             const request_fingerprint& fingerprint, time_point now);
     bool refuse_unservable(request_number number, const route& matched_route,
                            const std::shared_ptr<const region_set>& regions, time_point now);
+    time_point delay_probe_due() const noexcept;
+    void end_delay_probe(time_point now);
     void follow_load(time_point now);
+    void note_end(const open_request& opened, const routed_outcome& outcome, std::optional<time_point> now);
+    admission_decision load_inputs(const route& matched_route, const routed_request& request, time_point now);
     admission_decision decide_admission(const route& matched_route, const routed_request& request,
                                         time_point now);
     void refuse_overloaded(request_number number, const route& matched_route, const routed_request& request,
                            const admission_decision& decision, time_point now);
+    void refuse_at_greatest_bound(request_number number, const route& matched_route,
+                                  const routed_request& request, time_point now);
     completion_estimate::result expected_completion(const route& matched_route, int priority, time_point now);
     void add_local_shard(completion_estimate& into, const service_name& service, double size,
                          int priority) const;
@@ -372,11 +389,12 @@
     void settle(request_number number, open_request& opened, time_point now);
     void settle_single(request_number number, open_request& opened, time_point now);
     void settle_fan_out(request_number number, open_request& opened, time_point now);
-    void merge(request_number number, open_request& opened);
+    void merge(request_number number, open_request& opened, std::optional<time_point> now);
     void end_at_deadline(request_number number, open_request& opened, std::optional<time_point> now);
     void fail(request_number number, open_request& opened, bool late, std::optional<time_point> now);
     static std::vector<std::size_t> missing_shards(const open_request& opened);
-    void finish(request_number number, open_request& opened, routed_outcome outcome);
+    void finish(request_number number, open_request& opened, routed_outcome outcome,
+                std::optional<time_point> now);
     bool has_min_share(const open_request& opened) const;
     void on_timer(request_number number, time_point now);
     void drop_undeclared_services(time_point now);
@@ -431,6 +449,9 @@
     std::map<std::pair<scheduler_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_latencies m_route_latencies;
     processing_delay m_processing_delay;
+    /// The time of the next timer that measures the delay.
+    time_point m_delay_probe_at{};
+    completion_margin m_completion_margin;
     open_request_limit m_open_limit;
     return_schedule m_returns;
     /// The requests of own callers that were answered since the last arrival.
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -291,6 +291,29 @@
               });
 }
 
+/// @return the state of admission control; of the priorities, the most urgent ones
+nlohmann::json routing_frontend::dump_admission() const
+{
+    constexpr std::size_t max_priorities = 10;
+    const time_point now = m_clock.now();
+    const open_request_limit& limit = m_router.open_limit();
+    nlohmann::json priorities = nlohmann::json::object();
+    for (const auto& [priority, item] : limit.priorities())
+    {
+        if (priorities.size() < max_priorities)
+        {
+            priorities[std::to_string(priority)] = {
+                {"open", item.open}, {"admitted", item.total_admitted}, {"refused", item.total_refused}};
+        }
+    }
+    return {{"bound", limit.bound()},
+            {"open", limit.open()},
+            {"delay_ms", m_router.delay_at(now).ms()},
+            {"margin", m_router.completion_margin_share()},
+            {"answers_per_s", m_router.returns().rate_per_s(now)},
+            {"priorities", std::move(priorities)}};
+}
+
 nlohmann::json routing_frontend::dump_state() const
 {
     nlohmann::json teams = nlohmann::json::object();
@@ -302,6 +325,7 @@
             {"teams", std::move(teams)},
             {"crash_records", m_router.crashes().all(1, m_clock.now())},
             {"open_requests", m_router.open_requests()},
+            {"admission", dump_admission()},
             {"backend_servers", m_servers.size()},
             {"running_attempts", m_attempts.size()}};
 }
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -140,6 +140,8 @@
     void execute(const reject_request& action);
     void execute(const send_limit_report& action);
     void log_over_limit(const reject_request& action) const;
+    void log_admission_refused(const caller& from, const routed_outcome& outcome) const;
+    nlohmann::json dump_admission() const;
     void on_caller_gone(request_number number);
     void on_no_longer_awaited(request_number number);
     void execute_actions();
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -99,6 +99,37 @@
     return metrics::counter::answers_unknown;
 }
 
+const char* name_of(admission_decision::verdict decided)
+{
+    using verdict = admission_decision::verdict;
+    switch (decided)
+    {
+    case verdict::admitted:
+        return "admitted";
+    case verdict::admitted_late:
+        return "admitted_late";
+    case verdict::past_deadline:
+        return "past_deadline";
+    case verdict::past_objective:
+        return "past_objective";
+    case verdict::too_many_open:
+        break;
+    }
+    return "too_many_open";
+}
+
+/// @param decided the verdict of a refusal
+metrics::counter counter_of(admission_decision::verdict decided)
+{
+    using verdict = admission_decision::verdict;
+    if (decided == verdict::past_deadline)
+    {
+        return metrics::counter::refused_past_deadline;
+    }
+    return decided == verdict::past_objective ? metrics::counter::refused_past_objective
+                                              : metrics::counter::refused_too_many_open;
+}
+
 /// @return the first few of @a names, separated by commas; limited to keep log lines short
 template <typename Name>
 std::string joined(const std::vector<Name>& names)
@@ -277,6 +308,11 @@
     {
         m_delegations.erase({from.delegated_by, from.delegation});
     }
+    if (outcome.admission)
+    {
+        m_metrics.add(counter_of(outcome.admission->decided));
+        log_admission_refused(from, outcome);
+    }
     log_answer(from, outcome, elapsed);
     from.respond(outcome);
 }
@@ -318,6 +354,27 @@
          {"held", action.held}});
 }
 
+/// States the inputs of the decision, from which it can be repeated.
+void routing_frontend::log_admission_refused(const caller& from, const routed_outcome& outcome) const
+{
+    const admission_decision& made = *outcome.admission;
+    log(log_level::info, "admission_refused",
+        {{"request", from.id},
+         {"team", from.team},
+         {"route", outcome.route},
+         {"priority", made.priority},
+         {"verdict", name_of(made.decided)},
+         {"expected_ms", made.expected.time.ms()},
+         {"expected_wait_ms", made.expected.wait.ms()},
+         {"objective_ms", made.objective.ms()},
+         {"margin", made.margin},
+         {"deadline_ms", made.deadline.ms()},
+         {"bound", made.bound},
+         {"open", made.open},
+         {"delay_ms", made.processing_delay.ms()},
+         {"retry_after_ms", outcome.retry_after.ms()}});
+}
+
 void routing_frontend::log_answer(const caller& from, const routed_outcome& outcome, duration elapsed) const
 {
     log(log_level::info, "answer",
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -36,6 +36,11 @@
         malformed_requests,
         /// Load reports of backend servers that could not be read, and were ignored.
         malformed_load_reports,
+        /// Requests that admission control refused: expected after the deadline, expected after the
+        /// objective, and beyond the bound on open requests.
+        refused_past_deadline,
+        refused_past_objective,
+        refused_too_many_open,
         /// Requests that became suspect of crashing backend servers, and those that were found to.
         requests_suspected,
         requests_quarantined,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -390,6 +390,7 @@
 
 void router::on_time(time_point now)
 {
+    end_delay_probe(now);
     while (!m_due.empty() && m_due.begin()->first <= now)
     {
         const scheduler_index at = m_due.begin()->second;
@@ -412,7 +413,7 @@
     if (opened.past_objective && opened.matched_route->fans_out() && has_min_share(opened) &&
         !opened.request->is_delegated())
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
     if (now >= opened.deadline)
@@ -446,7 +447,7 @@
     const time_point request_due = m_timers.empty() ? time_point::never() : m_timers.begin()->first;
     const time_point scheduler_due = m_due.empty() ? time_point::never() : m_due.begin()->first;
     const time_point trial_due = m_held.empty() || m_trial ? time_point::never() : m_next_trial_at;
-    return std::min({request_due, scheduler_due, trial_due});
+    return std::min({request_due, scheduler_due, trial_due, delay_probe_due()});
 }
 
 std::vector<router_action> router::take_actions()
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -205,8 +205,7 @@
     }
     if (m_open.size() >= m_options.max_open_requests)
     {
-        refuse(number, matched_route.get(), missing_reason::overloaded);
-        spread_last_refusal(*matched_route, *request, now);
+        refuse_at_greatest_bound(number, *matched_route, *request, now);
         return;
     }
     if (matched_route->fans_out() && !request->is_delegated() &&
@@ -245,6 +244,8 @@
     opened.deadline = now + std::min(patience, matched_route->timeout);
     opened.answer_at = std::min(now + time_to_answer(*matched_route, *request), opened.deadline);
     opened.objective_at = std::min(now + time_to_objective(*matched_route, *request), opened.deadline);
+    opened.waits_within_objective =
+        decision.decided == admission_decision::verdict::admitted && decision.expected.wait > duration{};
     if (decision.decided == admission_decision::verdict::admitted_late)
     {
         // Late for the order of the queues from the start, so that all shards order it alike.
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -43,7 +43,7 @@
         routed_outcome result;
         result.end = routed_end::passed_on;
         result.answer = item.answer;
-        finish(number, opened, std::move(result));
+        finish(number, opened, std::move(result), now);
         return;
     }
     fail(number, opened, opened.reason == missing_reason::late, now);
@@ -57,7 +57,7 @@
     const bool may_stop = opened.past_objective && !opened.request->is_delegated();
     if (has_min_share(opened) && (complete || may_stop))
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
     const auto max_succeeded = static_cast<double>(all - opened.missing);
@@ -69,9 +69,9 @@
     }
 }
 
-void router::merge(request_number number, open_request& opened)
+void router::merge(request_number number, open_request& opened, std::optional<time_point> now)
 {
-    finish(number, opened, merged_so_far(opened));
+    finish(number, opened, merged_so_far(opened), now);
 }
 
 std::size_t router::succeeded_parts(const open_request& opened)
@@ -143,7 +143,7 @@
 {
     if (opened.matched_route->fans_out() && has_min_share(opened))
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
     fail(number, opened, true, now);
@@ -187,7 +187,7 @@
     {
         spread_return(result, *opened.matched_route, *opened.request, *now);
     }
-    finish(number, opened, std::move(result));
+    finish(number, opened, std::move(result), now);
 }
 
 std::vector<std::size_t> router::missing_shards(const open_request& opened)
@@ -229,7 +229,8 @@
     outcome.missing_shards = missing_shards(opened);
 }
 
-void router::finish(request_number number, open_request& opened, routed_outcome outcome)
+void router::finish(request_number number, open_request& opened, routed_outcome outcome,
+                    std::optional<time_point> now)
 {
     describe(opened, outcome);
     for (const std::size_t shard : outcome.missing_shards)
@@ -245,9 +246,7 @@
         // Without the crash record the delegating entry might delegate the request to another entry.
         outcome.crashes = std::move(opened.crashes);
     }
-    const bool is_answer = outcome.end == routed_end::merged || outcome.end == routed_end::passed_on;
-    m_answered += is_answer && !opened.request->is_delegated() ? 1 : 0;
-    m_open_limit.on_end(opened.priority, opened.request->is_delegated());
+    note_end(opened, outcome, now);
     m_open.erase(number);
     forget_held(number);
     m_actions.emplace_back(answer_request{number, std::move(outcome)});
--- a/src/routing/router_load.cpp
+++ b/src/routing/router_load.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+/// Five probes in an interval of the bound on open requests, so that their average follows within a few.
+constexpr duration delay_probe_interval = duration::from_ms(20);
 /// Of the candidates of a group, these are considered as its runners.
 constexpr std::size_t likely_runners = 2;
 /// Callers wait at most this part of their remaining time before they send a refused request again.
@@ -18,10 +20,29 @@
 
 } // namespace
 
+/// @return the time of the next timer that only measures the delay of this process. The other timers aren't
+/// enough for this: under overload they are often no longer needed by the time at which they are handled.
+time_point router::delay_probe_due() const noexcept
+{
+    return m_options.load.limits_admission && !m_open.empty() ? m_delay_probe_at : time_point::never();
+}
+
+void router::end_delay_probe(time_point now)
+{
+    if (now >= m_delay_probe_at)
+    {
+        m_delay_probe_at = now + delay_probe_interval;
+    }
+}
+
 /// Takes in what happened since the last arrival.
 void router::follow_load(time_point now)
 {
-    if (m_options.load.limits_admission)
+    if (m_open.empty())
+    {
+        m_delay_probe_at = now + delay_probe_interval;
+    }
+    if (m_options.load.limits_admission || m_options.load.spreads_returns)
     {
         m_open_limit.update(m_processing_delay.at(now), now);
     }
@@ -31,6 +52,23 @@
     }
 }
 
+/// @return the inputs of a decision, without a verdict
+admission_decision router::load_inputs(const route& matched_route, const routed_request& request,
+                                       time_point now)
+{
+    admission_decision inputs;
+    const duration patience = std::max(request.patience - m_options.response_margin, duration{});
+    inputs.deadline = std::min(patience, matched_route.timeout);
+    inputs.objective = std::min(time_to_objective(matched_route, request), inputs.deadline);
+    inputs.margin = m_completion_margin.share();
+    inputs.priority = priority_of(matched_route, request.team);
+    inputs.bound = m_open_limit.bound();
+    inputs.open = m_open_limit.open();
+    inputs.processing_delay = m_processing_delay.at(now);
+    inputs.expected = expected_completion(matched_route, inputs.priority, now);
+    return inputs;
+}
+
 /// Decides before anything is sent. A request that another entry delegated is always admitted: refusing its
 /// shards would cost the whole request there, after work was done for it.
 admission_decision router::decide_admission(const route& matched_route, const routed_request& request,
@@ -43,16 +81,9 @@
     {
         return decision;
     }
-    const duration patience = std::max(request.patience - m_options.response_margin, duration{});
-    decision.deadline = std::min(patience, matched_route.timeout);
-    decision.objective = std::min(time_to_objective(matched_route, request), decision.deadline);
-    decision.priority = priority_of(matched_route, request.team);
-    decision.bound = m_open_limit.bound();
-    decision.open = m_open_limit.open();
-    decision.processing_delay = m_processing_delay.at(now);
-    decision.expected = expected_completion(matched_route, decision.priority, now);
-    const timeliness expected =
-        completion_estimate::compare(decision.expected, decision.objective, decision.deadline);
+    decision = load_inputs(matched_route, request, now);
+    const timeliness expected = completion_estimate::compare(
+        decision.expected, decision.objective * (1.0 - decision.margin), decision.deadline);
     if (expected == timeliness::too_late)
     {
         decision.decided = verdict::past_deadline;
@@ -85,6 +116,21 @@
     spread_last_refusal(matched_route, request, now);
 }
 
+/// Refuses a request at @ref router_options::max_open_requests, which also applies to delegated requests.
+void router::refuse_at_greatest_bound(request_number number, const route& matched_route,
+                                      const routed_request& request, time_point now)
+{
+    if (!m_options.load.limits_admission || request.is_delegated())
+    {
+        refuse(number, &matched_route, missing_reason::overloaded);
+        spread_last_refusal(matched_route, request, now);
+        return;
+    }
+    admission_decision decision = load_inputs(matched_route, request, now);
+    decision.decided = admission_decision::verdict::too_many_open;
+    refuse_overloaded(number, matched_route, request, decision, now);
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // estimate
 // ---------------------------------------------------------------------------------------------------------
@@ -171,6 +217,19 @@
     return {};
 }
 
+/// Takes in the end of a request, before it is forgotten.
+void router::note_end(const open_request& opened, const routed_outcome& outcome,
+                      std::optional<time_point> now)
+{
+    const bool is_answer = outcome.end == routed_end::merged || outcome.end == routed_end::passed_on;
+    m_answered += is_answer && !opened.request->is_delegated() ? 1 : 0;
+    m_open_limit.on_end(opened.priority, opened.request->is_delegated());
+    if (opened.waits_within_objective && now)
+    {
+        m_completion_margin.observe(is_answer && *now <= opened.objective_at);
+    }
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // return times
 // ---------------------------------------------------------------------------------------------------------
--- a/tests/src/admission_play.hpp
+++ b/tests/src/admission_play.hpp
@@ -101,7 +101,7 @@
         while (true)
         {
             const time_point event_due = m_events.empty() ? time_point::never() : m_events.begin()->first;
-            const time_point timer_due = m_router.next_time();
+            const time_point timer_due = m_timer_expiry;
             const time_point due = std::min(event_due, timer_due);
             if (due > until)
             {
@@ -111,6 +111,7 @@
             double used_ms = action_ms;
             if (timer_due <= event_due)
             {
+                m_timer_expiry = time_point::never();
                 m_router.observe_processing_delay(now - due, now);
                 m_router.on_time(now);
             }
@@ -121,6 +122,7 @@
                 used_ms = handle(now);
             }
             process_actions(now, used_ms);
+            schedule_timer(now);
         }
     }
 
@@ -150,6 +152,17 @@
     std::vector<record> records;
 
   private:
+    /// Like the routing frontend, which leaves a timer set that is no longer needed.
+    void schedule_timer(time_point now)
+    {
+        const time_point next = m_router.next_time();
+        if (next >= m_timer_expiry && m_timer_expiry > now)
+        {
+            return;
+        }
+        m_timer_expiry = next;
+    }
+
     void process_actions(time_point now, double used_ms)
     {
         const std::vector<router_action> actions = m_router.take_actions();
@@ -205,6 +218,7 @@
     /// By backend server: the time at which each slot is free.
     std::map<backend_server_name, std::array<time_point, slots>> m_servers;
     time_point m_free_at;
+    time_point m_timer_expiry = time_point::never();
 };
 
 } // namespace flaxtiller::test
