Admission control: the margin of estimates ignores misses by the delay of the process

Cause: with the processor cut to an eighth, misses by the entry's own delay drove the margin to its maximum, and a request was refused after the overload although slots became free in time. Change: such misses don't count; the bound on open requests answers them. Conclusion: build/unit_tests [admission] passes (7 cases).

--- a/src/routing/router_load.cpp
+++ b/src/routing/router_load.cpp
@@ -224,7 +224,14 @@
     const bool is_answer = outcome.end == routed_end::merged || outcome.end == routed_end::passed_on;
     m_answered += is_answer && !opened.request->is_delegated() ? 1 : 0;
     m_open_limit.on_end(opened.priority, opened.request->is_delegated());
-    if (opened.waits_within_objective && now)
+    if (!opened.waits_within_objective || !now)
+    {
+        return;
+    }
+    // A miss by the delay of this process is no fault of the estimate; the bound on open requests shortens
+    // it.
+    const duration tolerated = m_view.routes->shortest_objective() * open_request_limit::tolerated_share;
+    if (m_processing_delay.at(*now) <= tolerated)
     {
         m_completion_margin.observe(is_answer && *now <= opened.objective_at);
     }
