--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -141,6 +141,12 @@
         slow.add(10, {}, duration::from_ms(10'000));
         CHECK(completion_estimate::compare(slow.completion(0.95, duration::from_ms(250)), objective,
                                            deadline) == timeliness::on_time);
+        CHECK(completion_estimate::compare(with_waits(0, 0, 60, 0.95), objective, deadline) ==
+              timeliness::on_time);
+        completion_estimate delayed;
+        delayed.add(10, {}, duration::from_ms(60));
+        CHECK(completion_estimate::compare(delayed.completion(0.95, duration::from_ms(50)), objective,
+                                           deadline) == timeliness::on_time);
         CHECK(completion_estimate::compare({}, objective, deadline) == timeliness::on_time);
     }
     SECTION("a short wait does not make a route late that always takes longer than its objective")
