--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -2,8 +2,11 @@
 
 #include <flaxtiller/dispatch/scheduler.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
+#include <flaxtiller/routing/completion_margin.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
+#include <flaxtiller/routing/open_request_limit.hpp>
 #include <flaxtiller/routing/processing_delay.hpp>
+#include <flaxtiller/routing/return_schedule.hpp>
 #include <flaxtiller/routing/route_latencies.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/router_options.hpp>
@@ -95,6 +98,30 @@
     /// @return the number of requests without a final answer
     std::size_t open_requests() const noexcept;
 
+    /// @return the bound on open requests
+    const open_request_limit& open_limit() const noexcept
+    {
+        return m_open_limit;
+    }
+
+    /// @return the times at which refused callers are told to return
+    const return_schedule& returns() const noexcept
+    {
+        return m_returns;
+    }
+
+    /// @return the part of the objective that estimates leave free
+    double completion_margin_share() const noexcept
+    {
+        return m_completion_margin.share();
+    }
+
+    /// @return the delay with which this process handles what is due
+    duration delay_at(time_point now) const
+    {
+        return m_processing_delay.at(now);
+    }
+
     /// @return the other entries that own shards of fan-outs; this instance keeps links to them
     std::set<instance_name> owners_to_link() const;
 
@@ -234,6 +261,8 @@
         time_point objective_at = time_point::never();
         /// The priority of the team, or of the route if the team has none; 0 is the most urgent.
         int priority = 0;
+        /// Whether the request was admitted with an estimate that it waits, and meets its objective.
+        bool waits_within_objective = false;
         /// The time at which silent groups are reassigned.
         time_point group_check_at = time_point::never();
         /// The time at which the next partial outcome is sent to the delegating entry.
@@ -295,6 +324,26 @@
                             const request_fingerprint& fingerprint, time_point now);
     bool refuse_unservable(request_number number, const route& matched_route,
                            const std::shared_ptr<const region_set>& regions, time_point now);
+    time_point delay_probe_due() const noexcept;
+    void end_delay_probe(time_point now);
+    void follow_load(time_point now);
+    void note_end(const open_request& opened, const routed_outcome& outcome, std::optional<time_point> now);
+    admission_decision load_inputs(const route& matched_route, const routed_request& request, time_point now);
+    admission_decision decide_admission(const route& matched_route, const routed_request& request,
+                                        time_point now);
+    void refuse_overloaded(request_number number, const route& matched_route, const routed_request& request,
+                           const admission_decision& decision, time_point now);
+    void refuse_at_greatest_bound(request_number number, const route& matched_route,
+                                  const routed_request& request, time_point now);
+    completion_estimate::result expected_completion(const route& matched_route, int priority, time_point now);
+    void add_local_shard(completion_estimate& into, const service_name& service, double size,
+                         int priority) const;
+    void add_group(completion_estimate& into, const route& matched_route, const shard_plan::group& item,
+                   double size, time_point now) const;
+    duration median_run_of(const service_name& service, double size) const;
+    void spread_return(routed_outcome& refusal, const route& matched_route, const routed_request& request,
+                       time_point now);
+    void spread_last_refusal(const route& matched_route, const routed_request& request, time_point now);
     static std::shared_ptr<const region_set> regions_of(const route& matched_route,
                                                         const routed_request& request);
     std::shared_ptr<const route> route_for(const team_name& name, std::shared_ptr<const route> matched_route);
@@ -349,13 +398,14 @@
     void apply(scheduler_index at, const dispatch::cancel_attempt& action);
     void apply(scheduler_index at, const dispatch::finish_subquery& action, time_point now);
     void settle(request_number number, open_request& opened, time_point now);
-    void settle_single(request_number number, open_request& opened);
+    void settle_single(request_number number, open_request& opened, time_point now);
     void settle_fan_out(request_number number, open_request& opened, time_point now);
-    void merge(request_number number, open_request& opened);
-    void end_at_deadline(request_number number, open_request& opened);
-    void fail(request_number number, open_request& opened, bool late);
+    void merge(request_number number, open_request& opened, std::optional<time_point> now);
+    void end_at_deadline(request_number number, open_request& opened, std::optional<time_point> now);
+    void fail(request_number number, open_request& opened, bool late, std::optional<time_point> now);
     static std::vector<std::size_t> missing_shards(const open_request& opened);
-    void finish(request_number number, open_request& opened, routed_outcome outcome);
+    void finish(request_number number, open_request& opened, routed_outcome outcome,
+                std::optional<time_point> now);
     bool has_min_share(const open_request& opened) const;
     void on_timer(request_number number, time_point now);
     void drop_undeclared_services(time_point now);
@@ -410,8 +460,13 @@
     std::map<std::pair<scheduler_index, dispatch::attempt_id>, routed_attempt_number> m_number_of;
     route_latencies m_route_latencies;
     processing_delay m_processing_delay;
-    /// The time of the last event that could end a request, for the delay that its outcome states.
-    time_point m_settled_at{};
+    /// The time of the next timer that measures the delay.
+    time_point m_delay_probe_at{};
+    completion_margin m_completion_margin;
+    open_request_limit m_open_limit;
+    return_schedule m_returns;
+    /// The requests of own callers that were answered since the last arrival.
+    std::size_t m_answered = 0;
     crash_ledger m_crashes;
     /// Requests that are held back, the running trial, and the time from which the next trial may start.
     std::set<request_number> m_held;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -23,7 +23,9 @@
 
 } // namespace
 
-router::router(router_options options) : m_options(options), m_groups(options.load.balances_owners)
+router::router(router_options options)
+    : m_options(options), m_groups(options.load.balances_owners), m_open_limit(options.max_open_requests),
+      m_returns(options.min_retry_after)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
@@ -68,6 +70,7 @@
     const shared_value<cold_servers> cold_before = m_view.cold;
     m_view = std::move(view);
     m_groups.configure(m_view);
+    m_open_limit.set_shortest_objective(m_view.routes->shortest_objective());
     // Limited before the schedulers see a new backend server; otherwise the whole queue would be sent to it
     // at once.
     limit_cold_servers(*cold_before, now);
@@ -388,6 +391,7 @@
 
 void router::on_time(time_point now)
 {
+    end_delay_probe(now);
     while (!m_due.empty() && m_due.begin()->first <= now)
     {
         const scheduler_index at = m_due.begin()->second;
@@ -405,18 +409,17 @@
 
 void router::on_timer(request_number number, time_point now)
 {
-    m_settled_at = now;
     open_request& opened = m_open.at(number);
     opened.past_objective = opened.past_objective || now >= opened.answer_at;
     if (opened.past_objective && opened.matched_route->fans_out() && has_min_share(opened) &&
         !opened.request->is_delegated())
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
     if (now >= opened.deadline)
     {
-        end_at_deadline(number, opened);
+        end_at_deadline(number, opened, now);
         return;
     }
     if (now >= opened.progress_at)
@@ -445,7 +448,7 @@
     const time_point request_due = m_timers.empty() ? time_point::never() : m_timers.begin()->first;
     const time_point scheduler_due = m_due.empty() ? time_point::never() : m_due.begin()->first;
     const time_point trial_due = m_held.empty() || m_trial ? time_point::never() : m_next_trial_at;
-    return std::min({request_due, scheduler_due, trial_due});
+    return std::min({request_due, scheduler_due, trial_due, delay_probe_due()});
 }
 
 std::vector<router_action> router::take_actions()
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -24,18 +24,17 @@
 
 void router::settle(request_number number, open_request& opened, time_point now)
 {
-    m_settled_at = now;
     if (opened.matched_route->fans_out())
     {
         settle_fan_out(number, opened, now);
     }
     else
     {
-        settle_single(number, opened);
+        settle_single(number, opened, now);
     }
 }
 
-void router::settle_single(request_number number, open_request& opened)
+void router::settle_single(request_number number, open_request& opened, time_point now)
 {
     const part& item = opened.parts.front();
     // An error answer of the backend server is forwarded too if no attempt succeeded.
@@ -44,10 +43,10 @@
         routed_outcome result;
         result.end = routed_end::passed_on;
         result.answer = item.answer;
-        finish(number, opened, std::move(result));
+        finish(number, opened, std::move(result), now);
         return;
     }
-    fail(number, opened, opened.reason == missing_reason::late);
+    fail(number, opened, opened.reason == missing_reason::late, now);
 }
 
 void router::settle_fan_out(request_number number, open_request& opened, time_point now)
@@ -58,7 +57,7 @@
     const bool may_stop = opened.past_objective && !opened.request->is_delegated();
     if (has_min_share(opened) && (complete || may_stop))
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
     const auto max_succeeded = static_cast<double>(all - opened.missing);
@@ -66,13 +65,13 @@
         max_succeeded < least_share_of(opened) * static_cast<double>(all) || max_succeeded == 0.0;
     if (is_share_unreachable || complete)
     {
-        fail(number, opened, now >= opened.deadline);
+        fail(number, opened, now >= opened.deadline, now);
     }
 }
 
-void router::merge(request_number number, open_request& opened)
+void router::merge(request_number number, open_request& opened, std::optional<time_point> now)
 {
-    finish(number, opened, merged_so_far(opened));
+    finish(number, opened, merged_so_far(opened), now);
 }
 
 std::size_t router::succeeded_parts(const open_request& opened)
@@ -141,14 +140,14 @@
     m_actions.emplace_back(send_partial_outcome{number, std::move(result)});
 }
 
-void router::end_at_deadline(request_number number, open_request& opened)
+void router::end_at_deadline(request_number number, open_request& opened, std::optional<time_point> now)
 {
     if (opened.matched_route->fans_out() && has_min_share(opened))
     {
-        merge(number, opened);
+        merge(number, opened, now);
         return;
     }
-    fail(number, opened, true);
+    fail(number, opened, true, now);
 }
 
 void router::answer_all()
@@ -162,11 +161,11 @@
     std::sort(numbers.begin(), numbers.end());
     for (const request_number number : numbers)
     {
-        end_at_deadline(number, m_open.at(number));
+        end_at_deadline(number, m_open.at(number), std::nullopt);
     }
 }
 
-void router::fail(request_number number, open_request& opened, bool late)
+void router::fail(request_number number, open_request& opened, bool late, std::optional<time_point> now)
 {
     const bool running = std::any_of(opened.parts.begin(), opened.parts.end(),
                                      [](const part& item)
@@ -185,7 +184,11 @@
         result.end = late ? routed_end::late : routed_end::failed;
     }
     result.retry_after = std::max(opened.retry_after, m_options.min_retry_after);
-    finish(number, opened, std::move(result));
+    if (result.end == routed_end::refused && opened.reason != missing_reason::quarantined && now)
+    {
+        spread_return(result, *opened.matched_route, *opened.request, *now);
+    }
+    finish(number, opened, std::move(result), now);
 }
 
 std::vector<std::size_t> router::missing_shards(const open_request& opened)
@@ -227,7 +230,8 @@
     outcome.missing_shards = missing_shards(opened);
 }
 
-void router::finish(request_number number, open_request& opened, routed_outcome outcome)
+void router::finish(request_number number, open_request& opened, routed_outcome outcome,
+                    std::optional<time_point> now)
 {
     describe(opened, outcome);
     for (const std::size_t shard : outcome.missing_shards)
@@ -235,7 +239,7 @@
         outcome.missing_services.push_back(opened.matched_route->fan_out.at(shard));
     }
     outcome.reason = opened.reason;
-    outcome.runner_delay = runner_delay_of(opened, m_settled_at);
+    outcome.runner_delay = now ? runner_delay_of(opened, *now) : duration{};
     abandon_delegations(opened, false);
     m_timers.erase({opened.timer_at, number});
     detach_parts(opened);
@@ -244,6 +248,7 @@
         // Without the crash record the delegating entry might delegate the request to another entry.
         outcome.crashes = std::move(opened.crashes);
     }
+    note_end(opened, outcome, now);
     m_open.erase(number);
     forget_held(number);
     m_actions.emplace_back(answer_request{number, std::move(outcome)});
