Retry budget: owners share it equally again

Conclusion: a first choice with more extra attempts loads slow backend servers more; the division stays equal.

--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -55,7 +55,7 @@
     double retry_share = 0.9;
     /// If shards have owners, this share of the retry budget belongs to the owners. The rest is for entries
     /// that run shards because no owner is available.
-    double owner_budget_share = 0.85;
+    double owner_budget_share = 0.7;
 
     /// In any second, all instances together may send a cold (recently started) backend server this multiple
     /// of its service's warm-up rate, plus a fixed slack.
--- a/include/flaxtiller/routing/shard_plan.hpp
+++ b/include/flaxtiller/routing/shard_plan.hpp
@@ -80,10 +80,6 @@
     /// @return the number of first owners of the service's shard over all availability zones
     std::size_t owners_of(const service_name& service) const;
 
-    /// @return this instance's part of the retry budget of the service's owners, from 0 to 1; the parts of
-    /// all instances add up to 1. The first choice of a group has a greater part than its substitute.
-    double owner_budget_part(const service_name& service) const;
-
     /// @brief An entry's rank among the entries that send to a service's backend servers.
     struct sender
     {
@@ -158,14 +154,6 @@
         return {matched_route.fan_out, matched_route.allowed_regions};
     }
 
-    /// An owner of a shard for the callers of one availability zone, and its weight in the division of the
-    /// retry budget.
-    struct weighted_owner
-    {
-        entry_index owner = 0;
-        double weight = 0.0;
-    };
-
     /// The plan for one list of shards, and the inputs of the plan.
     struct list_plan
     {
@@ -174,15 +162,13 @@
         bool owned = false;
         std::vector<group> groups;
         /// By shard: the first owners for all availability zones.
-        std::vector<std::vector<weighted_owner>> owners;
+        std::vector<std::vector<entry_index>> owners;
     };
 
     struct ownership
     {
         std::vector<entry_index> owners;
         bool includes_self = false;
-        /// See @ref owner_budget_part.
-        double own_budget_part = 0.0;
     };
 
     bool update_zones(const routing_view& view);
@@ -193,7 +179,6 @@
     void update_service(const shared_value<placed_service>& placed, service_locations& into) const;
     bool update_list(const route& matched_route, bool entries_changed);
     void count_owners();
-    ownership ownership_of(std::vector<weighted_owner> weighted) const;
     sender rank_among_senders(const std::vector<entry_index>& senders, const std::string& key) const;
     std::size_t zone_index(const std::string& name) const;
     location_set zones_in(const region_set& regions) const;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -164,7 +164,7 @@
     }
     if (plan.owns(service))
     {
-        return m_options.owner_budget_share * plan.owner_budget_part(service);
+        return m_options.owner_budget_share / static_cast<double>(plan.owners_of(service));
     }
     return (1.0 - m_options.owner_budget_share) / m_view.entries;
 }
--- a/src/routing/shard_plan.cpp
+++ b/src/routing/shard_plan.cpp
@@ -240,40 +240,25 @@
 /// that share a retry budget.
 void shard_plan::count_owners()
 {
-    std::unordered_map<service_name, std::vector<weighted_owner>> owners;
+    std::unordered_map<service_name, std::vector<entry_index>> owners;
     for (const auto& [key, list] : m_lists)
     {
         for (std::size_t shard = 0; list.owned && shard < key.shards.size(); ++shard)
         {
-            std::vector<weighted_owner>& all = owners[key.shards[shard]];
+            std::vector<entry_index>& all = owners[key.shards[shard]];
             all.insert(all.end(), list.owners[shard].begin(), list.owners[shard].end());
         }
     }
     m_owners.clear();
     for (auto& [service, all] : owners)
     {
-        m_owners.emplace(service, ownership_of(std::move(all)));
+        std::sort(all.begin(), all.end());
+        all.erase(std::unique(all.begin(), all.end()), all.end());
+        const bool includes_self = std::binary_search(all.begin(), all.end(), m_own_index);
+        m_owners.emplace(service, ownership{std::move(all), includes_self});
     }
 }
 
-shard_plan::ownership shard_plan::ownership_of(std::vector<weighted_owner> weighted) const
-{
-    ownership result;
-    double sum = 0.0;
-    double own = 0.0;
-    for (const weighted_owner& item : weighted)
-    {
-        result.owners.push_back(item.owner);
-        sum += item.weight;
-        own += item.owner == m_own_index ? item.weight : 0.0;
-    }
-    std::sort(result.owners.begin(), result.owners.end());
-    result.owners.erase(std::unique(result.owners.begin(), result.owners.end()), result.owners.end());
-    result.includes_self = std::binary_search(result.owners.begin(), result.owners.end(), m_own_index);
-    result.own_budget_part = sum > 0.0 ? own / sum : 0.0;
-    return result;
-}
-
 // ---------------------------------------------------------------------------------------------------------
 // the plan
 // ---------------------------------------------------------------------------------------------------------
@@ -308,12 +293,6 @@
     return found != m_owners.end() && found->second.includes_self;
 }
 
-double shard_plan::owner_budget_part(const service_name& service) const
-{
-    const auto found = m_owners.find(service);
-    return found == m_owners.end() ? 0.0 : found->second.own_budget_part;
-}
-
 shard_plan::sender shard_plan::rank_among_senders(const std::vector<entry_index>& senders,
                                                   const std::string& key) const
 {
--- a/src/routing/shard_plan_groups.cpp
+++ b/src/routing/shard_plan_groups.cpp
@@ -23,10 +23,6 @@
 /// The size of the cache of rankings. Each takes four bytes per entry of the zone: 0.4 MB at 50 entries.
 constexpr std::size_t max_rankings = 2048;
 
-/// The weight of a group's substitute in the division of the retry budget, relative to the first choice. The
-/// substitute runs the group only while the first choice is unavailable or slow.
-constexpr double substitute_budget_weight = 0.25;
-
 /// @return the square root of the number of shards: the messages of the delegating entry (one per group) and
 /// of an owner (one per shard) are fewest in sum if there are as many groups as shards in each
 std::size_t group_size(std::size_t shards)
@@ -59,14 +55,13 @@
         const std::vector<planned_group> groups = plan_from(matched_route, into, zone, m_zones[zone].region);
         for (const planned_group& item : groups)
         {
-            const std::size_t counting = std::min(budgeted_owners, item.runner_candidates.size());
+            const auto counting =
+                static_cast<std::ptrdiff_t>(std::min(budgeted_owners, item.runner_candidates.size()));
             for (const std::size_t shard : item.shards)
             {
-                for (std::size_t rank = 0; rank < counting; ++rank)
-                {
-                    into.owners[shard].push_back(
-                        {item.runner_candidates[rank], rank == 0 ? 1.0 : substitute_budget_weight});
-                }
+                std::vector<entry_index>& owners = into.owners[shard];
+                owners.insert(owners.end(), item.runner_candidates.begin(),
+                              item.runner_candidates.begin() + counting);
             }
         }
         if (zone == own_zone)
