Queue order by objective, priority and team

Cause: the queue of a shard was ordered by the deadline of the caller alone. Priorities, teams and objectives had no effect, so that a less urgent request type with a shorter deadline went first, work past its objective kept its place, and one team could take every slot. Change: dispatch/work_queue replaces the set in the scheduler, for both orders. The order by priority is a fair_order for work that can meet its objective, and one for late work. Work with a too near deadline is dropped wherever it is. estimated_wait has overloads by priority and by team; the latter decides the refusal at arrival. A new revision changes the priority of waiting work, and refuses waiting parts of removed routes and teams (new reason: withdrawn). The state dump of an entry lists what waits.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <flaxtiller/dispatch/scheduler_options.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
+#include <flaxtiller/dispatch/work_queue.hpp>
 
 #include <deque>
 #include <map>
@@ -23,10 +24,10 @@
 /// @brief Runs the subqueries of one service on the backend servers that this instance owns.
 ///
 /// The scheduler starts at most as many attempts on a backend server as the server has slots, plus a
-/// pipelined attempt, and queues the other subqueries by deadline. An attempt is overdue when, according to
-/// the observed latencies, a new attempt is expected to be faster. An overdue attempt is hedged by a second
-/// attempt where another backend server has a free slot. Otherwise it is cancelled, and its replacement is
-/// first in the queue.
+/// pipelined attempt, and queues the other subqueries; see @ref work_queue. An attempt is overdue when,
+/// according to the observed latencies, a new attempt is expected to be faster. An overdue attempt is hedged
+/// by a second attempt where another backend server has a free slot. Otherwise it is cancelled, and its
+/// replacement is first in the queue.
 ///
 /// The class is a deterministic state machine without I/O: its caller passes events with the current time to
 /// it and performs the actions that @ref take_actions returns. The cost of an event does not depend on the
@@ -82,6 +83,13 @@
     /// @brief Resumes a subquery that was on hold.
     void release(subquery_id id, time_point now);
 
+    /// @brief Changes the priority of a subquery, which may wait. An unknown subquery is ignored.
+    void set_priority(subquery_id id, int priority, time_point now);
+
+    /// @brief Ends a subquery that has no running attempt, with the given reason.
+    /// @return whether the subquery was ended
+    bool refuse_waiting(subquery_id id, missing_reason reason, time_point now);
+
     /// @brief Sets whether the platform's list marks a backend server as leaving.
     void set_leaving(const backend_server_name& server, bool leaving, time_point now);
 
@@ -102,8 +110,21 @@
     bool is_idle_on_hold(subquery_id id) const;
 
     /// @return the time that a new subquery of a shard is expected to wait for a slot
+    ///
+    /// By priority, this is the time until the work that waits and can meet its objective is served.
     duration estimated_wait(int shard) const;
 
+    /// @return the time that a new subquery of a priority is expected to wait if all waiting work of this
+    /// priority is served before it. By deadline order, the same for all priorities.
+    duration estimated_wait(int shard, int priority) const;
+
+    /// @return the time that a new subquery of a priority and team is expected to wait, if the teams received
+    /// equal service before. By deadline order, the same for all.
+    duration estimated_wait(int shard, int priority, const team_name& team) const;
+
+    /// @brief Adds the numbers of subqueries that wait for a slot, by priority and team.
+    void add_waiting_work(waiting_counts& into) const;
+
     /// @return the reason for which a new subquery of a shard cannot be run now, or @ref missing_reason::none
     /// @param regions see @ref subquery::regions
     /// @param retry_after set to the time after which the subquery can be run, where that is known
@@ -198,7 +219,6 @@
         std::vector<attempt_id> running;
         int attempts = 0;
         bool queued = false;
-        time_point queue_key;
         /// Whether the subquery waits for the time @ref backoff, rather than for a slot.
         bool backing_off = false;
         duration backoff{};
@@ -227,8 +247,7 @@
     struct shard_state
     {
         std::vector<server_index> replicas;
-        /// The queued subqueries: replacements of overdue attempts first, then by deadline.
-        std::set<std::pair<time_point, subquery_id>> queue;
+        work_queue queue;
     };
 
     // Choice of a backend server.
@@ -260,7 +279,10 @@
     bool is_waiting_faster(server_index candidate, const pending_subquery& item, time_point now) const;
 
     // The queue.
-    void enqueue(pending_subquery& item, time_point key, time_point now);
+    void enqueue(pending_subquery& item, time_point now, bool is_replacement = false);
+    waiting_subquery waiting_entry_of(const subquery& spec) const;
+    duration wait_behind(const shard_state& shard, double cost) const;
+    duration expected_wait_of(const subquery& spec, time_point now) const;
     void remove_from_queue(pending_subquery& item);
     void run_queue_of(int shard, time_point now);
     void drop_unservable(int shard, time_point now);
@@ -289,6 +311,7 @@
     void finish(subquery_id id, subquery_result result, time_point now);
     missing_reason blocked_reason(const pending_subquery& item, time_point now, duration& retry_after) const;
 
+    void resize_shards(std::size_t count);
     server_index find_or_add_server(const backend_server_name& name);
     void arm(time_point at, timer_kind kind, std::uint64_t id);
     void arm_overdue_timer(attempt_id id, const pending_subquery& item, time_point at);
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -74,6 +74,9 @@
     duration failure_half_life{};
     /// The ratio of two latencies above which a backend server counts as slower than another.
     double slower_ratio = 1.5;
+    /// Whether waiting subqueries are ordered by objective, priority and team rather than by deadline alone;
+    /// see @ref work_queue.
+    bool orders_by_priority = false;
 
     bool operator==(const scheduler_options&) const = default;
 };
--- a/include/flaxtiller/query/missing_reason.hpp
+++ b/include/flaxtiller/query/missing_reason.hpp
@@ -28,6 +28,8 @@
     no_allowed_region,
     /// The request is suspected to crash backend servers and is therefore not sent to any at present.
     quarantined,
+    /// A new revision of the configuration no longer contains the route or the team of the request.
+    withdrawn,
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(missing_reason, {{missing_reason::none, "none"},
@@ -39,6 +41,7 @@
                                               {missing_reason::overloaded, "overloaded"},
                                               {missing_reason::owner_unreachable, "owner_unreachable"},
                                               {missing_reason::no_allowed_region, "no_allowed_region"},
-                                              {missing_reason::quarantined, "quarantined"}})
+                                              {missing_reason::quarantined, "quarantined"},
+                                              {missing_reason::withdrawn, "withdrawn"}})
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/route_table.hpp
+++ b/include/flaxtiller/routing/route_table.hpp
@@ -28,6 +28,9 @@
     /// @complexity O(slashes in @a target)
     std::shared_ptr<const route> find(std::string_view host, std::string_view target) const;
 
+    /// @return the route with this name, or null
+    std::shared_ptr<const route> find_by_name(const std::string& name) const;
+
     /// @return the routes that fan out, see @ref route::fans_out
     const std::vector<std::shared_ptr<const route>>& fan_outs() const noexcept;
 
@@ -35,6 +38,7 @@
     using by_prefix = std::unordered_map<std::string, std::shared_ptr<const route>>;
 
     std::unordered_map<std::string, by_prefix> m_hosts;
+    std::unordered_map<std::string, std::shared_ptr<const route>> m_by_name;
     std::vector<std::shared_ptr<const route>> m_fan_outs;
 };
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -42,7 +42,9 @@
     // ------------------------------------------------------------------ events
 
     /// @brief Takes over a new view: another configuration revision, other backend servers or other entries.
-    /// Open requests keep the route with which they began.
+    /// Open requests keep the route with which they began, except that, with
+    /// load_options::orders_by_priority, waiting parts take a new priority and are refused if the route or
+    /// team is gone.
     void configure(routing_view view, time_point now);
 
     /// @brief A caller sent a request, or another entry delegated one.
@@ -113,6 +115,9 @@
         return m_schedulers_configured;
     }
 
+    /// @return the numbers of subqueries that wait for a slot, over all services
+    dispatch::waiting_counts waiting_work() const;
+
     /// @return the scheduler of a service, or null if there is none
     const dispatch::scheduler* scheduler_of(const service_name& service) const;
 
@@ -324,6 +329,9 @@
     duration time_to_answer(const route& matched_route, const routed_request& request) const;
     duration time_to_objective(const route& matched_route, const routed_request& request) const;
     int priority_of(const route& matched_route, const team_name& name) const;
+    void apply_revision_to_waiting(const team_table& teams_before, time_point now);
+    void refuse_waiting_parts(const open_request& opened, time_point now);
+    void update_priority(open_request& opened, int priority, time_point now);
     void set_timer(request_number number, open_request& opened);
     void configure_scheduler(scheduler_index at, const shared_value<placed_service>& placed,
                              bool places_changed, time_point now);
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -72,7 +72,7 @@
         server.shards.clear();
         server.retired = true;
     }
-    m_shards.resize(placed.shards.size());
+    resize_shards(placed.shards.size());
     for (std::size_t shard = 0; shard < placed.shards.size(); ++shard)
     {
         auto& replicas = m_shards[shard].replicas;
@@ -214,7 +214,8 @@
         at_hand += std::floor(tokens);
         next.emplace_back(now + period * (1.0 - (tokens - std::floor(tokens))), period);
     }
-    auto lacking = static_cast<std::int64_t>(shard.queue.size()) + 1 - static_cast<std::int64_t>(at_hand);
+    auto lacking =
+        static_cast<std::int64_t>(shard.queue.size_on_time()) + 1 - static_cast<std::int64_t>(at_hand);
     if (lacking <= 0 || warm_at == time_point::never())
     {
         return {};
@@ -297,7 +298,7 @@
             {
                 found->second.backing_off = false;
                 found->second.failed_servers.clear();
-                enqueue(found->second, found->second.spec.deadline, now);
+                enqueue(found->second, now);
             }
             break;
         }
@@ -382,7 +383,7 @@
         return;
     }
     cancel(id, now);
-    enqueue(item, front_of_queue, now);
+    enqueue(item, now, true);
 }
 
 void scheduler::cancel(attempt_id id, time_point now)
@@ -433,28 +434,6 @@
     return std::exchange(m_actions, {});
 }
 
-duration scheduler::estimated_wait(int shard) const
-{
-    if (!is_known_shard(shard))
-    {
-        return {};
-    }
-    const shard_state& state = m_shards[static_cast<std::size_t>(shard)];
-    double ends_per_ms = 0.0;
-    for (const server_index index : state.replicas)
-    {
-        const server_state& server = m_servers[index];
-        const bool counts = !server.is_leaving() && server.ejections_in_row == 0;
-        const double hold_ms = std::max(server.recent_latency.ms(), m_mean_hold_ms);
-        ends_per_ms += counts && hold_ms > 0.0 ? slots_of(server) / hold_ms : 0.0;
-    }
-    if (ends_per_ms <= 0.0 || state.queue.empty())
-    {
-        return {};
-    }
-    return duration::from_ms(static_cast<double>(state.queue.size()) / ends_per_ms);
-}
-
 std::vector<index_version> scheduler::held_versions(int shard) const
 {
     std::set<index_version> held;
--- a/src/dispatch/scheduler_detail.hpp
+++ b/src/dispatch/scheduler_detail.hpp
@@ -39,9 +39,6 @@
 inline constexpr duration min_backoff = duration::from_ms(2);
 inline constexpr duration max_backoff = duration::from_ms(100);
 
-/// The queue key of replacements of overdue attempts, which precede all other queued subqueries.
-inline constexpr time_point front_of_queue{};
-
 /// @return whether an attempt with this status was certainly not run
 inline bool was_not_run(attempt_status status) noexcept
 {
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -34,7 +34,7 @@
         return;
     }
     const duration until_sent = warmup_wait(item, now);
-    const duration wait = std::max(estimated_wait(spec.shard), until_sent);
+    const duration wait = std::max(expected_wait_of(spec, now), until_sent);
     // A subquery that is sent later would be dropped by drop_unservable.
     const bool unservable = until_sent > duration{} && until_sent + m_latency.median() > spec.deadline - now;
     if (wait > spec.deadline - now || unservable)
@@ -44,10 +44,10 @@
         return;
     }
     arm(spec.deadline, timer_kind::deadline, spec.id);
-    enqueue(item, spec.deadline, now);
+    enqueue(item, now);
 }
 
-void scheduler::enqueue(pending_subquery& item, time_point key, time_point now)
+void scheduler::enqueue(pending_subquery& item, time_point now, bool is_replacement)
 {
     if (item.held && !item.one_attempt_allowed)
     {
@@ -55,8 +55,7 @@
     }
     const int shard = item.spec.shard;
     item.queued = true;
-    item.queue_key = key;
-    m_shards[static_cast<std::size_t>(shard)].queue.emplace(key, item.spec.id);
+    m_shards[static_cast<std::size_t>(shard)].queue.add(waiting_entry_of(item.spec), is_replacement, now);
     ++m_queued;
     run_queue_of(shard, now);
 }
@@ -82,7 +81,7 @@
     {
         found->second.one_attempt_allowed = true;
         found->second.failed_servers.clear();
-        enqueue(found->second, found->second.spec.deadline, now);
+        enqueue(found->second, now);
     }
 }
 
@@ -100,7 +99,7 @@
     if (idle)
     {
         item.failed_servers.clear();
-        enqueue(item, item.spec.deadline, now);
+        enqueue(item, now);
     }
 }
 
@@ -121,7 +120,7 @@
     --m_queued;
     if (is_known_shard(item.spec.shard))
     {
-        m_shards[static_cast<std::size_t>(item.spec.shard)].queue.erase({item.queue_key, item.spec.id});
+        m_shards[static_cast<std::size_t>(item.spec.shard)].queue.erase(item.spec.id);
     }
 }
 
@@ -130,10 +129,11 @@
     const auto& replicas = m_shards[static_cast<std::size_t>(shard)].replicas;
     // The first queued subquery gets the best free backend server, not the first one.
     auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
+    queue.advance(now);
     drop_unservable(shard, now);
     while (!queue.empty())
     {
-        pending_subquery& head = m_pending.at(queue.begin()->second);
+        pending_subquery& head = m_pending.at(queue.first());
         const auto index = free_server(head, now);
         if (index && !is_waiting_faster(*index, head, now))
         {
@@ -159,7 +159,7 @@
     const duration needed = m_latency.median();
     while (!queue.empty())
     {
-        pending_subquery& head = m_pending.at(queue.begin()->second);
+        pending_subquery& head = m_pending.at(queue.next_to_expire());
         if (head.spec.deadline - now >= needed)
         {
             return;
@@ -175,6 +175,7 @@
 {
     for (const int shard : m_servers[index].shards)
     {
+        m_shards[static_cast<std::size_t>(shard)].queue.advance(now);
         drop_unservable(shard, now);
     }
     while ((has_slot(m_servers[index], now) || can_pipeline(m_servers[index], now)) &&
@@ -188,13 +189,15 @@
     const server_state& server = m_servers[index];
     const bool pipelined = !has_slot(server, now);
     pending_subquery* first = nullptr;
+    work_queue::position first_position;
     for (const int shard : server.shards)
     {
         const auto& queue = m_shards[static_cast<std::size_t>(shard)].queue;
-        int examined = 0;
-        for (const auto& [key, id] : queue)
+        work_queue::scan in_order(queue);
+        for (int examined = 0; examined < queue_scan_limit; ++examined)
         {
-            if (++examined > queue_scan_limit)
+            const subquery_id id = in_order.next();
+            if (id == 0)
             {
                 break;
             }
@@ -203,9 +206,11 @@
             const bool fits = !pipelined || item.spec.repeatable;
             if (fits && is_eligible(server, item, now) && !tried && !is_waiting_faster(index, item, now))
             {
-                if (first == nullptr || key < first->queue_key)
+                const work_queue::position position = queue.position_of(id);
+                if (first == nullptr || position < first_position)
                 {
                     first = &item;
+                    first_position = position;
                 }
                 break;
             }
@@ -238,7 +243,11 @@
 
 void scheduler::start(pending_subquery& item, server_index index, time_point now, bool pipelined)
 {
-    remove_from_queue(item);
+    if (item.queued)
+    {
+        m_shards[static_cast<std::size_t>(item.spec.shard)].queue.start(item.spec.id);
+        remove_from_queue(item);
+    }
     item.one_attempt_allowed = false;
     server_state& server = m_servers[index];
     spend_warmup_token(server, index, now);
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -248,7 +248,7 @@
                                           });
     if (untried_left)
     {
-        enqueue(item, item.spec.deadline, now);
+        enqueue(item, now);
         return true;
     }
     item.backoff = std::clamp(std::max(item.backoff * 2.0, result.retry_after), min_backoff, max_backoff);
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -3,6 +3,7 @@
 #include "http/http_status.hpp"
 #include "http/json_reply.hpp"
 #include "process/log.hpp"
+#include "waiting_report.hpp"
 
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
@@ -303,7 +304,8 @@
             {"crash_records", m_router.crashes().all(1, m_clock.now())},
             {"open_requests", m_router.open_requests()},
             {"backend_servers", m_servers.size()},
-            {"running_attempts", m_attempts.size()}};
+            {"running_attempts", m_attempts.size()},
+            {"waiting", waiting_report(m_router.waiting_work())}};
 }
 
 } // namespace flaxtiller::shell
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -34,6 +34,7 @@
         {
             m_fan_outs.push_back(shared);
         }
+        m_by_name.emplace(name, shared);
         m_hosts[host_key(item.host)].emplace(item.path_prefix, std::move(shared));
     }
 }
@@ -43,6 +44,12 @@
     return m_fan_outs;
 }
 
+std::shared_ptr<const route> route_table::find_by_name(const std::string& name) const
+{
+    const auto found = m_by_name.find(name);
+    return found == m_by_name.end() ? nullptr : found->second;
+}
+
 std::shared_ptr<const route> route_table::find(std::string_view host, std::string_view target) const
 {
     const auto prefixes = m_hosts.find(host_key(host));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -30,6 +30,7 @@
     m_options.scheduling.overdue_by_server = true;
     m_options.scheduling.cancel_losers = false;
     m_options.scheduling.avoid_stalled = true;
+    m_options.scheduling.orders_by_priority = m_options.load.orders_by_priority;
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -61,13 +62,20 @@
     }
     const bool places_changed =
         !view.region_of_zone.is_shared_with(m_view.region_of_zone) || view.region != m_view.region;
-    if (view.routes != m_view.routes || view.teams != m_view.teams)
+    const bool revised = view.routes != m_view.routes || view.teams != m_view.teams;
+    if (revised)
     {
         m_team_routes.clear();
     }
     const shared_value<cold_servers> cold_before = m_view.cold;
+    const std::shared_ptr<const team_table> teams_before = m_view.teams;
     m_view = std::move(view);
     m_groups.configure(m_view);
+    if (revised && m_options.load.orders_by_priority)
+    {
+        // Before the schedulers see new backend servers, to which waiting work would be sent at once.
+        apply_revision_to_waiting(*teams_before, now);
+    }
     // Limited before the schedulers see a new backend server; otherwise the whole queue would be sent to it
     // at once.
     limit_cold_servers(*cold_before, now);
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -72,6 +72,7 @@
         view.region = region;
         view.region_of_zone = std::map<std::string, std::string>{{"near-zone", "near"}, {"far-zone", "far"}};
         view.peers = peers;
+        view.teams = teams;
         m_router.configure(view, now);
         process_actions();
     }
@@ -83,6 +84,7 @@
         request->host = "h";
         request->target = target;
         request->patience = duration::from_ms(patience_ms);
+        request->team = team_name(team);
         m_router.arrive(m_number, request, now);
         process_actions();
         return m_number;
@@ -135,6 +137,11 @@
         return m_router.next_time();
     }
 
+    dispatch::waiting_counts waiting_work() const
+    {
+        return m_router.waiting_work();
+    }
+
     void answer_all()
     {
         m_router.answer_all();
@@ -258,6 +265,9 @@
     /// The availability zone of each service's last replica, if different from the other replicas.
     std::string last_replica_zone;
     std::vector<entry_peer> peers;
+    /// The teams of the next view, and the team of the requests that are submitted; empty for none.
+    std::shared_ptr<const team_table> teams = std::make_shared<const team_table>();
+    std::string team;
     time_point now{duration::from_ms(1000)};
     std::vector<start_routed_attempt> started;
     std::vector<routed_attempt_number> cancelled;
