--- a/bench/queue_play.hpp
+++ b/bench/queue_play.hpp
@@ -84,6 +84,11 @@
         while (m_clock.step())
         {
         }
+        for (std::size_t at = 0; at < results.size(); ++at)
+        {
+            double& gap = results[at].longest_gap_ms;
+            gap = std::max(gap, (m_until - m_last_start[at]).ms());
+        }
     }
 
     std::vector<stream_result> results;
--- a/tests/src/unit-queue-plays.cpp
+++ b/tests/src/unit-queue-plays.cpp
@@ -107,7 +107,7 @@
 TEST_CASE("an urgent request type keeps its objective and starves no other", "[queue][policy]")
 {
     // Guards against an order by deadline, under which the urgent type waits behind the other, and against
-    // absolute priorities, under which the other type gets no slot while the urgent one has bursts.
+    // less urgent work that is not served while work past its objective is.
     const double urgent_share = GENERATE(0.5, 0.6, 0.7);
     const std::uint64_t seed = GENERATE(1, 2);
     constexpr double from_s = 2.0;
@@ -138,6 +138,22 @@
     CHECK(before.in_objective_share() < 0.98 * alone.results[0].in_objective_share());
 }
 
+TEST_CASE("an urgent request type that needs all slots leaves the other its share", "[queue][policy]")
+{
+    // Guards against absolute priorities, under which the less urgent type is never served.
+    queue_play mixed(two_types(1.2), true, 3);
+    mixed.run(2.0, 10.0);
+    const stream_result& urgent = mixed.results[0];
+    const stream_result& other = mixed.results[1];
+    const double mean_share =
+        static_cast<double>(urgent.served + other.served) / (urgent.arrived + other.arrived);
+    CAPTURE(urgent.served_share(), other.served_share(), mean_share, other.longest_gap_ms);
+    CHECK(other.served_share() >= 0.25 * mean_share);
+    CHECK(other.longest_gap_ms <= 1000.0);
+    CHECK(mixed.late_before_on_time == 0);
+    CHECK(mixed.idle_slots == 0);
+}
+
 TEST_CASE("a team that sends too much takes nothing from the shares of the others", "[queue][policy]")
 {
     // Guards against shares by number of requests sent, also while the queue has no history.
