--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -420,7 +420,8 @@
     const auto found = m_pending.find(id);
     if (found != m_pending.end())
     {
-        found->second.retry_after = estimated_wait(found->second.spec.shard);
+        const subquery& spec = found->second.spec;
+        found->second.retry_after = estimated_wait(spec.shard, spec.priority, spec.team);
         give_up(found->second, missing_reason::late, now);
     }
 }
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -166,7 +166,7 @@
         }
         // The answer would probably come after the deadline, and the slot would be wasted at the expense of
         // the next subquery.
-        head.retry_after = estimated_wait(shard);
+        head.retry_after = estimated_wait(shard, head.spec.priority, head.spec.team);
         give_up(head, missing_reason::overloaded, now);
     }
 }
--- a/tests/src/queue_reference.hpp
+++ b/tests/src/queue_reference.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/dispatch/fair_order.hpp>
 #include <flaxtiller/dispatch/waiting_subquery.hpp>
+#include <flaxtiller/dispatch/work_queue.hpp>
 
 #include <algorithm>
 #include <map>
@@ -12,6 +13,18 @@
 namespace flaxtiller::test
 {
 
+/// @return the ids of the waiting subqueries in order
+inline std::vector<dispatch::subquery_id> order_of(const dispatch::work_queue& queue)
+{
+    std::vector<dispatch::subquery_id> ids;
+    dispatch::work_queue::scan scan(queue);
+    for (dispatch::subquery_id id = scan.next(); id != 0; id = scan.next())
+    {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 /// @brief The order of dispatch::fair_order, computed from a plain list for each question.
 class reference_order
 {
