Queue order: tests of the retry time and of the earliest deadline

Cause: no test failed if dropped work of a small team got the wait of a large one, and the property test did not compare the work that expires next. Change: a test of the retry time; the property test compares the earliest deadline after each event. Conclusion: tests only.

--- a/tests/src/unit-queue-property.cpp
+++ b/tests/src/unit-queue-property.cpp
@@ -70,6 +70,18 @@
         return ids.empty() ? m_queue.empty() : m_queue.first() == ids.front();
     }
 
+    /// @return whether the queue finds the work with the earliest deadline
+    bool earliest_deadline_matches() const
+    {
+        const auto earliest = std::min_element(m_items.begin(), m_items.end(),
+                                               [](const auto& a, const auto& b)
+                                               {
+                                                   return std::pair(a.second.deadline, a.first) <
+                                                          std::pair(b.second.deadline, b.first);
+                                               });
+        return earliest == m_items.end() || m_queue.next_to_expire() == earliest->first;
+    }
+
     std::size_t late() const
     {
         return m_late.items.size();
@@ -182,6 +194,7 @@
                                           const std::vector<subquery_id> expected = queue.expected();
                                           RC_ASSERT(queue.actual() == expected);
                                           RC_ASSERT(queue.first_matches(expected));
+                                          RC_ASSERT(queue.earliest_deadline_matches());
                                           late += queue.late();
                                           compared += expected.size();
                                       }
--- a/tests/src/unit-queue-scheduler.cpp
+++ b/tests/src/unit-queue-scheduler.cpp
@@ -90,6 +90,22 @@
         CHECK(driver.finished.at(last).reason == missing_reason::overloaded);
         CHECK(driver.finished.at(last).outcome == outcome::not_run);
     }
+    SECTION("the retry time of dropped work is that of its team")
+    {
+        // Guards against a small team that is told to wait for all the work of a large one.
+        queued_scheduler driver;
+        for (int i = 0; i < 50; ++i)
+        {
+            driver.add(0, "large", 5000.0, 5000.0);
+        }
+        const subquery_id small = driver.add(0, "small", 60.0, 60.0);
+        driver.advance_by(51);
+        driver.next_started();
+        REQUIRE(driver.finished.count(small) == 1);
+        CHECK(driver.finished.at(small).reason == missing_reason::overloaded);
+        CHECK(driver.finished.at(small).retry_after.ms() < 50.0);
+        CHECK(driver.scheduler.estimated_wait(0).ms() > 300.0);
+    }
     SECTION("urgent work is not refused because less urgent work waits")
     {
         // Guards against an estimate at arrival that ignores the order.
