--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -3,6 +3,7 @@
 #include "http/http_status.hpp"
 #include "http/json_reply.hpp"
 #include "process/log.hpp"
+#include "waiting_report.hpp"
 
 #include <flaxtiller/dispatch/owner_choice.hpp>
 
@@ -342,7 +343,8 @@
             {"owner_delays", dump_of(m_router.delays_of_owners(), m_clock.now())},
             {"admission", dump_admission()},
             {"backend_servers", m_servers.size()},
-            {"running_attempts", m_attempts.size()}};
+            {"running_attempts", m_attempts.size()},
+            {"waiting", waiting_report(m_router.waiting_work())}};
 }
 
 } // namespace flaxtiller::shell
