--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -386,3 +386,34 @@
     CHECK(times.size() == (spreads ? 5 : 1));
     CHECK(*times.begin() >= options.min_retry_after);
 }
+
+TEST_CASE("the margin of estimates follows how often they are too optimistic", "[admission]")
+{
+    completion_margin margin;
+
+    SECTION("many misses raise it up to a limit, as it must not close the entry")
+    {
+        for (int i = 0; i < 1000; ++i)
+        {
+            margin.observe(false);
+        }
+        CHECK(margin.share() == completion_margin::max_share);
+    }
+    SECTION("it falls again to zero while estimates hold, as it costs requests that could be served")
+    {
+        for (int i = 0; i < 2000; ++i)
+        {
+            margin.observe(true);
+        }
+        CHECK(margin.share() == 0.0);
+    }
+    SECTION("it stays where the accepted share misses")
+    {
+        const double before = margin.share();
+        for (int i = 0; i < 1000; ++i)
+        {
+            margin.observe(i % 50 != 0);
+        }
+        CHECK(margin.share() == Approx(before).margin(0.01));
+    }
+}
