Refused attempts don't use up the attempts of a route

Cause: a refusal counted as one of the backend servers that a route allows, although nothing ran, so a shard whose servers refuse 60% was lost in 36% of the cases with two attempts.

Change: behind scheduler_options::retries_refused, which the router sets from load_options::reads_server_load, sent_attempts records what a subquery was sent to. most_attempts of the route bounds the attempts that may have run and the different backend servers; scheduler_options::most_attempts bounds all attempts that were sent. Each retry spends from the retry budget as before.

Ruled out: recording indexes of backend servers. Names are recorded instead.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -6,6 +6,7 @@
 #include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/owner_choice.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
+#include <flaxtiller/dispatch/sent_attempts.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
 
@@ -214,6 +215,8 @@
         std::optional<server_index> second_server;
         /// The backend servers on which an attempt failed since the last backoff.
         std::vector<server_index> failed_servers;
+        /// Recorded only for scheduler_options::retries_refused.
+        sent_attempts sent;
     };
 
     /// @brief The limit of the requests to a cold backend server.
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -45,9 +45,16 @@
     bool overdue_by_server = false;
     /// Whether a retry after a refusal spends from the budget of extra attempts, too.
     bool charge_refusals = false;
+    /// Whether refused (shed) attempts do not count toward @ref subquery::most_attempts, which then bounds
+    /// the attempts that may have run and the different backend servers. All attempts that were sent count
+    /// toward
+    /// @ref most_attempts.
+    bool retries_refused = false;
     /// Whether a backend server all of whose attempts are overdue is chosen last, as the whole server is
     /// probably stalled.
     bool avoid_stalled = false;
+    /// Whether the load that backend servers report is a criterion for the choice between them.
+    bool reads_server_load = false;
     /// A cancel that is not confirmed within this time counts as failed.
     duration cancel_confirmation_timeout = duration::from_ms(10);
     /// The number of consecutive failed cancels after which overdue attempts on a backend server are no
--- a/src/dispatch/scheduler_choice.cpp
+++ b/src/dispatch/scheduler_choice.cpp
@@ -41,6 +41,11 @@
 /// @return whether the backend server may be used under the rule of @ref subquery::designated
 bool scheduler::is_allowed(const server_state& server, const pending_subquery& item) const
 {
+    if (m_options.retries_refused &&
+        !item.sent.may_send_to(server.definition.name, item.spec.most_attempts, item.spec.designated))
+    {
+        return false;
+    }
     if (item.spec.designated.empty() || server.definition.name == item.spec.designated)
     {
         return true;
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -262,6 +262,10 @@
         item.second_server = index;
     }
     ++item.attempts;
+    if (m_options.retries_refused)
+    {
+        item.sent.add(server.definition.name);
+    }
     ++server.in_use;
     ++m_started;
     if (item.spec.repeatable)
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -180,11 +180,21 @@
 void scheduler::on_failure(pending_subquery& item, server_index index, const attempt_result& result,
                            time_point now)
 {
+    const backend_server_name& server = m_servers[index].definition.name;
     if (!was_not_run(result.status))
     {
         item.maybe_run = true;
     }
-    if (result.status == attempt_status::unreachable && item.second_server == index)
+    if (result.status == attempt_status::shed)
+    {
+        item.sent.add_refusal();
+    }
+    if (result.status == attempt_status::unreachable)
+    {
+        item.sent.remove_unsent(server);
+    }
+    if (result.status == attempt_status::unreachable && item.second_server == index &&
+        !item.sent.includes(server))
     {
         // The subquery did not reach the backend server, which therefore is not one of the two allowed ones.
         item.second_server.reset();
@@ -205,6 +215,10 @@
 
 bool scheduler::has_attempts_left(const pending_subquery& item) const
 {
+    if (m_options.retries_refused)
+    {
+        return item.sent.has_attempts_left(item.spec.most_attempts, m_options.most_attempts);
+    }
     return item.spec.most_attempts == 0 || item.attempts < item.spec.most_attempts;
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -30,6 +30,8 @@
     m_options.scheduling.overdue_by_server = true;
     m_options.scheduling.cancel_losers = false;
     m_options.scheduling.avoid_stalled = true;
+    m_options.scheduling.retries_refused = m_options.load.reads_server_load;
+    m_options.scheduling.reads_server_load = m_options.load.reads_server_load;
 }
 
 // ---------------------------------------------------------------------------------------------------------
