--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -5,6 +5,7 @@
 #include <flaxtiller/dispatch/attempt_result.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/owner_choice.hpp>
+#include <flaxtiller/dispatch/report_ages.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
 #include <flaxtiller/dispatch/sent_attempts.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
@@ -105,6 +106,12 @@
     /// @return the time that a new subquery of a shard is expected to wait for a slot
     duration estimated_wait(int shard) const;
 
+    /// @return the same with the wait for the requests of other senders, as reported by the backend servers
+    duration estimated_wait(int shard, time_point now) const;
+
+    /// @return the ages of the load reports of the service's backend servers
+    report_ages ages_of_reports(time_point now) const;
+
     /// @return the reason for which a new subquery of a shard cannot be run now, or @ref missing_reason::none
     /// @param regions see @ref subquery::regions
     /// @param retry_after set to the time after which the subquery can be run, where that is known
@@ -181,6 +188,8 @@
         time_point started_at;
         /// See @ref subquery::size.
         double size = 1.0;
+        /// The wait at the backend server that its load report predicted, if it had one with a weight.
+        std::optional<duration> predicted_wait;
         /// Whether the attempt waits at the backend server for a slot, so that @ref started_at is an
         /// estimate.
         bool pipelined = false;
@@ -249,6 +258,8 @@
     bool has_slot(const server_state& server, time_point now) const;
     double current_failure_rate(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
+    duration with_reported_load(const server_state& server, duration average, time_point now) const;
+    std::optional<duration> predicted_wait(const server_state& server, time_point now) const;
     duration overdue_after(const server_state& server) const;
     duration overdue_after(const attempt& begun) const;
     bool is_stalled(const server_state& server) const noexcept;
--- a/include/flaxtiller/dispatch/server_state.hpp
+++ b/include/flaxtiller/dispatch/server_state.hpp
@@ -4,6 +4,7 @@
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/dispatch/failure_rate.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
+#include <flaxtiller/dispatch/reported_load.hpp>
 #include <flaxtiller/dispatch/subquery.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
 #include <flaxtiller/dispatch/warmup_share.hpp>
@@ -64,6 +65,9 @@
     /// The index versions that the backend server reported; empty optional before its first answer.
     std::optional<std::vector<index_version>> versions;
 
+    /// The load that the backend server reported, used only for scheduler_options::reads_server_load.
+    reported_load reported;
+
     /// The share of recent attempts that failed.
     failure_rate failures;
     int failures_in_row = 0;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -101,6 +101,9 @@
     /// @return the number of instances that share the connections to the service's backend servers
     int connection_sharers_of(const service_name& service) const;
 
+    /// @return the ages of the load reports of each service's backend servers
+    std::map<service_name, dispatch::report_ages> ages_of_load_reports(time_point now) const;
+
     /// @return the crash records of requests that crash backend servers
     const crash_ledger& crashes() const noexcept
     {
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -419,7 +419,7 @@
     const auto found = m_pending.find(id);
     if (found != m_pending.end())
     {
-        found->second.retry_after = estimated_wait(found->second.spec.shard);
+        found->second.retry_after = estimated_wait(found->second.spec.shard, now);
         give_up(found->second, missing_reason::late, now);
     }
 }
--- a/src/dispatch/scheduler_choice.cpp
+++ b/src/dispatch/scheduler_choice.cpp
@@ -103,7 +103,8 @@
 duration scheduler::expected_latency(const server_state& server, time_point now) const
 {
     const bool known = server.recent_samples > 0 && now - server.observed_at < m_options.observation_age;
-    const duration latency = known ? server.recent_latency : m_latency.median();
+    const duration average = known ? server.recent_latency : m_latency.median();
+    const duration latency = with_reported_load(server, average, now);
     const double rate = std::min(current_failure_rate(server, now), max_counted_failure_rate);
     if (!can_afford_retry())
     {
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -34,7 +34,7 @@
         return;
     }
     const duration until_sent = warmup_wait(item, now);
-    const duration wait = std::max(estimated_wait(spec.shard), until_sent);
+    const duration wait = std::max(estimated_wait(spec.shard, now), until_sent);
     // A subquery that is sent later would be dropped by drop_unservable.
     const bool unservable = until_sent > duration{} && until_sent + m_latency.median() > spec.deadline - now;
     if (wait > spec.deadline - now || unservable)
@@ -166,7 +166,7 @@
         }
         // The answer would probably come after the deadline, and the slot would be wasted at the expense of
         // the next subquery.
-        head.retry_after = estimated_wait(shard);
+        head.retry_after = estimated_wait(shard, now);
         give_up(head, missing_reason::overloaded, now);
     }
 }
@@ -248,6 +248,7 @@
     begun.server = index;
     begun.run_number = server.run_number;
     begun.size = item.spec.size;
+    begun.predicted_wait = predicted_wait(server, now);
     // A pipelined attempt is expected to begin when the next slot becomes free.
     begun.pipelined = pipelined;
     begun.started_at = pipelined ? now + m_latency.median() : now;
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -72,6 +72,10 @@
     {
         server.versions = result.held_versions;
     }
+    if (result.load && m_options.reads_server_load)
+    {
+        server.reported.add_report(*result.load, server.in_use, now);
+    }
     if (result.status == attempt_status::leaving)
     {
         server.reported_leaving = true;
@@ -138,6 +142,10 @@
     {
         answered ? server.latency.add_answered(latency) : server.latency.add_censored(latency);
     }
+    if (answered && ended.predicted_wait)
+    {
+        server.reported.add_latency(*ended.predicted_wait, latency, m_latency.median());
+    }
     server.observed_at = now;
     ++server.recent_samples;
     const double weight = std::max(min_average_weight, 1.0 / server.recent_samples);
@@ -395,7 +403,7 @@
     ++m_finished;
     m_budget.earn();
     result.held_versions = held_versions(result.shard);
-    result.estimated_wait = estimated_wait(result.shard);
+    result.estimated_wait = estimated_wait(result.shard, now);
     m_actions.emplace_back(finish_subquery{id, std::move(result)});
 }
 
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -298,8 +298,17 @@
     {
         teams[name.str()] = {{"admitted", counted.admitted}, {"over_limit", counted.over_limit}};
     }
+    nlohmann::json reports = nlohmann::json::object();
+    for (const auto& [service, ages] : m_router.ages_of_load_reports(m_clock.now()))
+    {
+        reports[service.str()] = {{"with", ages.with},
+                                  {"without", ages.without},
+                                  {"newest_ms", ages.newest.ms()},
+                                  {"oldest_ms", ages.oldest.ms()}};
+    }
     return {{"open", m_open.load()},
             {"teams", std::move(teams)},
+            {"load_reports", std::move(reports)},
             {"crash_records", m_router.crashes().all(1, m_clock.now())},
             {"open_requests", m_router.open_requests()},
             {"backend_servers", m_servers.size()},
