--- a/include/flaxtiller/dispatch/reported_load.hpp
+++ b/include/flaxtiller/dispatch/reported_load.hpp
@@ -46,7 +46,8 @@
     /// @return the expected latency of an attempt
     /// @param average the average latency of recent attempts on this backend server, which includes the waits
     /// that these had
-    duration expected_latency(duration average, int own_attempts, duration work, time_point now) const noexcept;
+    duration expected_latency(duration average, int own_attempts, duration work,
+                              time_point now) const noexcept;
 
     /// @return the share of a predicted wait that is expected to occur, between 0 and 1
     double trust() const noexcept;
