--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -5,7 +5,9 @@
 #include <flaxtiller/dispatch/attempt_result.hpp>
 #include <flaxtiller/dispatch/latency_estimator.hpp>
 #include <flaxtiller/dispatch/owner_choice.hpp>
+#include <flaxtiller/dispatch/report_ages.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
+#include <flaxtiller/dispatch/sent_attempts.hpp>
 #include <flaxtiller/dispatch/server_state.hpp>
 #include <flaxtiller/dispatch/token_budget.hpp>
 #include <flaxtiller/dispatch/work_queue.hpp>
@@ -122,9 +124,18 @@
     /// equal service before. By deadline order, the same for all.
     duration estimated_wait(int shard, int priority, const team_name& team) const;
 
+    /// @return the time that a new subquery that can no longer meet its objective is expected to wait
+    duration estimated_wait_if_late(int shard) const;
+
     /// @brief Adds the numbers of subqueries that wait for a slot, by priority and team.
     void add_waiting_work(waiting_counts& into) const;
 
+    /// @return the same with the wait for the requests of other senders, as reported by the backend servers
+    duration estimated_wait(int shard, time_point now) const;
+
+    /// @return the ages of the load reports of the service's backend servers
+    report_ages ages_of_reports(time_point now) const;
+
     /// @return the reason for which a new subquery of a shard cannot be run now, or @ref missing_reason::none
     /// @param regions see @ref subquery::regions
     /// @param retry_after set to the time after which the subquery can be run, where that is known
@@ -201,6 +212,8 @@
         time_point started_at;
         /// See @ref subquery::size.
         double size = 1.0;
+        /// The wait at the backend server that its load report predicted, if it had one with a weight.
+        std::optional<duration> predicted_wait;
         /// Whether the attempt waits at the backend server for a slot, so that @ref started_at is an
         /// estimate.
         bool pipelined = false;
@@ -234,6 +247,8 @@
         std::optional<server_index> second_server;
         /// The backend servers on which an attempt failed since the last backoff.
         std::vector<server_index> failed_servers;
+        /// Recorded only for scheduler_options::retries_refused.
+        sent_attempts sent;
     };
 
     /// @brief The limit of the requests to a cold backend server.
@@ -265,6 +280,8 @@
     bool has_slot(const server_state& server, time_point now) const;
     double current_failure_rate(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
+    duration with_reported_load(const server_state& server, duration average, time_point now) const;
+    std::optional<duration> predicted_wait(const server_state& server, time_point now) const;
     duration overdue_after(const server_state& server) const;
     duration overdue_after(const attempt& begun) const;
     bool is_stalled(const server_state& server) const noexcept;
@@ -283,6 +300,7 @@
     waiting_subquery waiting_entry_of(const subquery& spec) const;
     duration wait_behind(const shard_state& shard, double cost) const;
     duration expected_wait_of(const subquery& spec, time_point now) const;
+    duration reported_wait(int shard, time_point now) const;
     void remove_from_queue(pending_subquery& item);
     void run_queue_of(int shard, time_point now);
     void drop_unservable(int shard, time_point now);
--- a/include/flaxtiller/routing/open_request_limit.hpp
+++ b/include/flaxtiller/routing/open_request_limit.hpp
@@ -98,9 +98,6 @@
     /// @return the number of priorities with recent requests that are more urgent
     std::size_t more_urgent_priorities(int priority) const;
 
-    /// @return the share of the open requests that is of the same or a more urgent priority
-    double share_not_less_urgent(int priority) const;
-
     /// @return the state by priority
     const std::map<int, priority_state>& priorities() const noexcept
     {
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -130,6 +130,9 @@
     /// @return the number of instances that share the connections to the service's backend servers
     int connection_sharers_of(const service_name& service) const;
 
+    /// @return the ages of the load reports of each service's backend servers
+    std::map<service_name, dispatch::report_ages> ages_of_load_reports(time_point now) const;
+
     /// @return the crash records of requests that crash backend servers
     const crash_ledger& crashes() const noexcept
     {
@@ -340,9 +343,10 @@
                            const admission_decision& decision, time_point now);
     void refuse_at_greatest_bound(request_number number, const route& matched_route,
                                   const routed_request& request, time_point now);
-    completion_estimate::result expected_completion(const route& matched_route, int priority, time_point now);
-    void add_local_shard(completion_estimate& into, const service_name& service, double size,
-                         int priority) const;
+    completion_estimate::result expected_completion(const route& matched_route, int priority, bool late,
+                                                    time_point now);
+    void add_local_shard(completion_estimate& into, const service_name& service, double size, int priority,
+                         bool late) const;
     void add_group(completion_estimate& into, const route& matched_route, const shard_plan::group& item,
                    double size, time_point now) const;
     duration median_run_of(const service_name& service, double size) const;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -421,7 +421,8 @@
     if (found != m_pending.end())
     {
         const subquery& spec = found->second.spec;
-        found->second.retry_after = estimated_wait(spec.shard, spec.priority, spec.team);
+        found->second.retry_after =
+            estimated_wait(spec.shard, spec.priority, spec.team) + reported_wait(spec.shard, now);
         give_up(found->second, missing_reason::late, now);
     }
 }
--- a/src/dispatch/scheduler_choice.cpp
+++ b/src/dispatch/scheduler_choice.cpp
@@ -41,6 +41,11 @@
 /// @return whether the backend server may be used under the rule of @ref subquery::designated
 bool scheduler::is_allowed(const server_state& server, const pending_subquery& item) const
 {
+    if (m_options.retries_refused &&
+        !item.sent.may_send_to(server.definition.name, item.spec.most_attempts, item.spec.designated))
+    {
+        return false;
+    }
     if (item.spec.designated.empty() || server.definition.name == item.spec.designated)
     {
         return true;
@@ -98,7 +103,8 @@
 duration scheduler::expected_latency(const server_state& server, time_point now) const
 {
     const bool known = server.recent_samples > 0 && now - server.observed_at < m_options.observation_age;
-    const duration latency = known ? server.recent_latency : m_latency.median();
+    const duration average = known ? server.recent_latency : m_latency.median();
+    const duration latency = with_reported_load(server, average, now);
     const double rate = std::min(current_failure_rate(server, now), max_counted_failure_rate);
     if (!can_afford_retry())
     {
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -72,6 +72,10 @@
     {
         server.versions = result.held_versions;
     }
+    if (result.load && m_options.reads_server_load)
+    {
+        server.reported.add_report(*result.load, server.in_use, now);
+    }
     if (result.status == attempt_status::leaving)
     {
         server.reported_leaving = true;
@@ -138,6 +142,10 @@
     {
         answered ? server.latency.add_answered(latency) : server.latency.add_censored(latency);
     }
+    if (answered && ended.predicted_wait)
+    {
+        server.reported.add_latency(*ended.predicted_wait, latency, m_latency.median());
+    }
     server.observed_at = now;
     ++server.recent_samples;
     const double weight = std::max(min_average_weight, 1.0 / server.recent_samples);
@@ -180,11 +188,21 @@
 void scheduler::on_failure(pending_subquery& item, server_index index, const attempt_result& result,
                            time_point now)
 {
+    const backend_server_name& server = m_servers[index].definition.name;
     if (!was_not_run(result.status))
     {
         item.maybe_run = true;
     }
-    if (result.status == attempt_status::unreachable && item.second_server == index)
+    if (result.status == attempt_status::shed)
+    {
+        item.sent.add_refusal();
+    }
+    if (result.status == attempt_status::unreachable)
+    {
+        item.sent.remove_unsent(server);
+    }
+    if (result.status == attempt_status::unreachable && item.second_server == index &&
+        !item.sent.includes(server))
     {
         // The subquery did not reach the backend server, which therefore is not one of the two allowed ones.
         item.second_server.reset();
@@ -205,6 +223,10 @@
 
 bool scheduler::has_attempts_left(const pending_subquery& item) const
 {
+    if (m_options.retries_refused)
+    {
+        return item.sent.has_attempts_left(item.spec.most_attempts, m_options.most_attempts);
+    }
     return item.spec.most_attempts == 0 || item.attempts < item.spec.most_attempts;
 }
 
@@ -289,56 +311,6 @@
     m_pending.erase(found);
 }
 
-missing_reason scheduler::unavailable_reason(int shard, const std::shared_ptr<const region_set>& regions,
-                                             time_point now, duration& retry_after) const
-{
-    if (!is_known_shard(shard))
-    {
-        return missing_reason::no_backend_server;
-    }
-    pending_subquery any;
-    any.spec.shard = shard;
-    any.spec.regions = regions;
-    return blocked_reason(any, now, retry_after);
-}
-
-missing_reason scheduler::blocked_reason(const pending_subquery& item, time_point now,
-                                         duration& retry_after) const
-{
-    const auto& replicas = m_shards[static_cast<std::size_t>(item.spec.shard)].replicas;
-    bool any_staying = false;
-    bool any_in_region = false;
-    time_point soonest = time_point::never();
-    for (const server_index index : replicas)
-    {
-        const server_state& server = m_servers[index];
-        any_staying = any_staying || !server.is_leaving();
-        any_in_region = any_in_region || (!server.is_leaving() && is_in_region(server, item));
-        if (!is_eligible(server, item, now))
-        {
-            continue;
-        }
-        const time_point back = is_cold_without_share(server, now)
-                                    ? std::max(server.ejected_until, server.cold_until)
-                                    : server.ejected_until;
-        if (back <= now)
-        {
-            return missing_reason::none;
-        }
-        soonest = std::min(soonest, back);
-    }
-    if (soonest != time_point::never())
-    {
-        retry_after = soonest - now;
-        return missing_reason::no_backend_server;
-    }
-    if (!any_staying)
-    {
-        return missing_reason::no_backend_server;
-    }
-    return any_in_region ? missing_reason::wrong_version : missing_reason::no_allowed_region;
-}
-
 void scheduler::give_up(pending_subquery& item, missing_reason reason, time_point now)
 {
     subquery_result done;
@@ -381,7 +353,7 @@
     ++m_finished;
     m_budget.earn();
     result.held_versions = held_versions(result.shard);
-    result.estimated_wait = estimated_wait(result.shard);
+    result.estimated_wait = estimated_wait(result.shard, now);
     m_actions.emplace_back(finish_subquery{id, std::move(result)});
 }
 
--- a/src/dispatch/scheduler_waiting.cpp
+++ b/src/dispatch/scheduler_waiting.cpp
@@ -116,13 +116,22 @@
     return wait_behind(state, state.queue.cost_before(priority, team));
 }
 
+duration scheduler::estimated_wait_if_late(int shard) const
+{
+    if (!is_known_shard(shard))
+    {
+        return {};
+    }
+    const shard_state& state = m_shards[static_cast<std::size_t>(shard)];
+    return wait_behind(state, state.queue.cost());
+}
+
 /// @return the time that a subquery would wait if it were queued now
 duration scheduler::expected_wait_of(const subquery& spec, time_point now) const
 {
     if (m_options.orders_by_priority && now > waiting_entry_of(spec).late_at)
     {
-        const shard_state& state = m_shards[static_cast<std::size_t>(spec.shard)];
-        return wait_behind(state, state.queue.cost());
+        return estimated_wait_if_late(spec.shard);
     }
     return estimated_wait(spec.shard, spec.priority, spec.team);
 }
--- a/src/routing/open_request_limit.cpp
+++ b/src/routing/open_request_limit.cpp
@@ -143,18 +143,4 @@
     return static_cast<std::size_t>(m_bound);
 }
 
-double open_request_limit::share_not_less_urgent(int priority) const
-{
-    if (m_open == 0)
-    {
-        return 0.0;
-    }
-    std::size_t count = 0;
-    for (auto at = m_priorities.begin(); at != m_priorities.upper_bound(priority); ++at)
-    {
-        count += at->second.open;
-    }
-    return static_cast<double>(count) / static_cast<double>(m_open);
-}
-
 } // namespace flaxtiller
--- a/src/routing/router_load.cpp
+++ b/src/routing/router_load.cpp
@@ -65,7 +65,7 @@
     inputs.bound = m_open_limit.bound();
     inputs.open = m_open_limit.open();
     inputs.processing_delay = m_processing_delay.at(now);
-    inputs.expected = expected_completion(matched_route, inputs.priority, now);
+    inputs.expected = expected_completion(matched_route, inputs.priority, false, now);
     return inputs;
 }
 
@@ -90,6 +90,16 @@
         return decision;
     }
     const bool late = expected == timeliness::late;
+    if (late && m_options.load.orders_by_priority)
+    {
+        // Late work also waits for the late work before it.
+        decision.expected = expected_completion(matched_route, decision.priority, true, now);
+        if (decision.expected.time > decision.deadline)
+        {
+            decision.decided = verdict::past_deadline;
+            return decision;
+        }
+    }
     // Queues that are ordered by deadline alone would run late work before work that can meet its objective.
     if (late && !m_options.load.orders_by_priority)
     {
@@ -135,7 +145,7 @@
 // estimate
 // ---------------------------------------------------------------------------------------------------------
 
-completion_estimate::result router::expected_completion(const route& matched_route, int priority,
+completion_estimate::result router::expected_completion(const route& matched_route, int priority, bool late,
                                                         time_point now)
 {
     const duration own_delay = m_processing_delay.at(now);
@@ -145,7 +155,7 @@
         completion_estimate targets;
         for (const weighted_service& target : matched_route.targets)
         {
-            add_local_shard(targets, target.service, 1.0, priority);
+            add_local_shard(targets, target.service, 1.0, priority, late);
         }
         return targets.completion(0.0, own_delay);
     }
@@ -169,7 +179,7 @@
     {
         if (runs_locally[shard])
         {
-            add_local_shard(shards, matched_route.fan_out[shard], size, priority);
+            add_local_shard(shards, matched_route.fan_out[shard], size, priority, late);
         }
     }
     return shards.completion(matched_route.least_share, own_delay);
@@ -181,15 +191,16 @@
     return scheduler == nullptr ? duration{} : scheduler->median_latency() * size;
 }
 
-/// Where queues are ordered by priority, less urgent subqueries are not waited for. The share of the open
-/// requests that is not less urgent stands for the share of the queue.
+/// Where queues are ordered by priority, less urgent subqueries are waited for only as far as their share.
 void router::add_local_shard(completion_estimate& into, const service_name& service, double size,
-                             int priority) const
+                             int priority, bool late) const
 {
     const dispatch::scheduler* scheduler = scheduler_of(service);
-    const double share_ahead =
-        m_options.load.orders_by_priority ? m_open_limit.share_not_less_urgent(priority) : 1.0;
-    const duration wait = scheduler == nullptr ? duration{} : scheduler->estimated_wait(0) * share_ahead;
+    duration wait{};
+    if (scheduler != nullptr)
+    {
+        wait = late ? scheduler->estimated_wait_if_late(0) : scheduler->estimated_wait(0, priority);
+    }
     into.add(1, wait, median_run_of(service, size));
 }
 
