Team limits hold while a suspended coordinator is replaced; retry times; withdrawn keys

Cause: entries admitted up to three requests each without an acknowledgement (two, and the saved token of local_share), and a successor learned of them a second later, granting in the meantime.

Change: an entry reports to a new coordinator at once what was not acknowledged, and asks for the first request of each team; an update of another replica can limit a team; unacknowledged requests are taken from local_share; contacts of large fleets age within 1.2 s; accounts start with 0.3 of their tokens. Not behind a switch, as it mends a fault. With spread_returns: retry_schedule spaces the times of refused requests, and waiting requests whose key is withdrawn are answered as unauthorized (router::withdraw). over_limit has the further keys limited and unacknowledged.

--- a/bench/limit_play.hpp
+++ b/bench/limit_play.hpp
@@ -47,6 +47,8 @@
     double suspended_from_s = -1.0;
     double suspended_for_s = 7.0;
     double election_s = 1.25;
+    /// Each entry sees a request of another team just before and just after the suspension begins.
+    bool others = false;
     /// All entries and the leader begin anew.
     double restart_at_s = -1.0;
     /// From then on the limit is this.
@@ -180,6 +182,8 @@
         : m_time(time), m_wanted(wanted), m_draw(wanted.seed + 1), m_ledger(tolerance), m_successor(tolerance)
     {
         m_team.name = team_name("t");
+        m_other.name = team_name("other");
+        m_other.limit = {1000.0, 1000.0};
         m_limiters.resize(static_cast<std::size_t>(wanted.entries));
         set_limit(wanted.limit);
         for (int entry = 0; entry < wanted.entries; ++entry)
@@ -208,6 +212,7 @@
         m_team.limit = limit;
         shared_map<team_name, team> teams;
         teams.insert_or_assign(m_team.name, m_team);
+        teams.insert_or_assign(m_other.name, m_other);
         m_ledger.configure(teams, m_time.now);
         m_successor.configure(teams, m_time.now);
         for (rate_limiter& limiter : m_limiters)
@@ -255,6 +260,12 @@
                       m_successor.restart(m_time.now);
                   });
         m_follows_successor.resize(m_limiters.size());
+        constexpr double others_within_s = 0.3;
+        for (int entry = 0; m_wanted.others && entry < m_wanted.entries; ++entry)
+        {
+            arrive_other(m_wanted.suspended_from_s - share(draw) * others_within_s, entry);
+            arrive_other(m_wanted.suspended_from_s + share(draw) * others_within_s, entry);
+        }
         for (int entry = 0; entry < m_wanted.entries; ++entry)
         {
             const bool follows_suspended = share(draw) < follow_suspended_share;
@@ -268,9 +279,21 @@
         }
     }
 
+    void arrive_other(double at_s, int entry)
+    {
+        m_time.at(time_point(duration::from_ms(at_s * 1000.0)),
+                  [this, entry]
+                  {
+                      m_limiters[static_cast<std::size_t>(entry)].admit(0, m_other, m_time.now);
+                      look(entry);
+                  });
+    }
+
     void follow_successor(int entry)
     {
         m_follows_successor[static_cast<std::size_t>(entry)] = true;
+        m_limiters[static_cast<std::size_t>(entry)].on_coordinator_changed(m_time.now);
+        look(entry);
         m_time.at(m_time.now + way_to_leader() + way_to_leader(),
                   [this, entry]
                   {
@@ -321,7 +344,7 @@
         limiter.on_time(m_time.now);
         for (const rate_limiter::decision& made : limiter.take_decisions())
         {
-            if (made.what == rate_limiter::verdict::admitted)
+            if (made.what == rate_limiter::verdict::admitted && made.request != 0)
             {
                 admitted(made.request);
             }
@@ -411,6 +434,7 @@
                   {
                       if (follows_successor(entry) != successor)
                       {
+                          m_limiters[static_cast<std::size_t>(entry)].on_other_limit_update(word, m_time.now);
                           return;
                       }
                       m_limiters[static_cast<std::size_t>(entry)].on_limit_update(word, m_time.now);
@@ -422,6 +446,7 @@
     const scenario m_wanted;
     std::mt19937 m_draw;
     team m_team;
+    team m_other;
     rate_limit_coordinator m_ledger;
     /// Takes over from a suspended coordinator; the entries that follow it, by number.
     rate_limit_coordinator m_successor;
--- a/include/flaxtiller/routing/caller_admission.hpp
+++ b/include/flaxtiller/routing/caller_admission.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <flaxtiller/routing/load_options.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/routing_view.hpp>
 #include <flaxtiller/teams/rate_limiter.hpp>
+#include <flaxtiller/teams/retry_schedule.hpp>
 
 #include <cstdint>
 #include <map>
@@ -49,11 +51,26 @@
 class caller_admission
 {
   public:
-    /// @brief Takes over a new configuration revision or a new number of entry instances.
+    /// @param load the switches; `spreads_returns` applies here
+    explicit caller_admission(const load_options& load = {}) : m_load(load)
+    {
+    }
+
+    /// @brief Takes over a new configuration revision or a new number of entry instances. Requests that wait
+    /// for the rate limit coordinator, and whose key was withdrawn, are refused as unauthorized.
     void configure(const routing_view& view);
 
+    /// @return the admitted requests whose keys the last revisions withdrew; each is returned once
+    std::vector<request_number> take_withdrawn();
+
+    /// @brief An admitted request was answered, or its caller closed the connection.
+    void request_ended(request_number number)
+    {
+        m_keys.erase(number);
+    }
+
     /// @brief A caller sent a request.
-    /// @param key the API key that the caller presented; empty for none. The key is not stored.
+    /// @param key the API key that the caller presented; empty for none. Only its digest is stored.
     void arrive(request_number number, routed_request request, const std::string& key, time_point now);
 
     /// @brief The caller closed its connection; its request is dropped if it still awaits a decision.
@@ -65,6 +82,19 @@
         m_limiter.on_coordinator_contact(now);
     }
 
+    /// @brief Another replica is the rate limit coordinator.
+    void on_coordinator_changed(time_point now)
+    {
+        m_limiter.on_coordinator_changed(now);
+    }
+
+    /// @brief A message to all entries was received from a replica that this entry doesn't know as the rate
+    /// limit coordinator.
+    void on_other_limit_update(const limit_update& update, time_point now)
+    {
+        m_limiter.on_other_limit_update(update, now);
+    }
+
     /// @brief A reply of the rate limit coordinator was received.
     void on_limit_update(const limit_update& word, time_point now);
 
@@ -100,7 +130,16 @@
     void reject(request_number number, routed_end end, const std::string& route,
                 std::optional<rate_limiter::decision> over_limit = std::nullopt);
     void apply(const rate_limiter::decision& limiter_decision, routed_request request,
-               const std::string& route);
+               const std::string& route, time_point now);
+    duration retry_after_of(const rate_limiter::decision& refused, time_point now);
+    void withdraw_keys(const team_table& earlier);
+
+    /// The digest of a request's key, and the team that held the key at arrival.
+    struct presented_key
+    {
+        team_name holder;
+        key_digest digest;
+    };
 
     struct held_request
     {
@@ -109,12 +148,17 @@
         time_point since;
     };
 
+    load_options m_load;
+    retry_schedule m_retry_schedule;
     std::shared_ptr<const route_table> m_routes;
     std::shared_ptr<const team_table> m_teams;
     std::int64_t m_revision = 0;
     rate_limiter m_limiter;
     /// Requests that wait for a reply of the rate limit coordinator.
     std::unordered_map<request_number, held_request> m_held;
+    /// The keys of requests that wait for the coordinator, and of admitted ones that have no answer yet.
+    std::unordered_map<request_number, presented_key> m_keys;
+    std::vector<request_number> m_withdrawn;
     std::map<team_name, counts> m_counted;
     std::vector<admission_action> m_actions;
 };
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -51,6 +51,11 @@
     /// @brief A caller closed its connection: the request's attempts are cancelled, and no answer is sent.
     void caller_gone(request_number number, time_point now);
 
+    /// @brief The key of a caller's request was withdrawn. The request is answered as unauthorized unless an
+    /// attempt was started or a part was delegated.
+    /// @return whether the request was answered
+    bool withdraw(request_number number);
+
     /// @brief The delegating entry no longer awaits the outcome: the router starts no further attempts for
     /// the request and sends no answer. Running attempts are not cancelled.
     void no_longer_awaited(request_number number);
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -52,6 +52,10 @@
         bool decided_locally = false;
         /// The time since the last contact with the coordinator.
         duration last_contact_ago{};
+        /// Whether the team was known to have used up its limit.
+        bool limited = false;
+        /// The requests of the team that the coordinator had not acknowledged.
+        std::int64_t unacknowledged = 0;
 
         bool operator==(const decision&) const = default;
     };
@@ -71,9 +75,17 @@
         m_last_contact_at = std::max(m_last_contact_at, now);
     }
 
+    /// @brief Another replica is the coordinator. It receives what its predecessor has not acknowledged, and
+    /// decides on the first request of each team, since the status of the teams there is unknown.
+    void on_coordinator_changed(time_point now);
+
     /// @brief Handles a message of the coordinator.
     void on_limit_update(const limit_update& update, time_point now);
 
+    /// @brief Handles a message to all entries from a replica that this entry doesn't know as the
+    /// coordinator, which may be its successor: limited teams need a decision, nothing else is changed.
+    void on_other_limit_update(const limit_update& update, time_point now);
+
     /// @brief Discards a request that no longer needs a decision.
     void cancel_request(std::uint64_t request);
 
@@ -99,9 +111,15 @@
         std::int64_t unreported = 0;
         std::int64_t unacknowledged = 0;
         bool limited = false;
+        /// The value of @ref m_coordinators when the status was received.
+        std::uint64_t status_from = 0;
         time_point exhausted_until{};
-        /// The share of the limit that this entry applies while the coordinator is unavailable.
+        /// The share of the limit that this entry applies while the coordinator is unavailable. In a large
+        /// fleet, requests without an acknowledgement are taken from it.
         token_bucket local_share;
+        bool counts_unacknowledged = false;
+        /// Whether a flood of the team could use up the tolerance with one request of each entry.
+        bool exceeds_by_one_each = false;
     };
 
     struct sent_report
@@ -116,15 +134,24 @@
         team_name team;
         time_point since;
         bool sent = false;
+        /// The number of answers that were waited for in vain.
+        int unanswered = 0;
     };
 
-    std::int64_t max_unacknowledged(time_point now) const noexcept;
+    std::int64_t max_unacknowledged(const team_state& item, time_point now) const noexcept;
+    static void set_limited(team_state& item, time_point now);
+    duration contact_is_recent_for(const team_state& item) const noexcept;
+    duration max_brief_outage() const noexcept;
     void record_admitted(team_state& item, time_point now);
     void update_local_share(team_state& item, const rate_limit& limit, time_point now) const;
+    bool may_admit_unacknowledged(const team_state& item, std::int64_t max_requests) const noexcept;
+    void admit_unacknowledged(team_state& item, time_point now);
+    void on_unanswered(waiting_request waiting, time_point now);
     decision decide_locally(std::uint64_t request, const team_name& team, team_state& item, time_point now);
     decision make_decision(std::uint64_t request, const team_name& team, verdict what, time_point now) const;
     void schedule_report(time_point at) noexcept;
     void resend_unacknowledged(time_point now);
+    void resend(const sent_report& report);
 
     int m_entries = 0;
     std::map<team_name, team_state> m_teams;
@@ -133,6 +160,8 @@
     std::vector<decision> m_decisions;
     std::uint64_t m_next_report = 1;
     std::uint64_t m_next_ask = 1;
+    /// The number of changes of the coordinator.
+    std::uint64_t m_coordinators = 0;
     time_point m_report_at = time_point::never();
     time_point m_last_contact_at{};
 };
--- a/include/flaxtiller/teams/team_table.hpp
+++ b/include/flaxtiller/teams/team_table.hpp
@@ -39,6 +39,17 @@
     /// @return the team that holds this key, or null
     const team* find_by_key(std::string_view key) const;
 
+    /// @return the form in which the key of a waiting request is kept
+    key_digest digest_of(std::string_view key) const
+    {
+        return {m_secret, key};
+    }
+
+    /// @return whether a team no longer holds a key that an earlier revision gave it; false if the digests of
+    /// both revisions can't be compared
+    /// @param earlier the table by which the key was found
+    bool is_withdrawn(const team_name& holder, const key_digest& key, const team_table& earlier) const;
+
     /// @brief Identifies and authorizes a caller.
     ///
     /// If no team is configured, no request needs a key. A key that no team holds is refused even on routes
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -43,7 +43,7 @@
                                    crash_records_handler crashes)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
       m_send(std::move(send)), m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
-      m_router(options), m_pools(m_strand, counted),
+      m_admission(options.load), m_router(options), m_pools(m_strand, counted),
       m_server(io, limits_of({}),
                [this](const http_request& request, http_server::respond respond)
                {
@@ -98,6 +98,11 @@
                   [this, view]
                   {
                       m_admission.configure(view);
+                      // Before the router starts attempts for waiting requests by the new configuration.
+                      for (const request_number number : m_admission.take_withdrawn())
+                      {
+                          m_router.withdraw(number);
+                      }
                       m_router.configure(view, m_clock.now());
                       configure_pools(*view.placed);
                       m_report_owners(m_router.owners_to_link());
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -169,7 +169,9 @@
          {"keeper", m_rate_limit_coordinator},
          {"alone", made.decided_locally},
          {"heard_ms_ago", made.last_contact_ago.ms()},
-         {"retry_after_ms", made.retry_after.ms()}});
+         {"retry_after_ms", made.retry_after.ms()},
+         {"limited", made.limited},
+         {"unacknowledged", made.unacknowledged}});
 }
 
 void routing_frontend::execute(const send_limit_report& action)
@@ -265,6 +267,7 @@
     }
     const caller from = std::move(found->second);
     m_callers.erase(found);
+    m_admission.request_ended(action.request);
     const duration elapsed = m_clock.now() - from.arrived;
     routed_outcome outcome = action.outcome;
     outcome.took = elapsed;
--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -84,9 +84,11 @@
                   {
                       if (from != m_rate_limit_coordinator)
                       {
-                          // A replica that was suspended may not know yet that another replica is the leader.
+                          // A replica that was suspended may not know yet that another replica is the leader;
+                          // or it is the new leader, and this entry doesn't know that yet.
                           log(log_level::info, "limit_word_ignored",
                               {{"from", from}, {"keeper", m_rate_limit_coordinator}});
+                          m_admission.on_other_limit_update(*limit_message, m_clock.now());
                           return;
                       }
                       m_admission.on_limit_update(*limit_message, m_clock.now());
@@ -130,11 +132,13 @@
                           log(log_level::info, "limit_keeper",
                               {{"replica", name}, {"before", m_rate_limit_coordinator}});
                           m_rate_limit_coordinator = name;
+                          m_admission.on_coordinator_changed(m_clock.now());
                       }
                       if (contacted_now)
                       {
                           m_admission.on_coordinator_contact(m_clock.now());
                       }
+                      execute_actions();
                   });
 }
 
--- a/src/routing/caller_admission.cpp
+++ b/src/routing/caller_admission.cpp
@@ -8,8 +8,8 @@
 
 void caller_admission::configure(const routing_view& view)
 {
+    const auto earlier = std::exchange(m_teams, view.teams);
     m_routes = view.routes;
-    m_teams = view.teams;
     m_revision = view.placed ? view.placed->revision : 0;
     m_limiter.configure(m_teams->teams(), view.entries);
     std::erase_if(m_counted,
@@ -17,6 +17,45 @@
                   {
                       return m_teams->find(item.first) == nullptr;
                   });
+    if (earlier && earlier != m_teams)
+    {
+        withdraw_keys(*earlier);
+    }
+}
+
+void caller_admission::withdraw_keys(const team_table& earlier)
+{
+    std::vector<request_number> withdrawn;
+    std::erase_if(m_keys,
+                  [&](const auto& item)
+                  {
+                      const bool is_withdrawn =
+                          m_teams->is_withdrawn(item.second.holder, item.second.digest, earlier);
+                      if (is_withdrawn)
+                      {
+                          withdrawn.push_back(item.first);
+                      }
+                      return is_withdrawn;
+                  });
+    // In order of arrival, so that equal events give equal actions.
+    std::sort(withdrawn.begin(), withdrawn.end());
+    for (const request_number number : withdrawn)
+    {
+        const auto held = m_held.find(number);
+        if (held == m_held.end())
+        {
+            m_withdrawn.push_back(number);
+            continue;
+        }
+        m_limiter.cancel_request(number);
+        reject(number, routed_end::unauthorized, held->second.route);
+        m_held.erase(held);
+    }
+}
+
+std::vector<request_number> caller_admission::take_withdrawn()
+{
+    return std::exchange(m_withdrawn, {});
 }
 
 void caller_admission::admit(request_number number, routed_request request)
@@ -38,6 +77,7 @@
     if (over_limit)
     {
         result.retry_after = over_limit->retry_after;
+        m_keys.erase(number);
         ++m_counted[over_limit->team].over_limit;
     }
     m_actions.emplace_back(reject_request{number, std::move(result), std::move(over_limit)});
@@ -66,6 +106,10 @@
         return;
     }
     request.team = caller.by->name;
+    if (m_load.spreads_returns)
+    {
+        m_keys.insert_or_assign(number, presented_key{request.team, m_teams->digest_of(key)});
+    }
     if (!by || !caller.by->limit.is_set())
     {
         admit(number, std::move(request));
@@ -77,22 +121,36 @@
         m_held.emplace(number, held_request{std::move(request), route, now});
         return;
     }
-    apply(limiter_decision, std::move(request), route);
+    apply(limiter_decision, std::move(request), route, now);
 }
 
 void caller_admission::apply(const rate_limiter::decision& limiter_decision, routed_request request,
-                             const std::string& route)
+                             const std::string& route, time_point now)
 {
     if (limiter_decision.what == rate_limiter::verdict::admitted)
     {
         admit(limiter_decision.request, std::move(request));
         return;
     }
-    reject(limiter_decision.request, routed_end::over_limit, route, limiter_decision);
+    rate_limiter::decision refused = limiter_decision;
+    refused.retry_after = retry_after_of(refused, now);
+    reject(limiter_decision.request, routed_end::over_limit, route, std::move(refused));
+}
+
+duration caller_admission::retry_after_of(const rate_limiter::decision& refused, time_point now)
+{
+    const team* by = m_teams->find(refused.team);
+    if (!m_load.spreads_returns || by == nullptr)
+    {
+        return refused.retry_after;
+    }
+    m_retry_schedule.discard_passed(now);
+    return m_retry_schedule.assign(refused.team, by->limit, refused.retry_after, now);
 }
 
 void caller_admission::caller_gone(request_number number)
 {
+    m_keys.erase(number);
     if (m_held.erase(number) > 0)
     {
         m_limiter.cancel_request(number);
@@ -122,7 +180,7 @@
         m_held.erase(found);
         // The time spent waiting for the decision counts against the caller's time-out.
         held.request.patience = std::max(held.request.patience - (now - held.since), duration{});
-        apply(limiter_decision, std::move(held.request), held.route);
+        apply(limiter_decision, std::move(held.request), held.route, now);
     }
     if (auto report = m_limiter.take_report(now))
     {
--- a/src/teams/rate_limit_coordinator.cpp
+++ b/src/teams/rate_limit_coordinator.cpp
@@ -12,8 +12,9 @@
 /// exhaust a limit of one or two requests. The rest of the tolerance is reserved for requests that entries
 /// admit while reports and updates are in transit, which grow with the rate of the team.
 constexpr double slack_in_bucket = 0.25;
-/// The share of its tokens that a team has when its account is created.
-constexpr double initial_token_share = 0.25;
+/// The share of its tokens that a team has when its account is created. Entries report to a new coordinator
+/// what its predecessor did not acknowledge, so that this share is not granted in addition to it.
+constexpr double initial_token_share = 0.3;
 /// A team stays limited until it has this share of its tokens again. A lower share would change the status,
 /// and notify all entries, many times per second.
 constexpr double recovered_token_share = 0.5;
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -21,16 +21,26 @@
 /// After this many report intervals without contact the coordinator may be unavailable, so that requests wait
 /// for its decision.
 constexpr double recent_contact_intervals = 1.6;
+/// The same bound for teams whose flood could pass through entries of a large fleet that can't know yet that
+/// the coordinator is silent: the report interval of such a fleet is longer than an election.
+constexpr duration max_recent_contact = duration::from_ms(1200);
 /// The share of the limit that all entries use together without an answer. The rest is left to entries that
 /// can still reach a coordinator.
 constexpr double combined_local_share = 0.5;
+/// The highest number of tokens by which unacknowledged requests overdraw the local share.
+constexpr double max_share_debt = 1.0;
 /// The assumed number of entries while it is unknown.
 constexpr int assumed_entries = 1000;
 /// The longest time for which requests of an exhausted team are refused without asking the coordinator. The
 /// limit may be raised, or another replica take over as the coordinator, before the tokens return.
 constexpr duration max_exhausted_time = duration::from_ms(1000);
+/// The limit, in requests per second, from which a flood until another replica takes over may exceed the
+/// fixed slack of the tolerance.
+constexpr double min_flood_limit = 4.0;
 /// The highest number of requests that wait for the coordinator; further requests are refused.
 constexpr std::size_t max_waiting_requests = 1024;
+/// The number of times that the coordinator, or its successor, is asked for a request.
+constexpr int max_questions = 2;
 /// Unanswered reports are sent again after this time.
 constexpr duration resend_after_timeout = duration::from_ms(1000);
 /// The retry time while the coordinator is unavailable. Another replica takes over as the coordinator within
@@ -62,13 +72,25 @@
 rate_limiter::decision rate_limiter::make_decision(std::uint64_t request, const team_name& team, verdict what,
                                                    time_point now) const
 {
-    return {request, team, what, {}, false, now - m_last_contact_at};
+    decision made{request, team, what, {}, false, now - m_last_contact_at};
+    const auto known = m_teams.find(team);
+    if (known != m_teams.end())
+    {
+        made.limited = known->second.limited;
+        made.unacknowledged = known->second.unreported + known->second.unacknowledged;
+    }
+    return made;
 }
 
 void rate_limiter::update_local_share(team_state& item, const rate_limit& limit, time_point now) const
 {
     const double entries = m_entries > 0 ? m_entries : assumed_entries;
     item.local_share.limit(limit.requests_per_s * combined_local_share / entries, 1.0, now);
+    constexpr double max_requests_without_answer = max_unacknowledged_requests + 1.0;
+    item.counts_unacknowledged =
+        max_requests_without_answer * entries > rate_tolerance{}.limit_per_window(limit);
+    item.exceeds_by_one_each =
+        limit.requests_per_s >= min_flood_limit && entries > rate_tolerance{}.limit_per_window(limit);
 }
 
 void rate_limiter::schedule_report(time_point at) noexcept
@@ -82,26 +104,52 @@
     schedule_report(now + report_batch_window);
 }
 
+duration rate_limiter::contact_is_recent_for(const team_state& item) const noexcept
+{
+    const duration recent = distribution::report_interval(m_entries).every() * recent_contact_intervals;
+    return item.exceeds_by_one_each ? std::min(recent, max_recent_contact) : recent;
+}
+
+/// @return the time since the last contact for which an outage is taken for a change of the coordinator
+duration rate_limiter::max_brief_outage() const noexcept
+{
+    return std::max(distribution::report_interval(m_entries).every() * recent_contact_intervals,
+                    brief_outage);
+}
+
 /// @return the number of requests of a team that may be admitted without acknowledgement of the coordinator
-std::int64_t rate_limiter::max_unacknowledged(time_point now) const noexcept
+std::int64_t rate_limiter::max_unacknowledged(const team_state& item, time_point now) const noexcept
 {
     const duration time_since_contact = now - m_last_contact_at;
     if (is_coordinator_unavailable(now))
     {
-        return time_since_contact < brief_outage ? max_unacknowledged_without_answer : 0;
+        return time_since_contact < max_brief_outage() ? max_unacknowledged_without_answer : 0;
+    }
+    return time_since_contact < contact_is_recent_for(item) ? max_unacknowledged_requests : 0;
+}
+
+bool rate_limiter::may_admit_unacknowledged(const team_state& item, std::int64_t max_requests) const noexcept
+{
+    return item.status_from == m_coordinators && !item.limited &&
+           item.unreported + item.unacknowledged < max_requests;
+}
+
+void rate_limiter::admit_unacknowledged(team_state& item, time_point now)
+{
+    if (item.counts_unacknowledged)
+    {
+        item.local_share.spend(1.0, max_share_debt, now);
     }
-    const duration contact_is_recent_for =
-        distribution::report_interval(m_entries).every() * recent_contact_intervals;
-    return time_since_contact < contact_is_recent_for ? max_unacknowledged_requests : 0;
+    record_admitted(item, now);
 }
 
 rate_limiter::decision rate_limiter::admit(std::uint64_t request, const team& by, time_point now)
 {
     team_state& item = m_teams[by.name];
     update_local_share(item, by.limit, now);
-    if (!item.limited && item.unreported + item.unacknowledged < max_unacknowledged(now))
+    if (may_admit_unacknowledged(item, max_unacknowledged(item, now)))
     {
-        record_admitted(item, now);
+        admit_unacknowledged(item, now);
         return make_decision(request, by.name, verdict::admitted, now);
     }
     if (is_coordinator_unavailable(now))
@@ -119,6 +167,32 @@
     return make_decision(request, by.name, verdict::awaiting_coordinator, now);
 }
 
+/// Handles a request that has waited for an answer in vain. If a flood of its team could use up the tolerance
+/// with one request of each entry, the request is asked for again, since another replica may have taken over.
+void rate_limiter::on_unanswered(waiting_request waiting, time_point now)
+{
+    team_state& item = m_teams[waiting.team];
+    const bool brief = now - m_last_contact_at < max_brief_outage();
+    if (!item.counts_unacknowledged || !brief ||
+        !may_admit_unacknowledged(item, max_unacknowledged_without_answer))
+    {
+        m_decisions.push_back(decide_locally(waiting.request, waiting.team, item, now));
+        return;
+    }
+    if (item.exceeds_by_one_each && ++waiting.unanswered < max_questions)
+    {
+        waiting.since = now;
+        waiting.sent = false;
+        m_waiting.emplace(m_next_ask++, std::move(waiting));
+        schedule_report(now);
+        return;
+    }
+    admit_unacknowledged(item, now);
+    decision admitted = make_decision(waiting.request, waiting.team, verdict::admitted, now);
+    admitted.decided_locally = true;
+    m_decisions.push_back(std::move(admitted));
+}
+
 rate_limiter::decision rate_limiter::decide_locally(std::uint64_t request, const team_name& team,
                                                     team_state& item, time_point now)
 {
@@ -144,13 +218,22 @@
         {
             team_state& item = m_teams[usage.team];
             item.unacknowledged = std::max<std::int64_t>(item.unacknowledged - usage.requests, 0);
+            if (item.counts_unacknowledged)
+            {
+                item.local_share.spend(-static_cast<double>(usage.requests), max_share_debt, now);
+            }
         }
         m_sent.erase(answered);
     }
     for (const limit_status& status : update.statuses)
     {
         team_state& item = m_teams[status.team];
-        item.limited = status.limited;
+        item.limited = false;
+        if (status.limited)
+        {
+            set_limited(item, now);
+        }
+        item.status_from = m_coordinators;
         item.exhausted_until = now + std::min(status.exhausted_for, max_exhausted_time);
     }
     for (const limit_decision& answer : update.request_decisions)
@@ -168,6 +251,27 @@
     }
 }
 
+/// A team that used up its limit has no share of it left at any entry.
+void rate_limiter::set_limited(team_state& item, time_point now)
+{
+    item.limited = true;
+    if (item.counts_unacknowledged)
+    {
+        item.local_share.spend(std::max(item.local_share.tokens(now), 0.0), max_share_debt, now);
+    }
+}
+
+void rate_limiter::on_other_limit_update(const limit_update& update, time_point now)
+{
+    for (const limit_status& status : update.statuses)
+    {
+        if (status.limited && update.number == 0)
+        {
+            set_limited(m_teams[status.team], now);
+        }
+    }
+}
+
 void rate_limiter::cancel_request(std::uint64_t request)
 {
     std::erase_if(m_waiting,
@@ -177,6 +281,31 @@
                   });
 }
 
+void rate_limiter::resend(const sent_report& report)
+{
+    for (const limit_usage& usage : report.usage)
+    {
+        team_state& item = m_teams[usage.team];
+        item.unacknowledged -= usage.requests;
+        item.unreported += usage.requests;
+    }
+}
+
+void rate_limiter::on_coordinator_changed(time_point now)
+{
+    ++m_coordinators;
+    for (const auto& [number, report] : m_sent)
+    {
+        resend(report);
+    }
+    m_sent.clear();
+    for (auto& [number, item] : m_waiting)
+    {
+        item.sent = false;
+    }
+    schedule_report(now);
+}
+
 /// Sends the content of reports again whose coordinator has been replaced or whose answer was lost.
 void rate_limiter::resend_unacknowledged(time_point now)
 {
@@ -187,12 +316,7 @@
         {
             continue;
         }
-        for (const limit_usage& usage : current->second.usage)
-        {
-            team_state& item = m_teams[usage.team];
-            item.unacknowledged -= usage.requests;
-            item.unreported += usage.requests;
-        }
+        resend(current->second);
         m_sent.erase(current);
         schedule_report(now);
     }
@@ -200,16 +324,12 @@
 
 void rate_limiter::on_time(time_point now)
 {
-    for (auto at = m_waiting.begin(); at != m_waiting.end();)
+    // Requests are ordered by the start of their wait.
+    while (!m_waiting.empty() && now - m_waiting.begin()->second.since >= answer_timeout)
     {
-        const auto current = at++;
-        const waiting_request& item = current->second;
-        if (now - item.since < answer_timeout)
-        {
-            continue;
-        }
-        m_decisions.push_back(decide_locally(item.request, item.team, m_teams[item.team], now));
-        m_waiting.erase(current);
+        waiting_request unanswered = std::move(m_waiting.begin()->second);
+        m_waiting.erase(m_waiting.begin());
+        on_unanswered(std::move(unanswered), now);
     }
     resend_unacknowledged(now);
 }
--- a/src/teams/team_table.cpp
+++ b/src/teams/team_table.cpp
@@ -29,6 +29,16 @@
     return found == m_by_key.end() ? nullptr : found->second;
 }
 
+bool team_table::is_withdrawn(const team_name& holder, const key_digest& key, const team_table& earlier) const
+{
+    if (m_teams.empty() || m_secret != earlier.m_secret)
+    {
+        return false;
+    }
+    const auto found = m_by_key.find(key);
+    return found == m_by_key.end() || found->second->name != holder;
+}
+
 authentication team_table::authenticate(const route* by, std::string_view key) const
 {
     if (m_teams.empty())
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -153,6 +153,12 @@
         process_actions();
     }
 
+    void withdraw(request_number number)
+    {
+        m_router.withdraw(number);
+        process_actions();
+    }
+
     /// Ends the oldest running attempt on @a service.
     void end_attempt(const std::string& service, attempt_status status, int http_status = 200,
                      bool hung_up = false)
--- a/tests/src/unit-team-limits.cpp
+++ b/tests/src/unit-team-limits.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr double max_refused_below_limit = 0.05;
+/// Without a flood, of the requests that arrive in the 7 s after a coordinator was suspended.
+constexpr double max_refused_while_suspended = 0.1;
 constexpr int seeds = 5;
 
 struct named_scenario
@@ -72,20 +74,28 @@
     return all;
 }
 
-/// A coordinator that is suspended for 7 s. The time before that fills all that an entry may save up.
+/// A coordinator that is suspended for 7 s, shortly before or after a flood begins. The time before that
+/// fills all that an entry may save up.
 scenario suspension(int entries, const rate_limit& limit, std::uint32_t seed)
 {
-    constexpr double longest_saving_s = 20.0;
+    constexpr double longest_saving_s = 300.0;
+    constexpr double longest_notice_s = 0.5;
+    constexpr double longest_delay_s = 0.2;
     constexpr double shortest_election_s = 1.0;
-    constexpr double election_steps_s = 0.1;
-    constexpr std::uint32_t elections = 6;
+    constexpr double longest_election_s = 1.5;
+    std::mt19937 draw(seed);
+    const auto between = [&](double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(draw);
+    };
     scenario made;
     made.entries = entries;
     made.limit = limit;
     made.seed = seed;
-    made.hot_from_s = longest_saving_s + 2.0 * entries / limit.requests_per_s;
-    made.suspended_from_s = made.hot_from_s;
-    made.election_s = shortest_election_s + election_steps_s * static_cast<double>(seed % elections);
+    made.hot_from_s = std::min(20.0 + 2.0 * entries / limit.requests_per_s, longest_saving_s);
+    made.suspended_from_s = made.hot_from_s + between(-longest_notice_s, longest_delay_s);
+    made.election_s = between(shortest_election_s, longest_election_s);
+    made.others = between(0.0, 1.0) < 0.5;
     made.seconds = made.hot_from_s + 15.0;
     return made;
 }
@@ -155,43 +165,63 @@
     }
 }
 
+namespace
+{
+
+void check_suspensions(const rate_limit& limit, int entries, std::uint32_t seeds_played)
+{
+    double fullest = 0.0;
+    double refused_usual = 0.0;
+    int exceeded = 0;
+    for (std::uint32_t seed = 1; seed <= seeds_played; ++seed)
+    {
+        scenario settings = suspension(entries, limit, seed);
+        refused_usual += play_account(settings).refused_while_suspended / seeds_played;
+        settings.hot_factor = 8.7;
+        settings.hot_for_s = 7.0;
+        const double window = play_account(settings).fullest_window;
+        fullest = std::max(fullest, window);
+        exceeded += window > 1.0 ? 1 : 0;
+    }
+    if (std::getenv("FLAXTILLER_PRINT") != nullptr)
+    {
+        std::cout << "suspended | " << limit.requests_per_s << "/s + " << limit.burst << " | " << entries
+                  << " | " << fullest << " | exceeded " << exceeded << " of " << seeds_played
+                  << " | refused without a flood " << refused_usual << "\n";
+    }
+    INFO(limit.requests_per_s << " requests/s at " << entries << " entries, " << exceeded
+                              << " runs above the tolerance");
+    CHECK(fullest <= 1.0);
+    CHECK(refused_usual <= max_refused_while_suspended);
+}
+
+} // namespace
+
 // Guards against a flood that passes the tolerance through entries that don't know yet that their coordinator
-// is silent, and through a successor that doesn't know yet what they admitted.
+// is silent, and through a successor that doesn't know yet what they admitted; and against a margin that is
+// gained by refusals below the limit.
 TEST_CASE("the limit of a team holds while a suspended coordinator is replaced during a flood",
           "[policy][teams]")
 {
-    const bool print = std::getenv("FLAXTILLER_PRINT") != nullptr;
-    constexpr std::uint32_t suspension_seeds = 40;
-    constexpr double offsets_s[] = {-0.5, -0.2, 0.0, 0.2};
-    for (const rate_limit& limit : {rate_limit{9.0, 26.8}, rate_limit{0.5, 1.0}, rate_limit{31.0, 31.0}})
+    for (const int entries : {11, 85, 300, 995})
     {
-        for (const int entries : {11, 85, 300, 995})
-        {
-            double fullest = 0.0;
-            double refused_usual = 0.0;
-            int exceeded = 0;
-            for (std::uint32_t seed = 1; seed <= suspension_seeds; ++seed)
-            {
-                scenario settings = suspension(entries, limit, seed);
-                refused_usual += play_account(settings).refused_while_suspended / suspension_seeds;
-                settings.hot_factor = 8.7;
-                settings.hot_for_s = 7.0;
-                settings.suspended_from_s += offsets_s[seed % std::size(offsets_s)];
-                const double window = play_account(settings).fullest_window;
-                fullest = std::max(fullest, window);
-                exceeded += window > 1.0 ? 1 : 0;
-            }
-            if (print)
-            {
-                std::cout << "suspended | " << limit.requests_per_s << "/s + " << limit.burst << " | "
-                          << entries << " | fullest " << fullest << " | exceeded " << exceeded << " of "
-                          << suspension_seeds << " | refused below, without a flood " << refused_usual
-                          << "\n";
-            }
-            INFO(limit.requests_per_s << " requests/s at " << entries << " entries, " << exceeded
-                                      << " runs above the tolerance");
-            CHECK(fullest <= 1.0);
-        }
+        check_suspensions({9.0, 26.8}, entries, 24);
+        check_suspensions({0.5, 1.0}, entries, 12);
+    }
+    for (const int entries : {11, 85})
+    {
+        check_suspensions({31.0, 31.0}, entries, 24);
+    }
+}
+
+// Guards against the same for a team whose flood during an election is more than its tolerance, at entries
+// that see one request of the team each.
+TEST_CASE("the limit of a large team holds in a large fleet while a suspended coordinator is replaced",
+          "[policy][teams][large_flood]")
+{
+    for (const int entries : {300, 995})
+    {
+        check_suspensions({31.0, 31.0}, entries, 24);
     }
 }
 
@@ -268,6 +298,49 @@
     }
 }
 
+// Guards against a successor that grants again what its predecessor's entries admitted without an answer, and
+// against entries that admit requests of a team which the successor knows as limited.
+TEST_CASE("another coordinator receives what was not acknowledged and decides on each team first", "[teams]")
+{
+    rate_limiter limiter;
+    const team by = team_with_limit(10.0, 10.0);
+    limiter.configure(teams_of(by), 85);
+    limiter.on_coordinator_contact(at_ms(0));
+    using verdict = rate_limiter::verdict;
+    REQUIRE(limiter.admit(1, by, at_ms(0)).what == verdict::admitted);
+    const auto first = limiter.take_report(at_ms(20));
+    REQUIRE(first);
+
+    SECTION("the usage is reported again at once, to the successor")
+    {
+        limiter.on_coordinator_changed(at_ms(30));
+        const auto again = limiter.take_report(at_ms(30));
+        REQUIRE(again);
+        CHECK(again->usage == first->usage);
+        CHECK(limiter.admit(2, by, at_ms(31)).what == verdict::awaiting_coordinator);
+        // A late answer of the predecessor acknowledges nothing.
+        limiter.on_limit_update({again->number, {}, {{by.name, false, {}}}}, at_ms(40));
+        CHECK(limiter.admit(3, by, at_ms(41)).what == verdict::admitted);
+    }
+    SECTION("a request that waits is asked for again")
+    {
+        limiter.admit(2, by, at_ms(21));
+        limiter.admit(3, by, at_ms(22));
+        REQUIRE(limiter.take_report(at_ms(22))->pending_requests.size() == 1);
+        limiter.on_coordinator_changed(at_ms(30));
+        CHECK(limiter.take_report(at_ms(30))->pending_requests.size() == 1);
+    }
+    SECTION("a replica that isn't known as the coordinator can limit a team, and nothing else")
+    {
+        limiter.on_other_limit_update({0, {}, {{by.name, true, duration::from_ms(900)}}}, at_ms(30));
+        // Not refused at once: the replica may be one that was suspended.
+        CHECK(limiter.admit(2, by, at_ms(31)).what == verdict::awaiting_coordinator);
+        limiter.on_limit_update({first->number, {}, {{by.name, false, {}}}}, at_ms(40));
+        limiter.on_other_limit_update({first->number, {}, {{by.name, true, {}}}}, at_ms(41));
+        CHECK(limiter.admit(3, by, at_ms(42)).what == verdict::admitted);
+    }
+}
+
 TEST_CASE("refused requests get successive retry times", "[teams]")
 {
     rate_limit_coordinator ledger({duration::from_ms(5000), 0.0, 0.0});
