--- a/src/routing/router_withdrawal.cpp
+++ b/src/routing/router_withdrawal.cpp
@@ -17,7 +17,7 @@
     }
     routed_outcome result;
     result.end = routed_end::unauthorized;
-    finish(number, found->second, std::move(result));
+    finish(number, found->second, std::move(result), std::nullopt);
     return true;
 }
 
