Rate limiter: a new coordinator is asked for unknown teams only until it has notified the entries

Cause: after a change of the coordinator, the first request of each team waited for its decision at each entry, for the rest of the run. With 82 teams at 85 entries nearly every request was such a first one. Change: after a second, a team of which the coordinator told nothing counts as not limited.

--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -144,7 +144,8 @@
     duration max_brief_outage() const noexcept;
     void record_admitted(team_state& item, time_point now);
     void update_local_share(team_state& item, const rate_limit& limit, time_point now) const;
-    bool may_admit_unacknowledged(const team_state& item, std::int64_t max_requests) const noexcept;
+    bool may_admit_unacknowledged(const team_state& item, std::int64_t max_requests,
+                                  time_point now) const noexcept;
     void admit_unacknowledged(team_state& item, time_point now);
     void on_unanswered(waiting_request waiting, time_point now);
     decision decide_locally(std::uint64_t request, const team_name& team, team_state& item, time_point now);
@@ -162,6 +163,7 @@
     std::uint64_t m_next_ask = 1;
     /// The number of changes of the coordinator.
     std::uint64_t m_coordinators = 0;
+    time_point m_coordinator_changed_at = time_point() - duration::from_ms(3600000);
     time_point m_report_at = time_point::never();
     time_point m_last_contact_at{};
 };
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -39,6 +39,10 @@
 constexpr double min_flood_limit = 4.0;
 /// The highest number of requests that wait for the coordinator; further requests are refused.
 constexpr std::size_t max_waiting_requests = 1024;
+/// A new coordinator has notified all entries of the teams that used up their limit within this time. Until
+/// then it is asked for the first request of each team; later, each of many teams would be asked for at each
+/// of many entries, which delays most requests.
+constexpr duration status_settling_time = duration::from_ms(1000);
 /// The number of times that the coordinator, or its successor, is asked for a request.
 constexpr int max_questions = 2;
 /// Unanswered reports are sent again after this time.
@@ -128,10 +132,12 @@
     return time_since_contact < contact_is_recent_for(item) ? max_unacknowledged_requests : 0;
 }
 
-bool rate_limiter::may_admit_unacknowledged(const team_state& item, std::int64_t max_requests) const noexcept
+bool rate_limiter::may_admit_unacknowledged(const team_state& item, std::int64_t max_requests,
+                                            time_point now) const noexcept
 {
-    return item.status_from == m_coordinators && !item.limited &&
-           item.unreported + item.unacknowledged < max_requests;
+    const bool status_is_known =
+        item.status_from == m_coordinators || now - m_coordinator_changed_at >= status_settling_time;
+    return status_is_known && !item.limited && item.unreported + item.unacknowledged < max_requests;
 }
 
 void rate_limiter::admit_unacknowledged(team_state& item, time_point now)
@@ -147,7 +153,7 @@
 {
     team_state& item = m_teams[by.name];
     update_local_share(item, by.limit, now);
-    if (may_admit_unacknowledged(item, max_unacknowledged(item, now)))
+    if (may_admit_unacknowledged(item, max_unacknowledged(item, now), now))
     {
         admit_unacknowledged(item, now);
         return make_decision(request, by.name, verdict::admitted, now);
@@ -174,7 +180,7 @@
     team_state& item = m_teams[waiting.team];
     const bool brief = now - m_last_contact_at < max_brief_outage();
     if (!item.counts_unacknowledged || !brief ||
-        !may_admit_unacknowledged(item, max_unacknowledged_without_answer))
+        !may_admit_unacknowledged(item, max_unacknowledged_without_answer, now))
     {
         m_decisions.push_back(decide_locally(waiting.request, waiting.team, item, now));
         return;
@@ -294,6 +300,7 @@
 void rate_limiter::on_coordinator_changed(time_point now)
 {
     ++m_coordinators;
+    m_coordinator_changed_at = now;
     for (const auto& [number, report] : m_sent)
     {
         resend(report);
