--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -23,7 +23,7 @@
 constexpr double recent_contact_intervals = 1.6;
 /// The same bound for teams whose flood could pass through entries of a large fleet that can't know yet that
 /// the coordinator is silent: the report interval of such a fleet is longer than an election.
-constexpr duration max_recent_contact = duration::from_ms(1200);
+constexpr duration max_recent_contact = duration::from_ms(2500);
 /// The share of the limit that all entries use together without an answer. The rest is left to entries that
 /// can still reach a coordinator.
 constexpr double combined_local_share = 0.5;
@@ -42,7 +42,7 @@
 /// A new coordinator has notified all entries of the teams that used up their limit within this time. Until
 /// then it is asked for the first request of each team; later, each of many teams would be asked for at each
 /// of many entries, which delays most requests.
-constexpr duration status_settling_time = duration::from_ms(1000);
+constexpr duration status_settling_time = duration::from_ms(300);
 /// The number of times that the coordinator, or its successor, is asked for a request.
 constexpr int max_questions = 2;
 /// Unanswered reports are sent again after this time.
