--- a/src/dispatch/reported_load.cpp
+++ b/src/dispatch/reported_load.cpp
@@ -17,8 +17,8 @@
 /// The variance of imaginary samples with the initial trust, in squared multiples of the usual latency. Their
 /// effect is halved by about 14 samples.
 constexpr double initial_variance = 0.1;
-/// A ratio of latency to predicted wait below this counts as none. With a bound of 0.3, inverted reports made
-/// the waits in a simulation of 85 senders 9% longer, and with this one 2%.
+/// A ratio of latency to predicted wait below this counts as none, as false reports show a small one by
+/// chance.
 constexpr double least_trust = 0.45;
 /// A latency counts as at most this multiple of the usual one, so that a single straggler does not decide.
 constexpr double max_observed = 4.0;
