Load management: one piece of code where the change had two

Cause: a second reading of the change. Each request's key was digested twice at its arrival, to find the team and to keep the digest; three things stood twice: the loop over open requests in order of arrival, the delay that an entry states for its own shards, the sequence that spreads retry times; so did the condition for using a load report and, in two tests, the view with one route. An estimated wait visited the backend servers also where nothing waits. Change: authentication returns the digest; router::open_numbers, router::own_delay, scheduler::has_reported_load, spread_fraction and the tests' view_of_teams serve both places. Some comments are reworded. The faults and the soak were not run again.

--- a/include/flaxtiller/dispatch/fair_order.hpp
+++ b/include/flaxtiller/dispatch/fair_order.hpp
@@ -27,8 +27,7 @@
     static constexpr double least_priority_weight = 0.125;
     /// The slot time that a team with less use than its share may get ahead of the others, as a multiple of
     /// the usual latency. Without it, a team whose mean demand is just its share loses the peaks of its
-    /// arrivals, which become late while other teams are served: such a team got 0.92 of its fair share over
-    /// 5 s in a simulation without credit, 0.95 with 16 and 0.97 with 32 slot times.
+    /// arrivals, which become late while other teams are served.
     static constexpr double team_credit = 32.0;
 
     fair_order() = default;
--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -280,6 +280,7 @@
     bool has_slot(const server_state& server, time_point now) const;
     double current_failure_rate(const server_state& server, time_point now) const;
     duration expected_latency(const server_state& server, time_point now) const;
+    bool has_reported_load(const server_state& server, time_point now) const;
     duration with_reported_load(const server_state& server, duration average, time_point now) const;
     std::optional<duration> predicted_wait(const server_state& server, time_point now) const;
     duration overdue_after(const server_state& server) const;
--- a/include/flaxtiller/dispatch/scheduler_options.hpp
+++ b/include/flaxtiller/dispatch/scheduler_options.hpp
@@ -47,8 +47,7 @@
     bool charge_refusals = false;
     /// Whether refused (shed) attempts do not count toward @ref subquery::most_attempts, which then bounds
     /// the attempts that may have run and the different backend servers. All attempts that were sent count
-    /// toward
-    /// @ref most_attempts.
+    /// toward @ref most_attempts.
     bool retries_refused = false;
     /// Whether a backend server all of whose attempts are overdue is chosen last, as the whole server is
     /// probably stalled.
--- a/include/flaxtiller/routing/owner_delays.hpp
+++ b/include/flaxtiller/routing/owner_delays.hpp
@@ -34,7 +34,7 @@
     /// that it reports its recovery and keeps its connections open.
     static constexpr double max_second_share = 0.75;
     /// The second owner has its greatest part at a difference of this share of the route's objective. With a
-    /// greater share, an overloaded owner keeps so many groups that some of them have to be sent again.
+    /// greater share, an overloaded owner keeps more groups than it can run, and they are delegated again.
     static constexpr double full_shift_share = 0.125;
     /// The same difference for a route without an objective.
     static constexpr duration default_full_shift = duration::from_ms(50);
--- a/include/flaxtiller/routing/return_schedule.hpp
+++ b/include/flaxtiller/routing/return_schedule.hpp
@@ -51,8 +51,6 @@
     double rate_per_s(time_point now) const;
 
   private:
-    double next_fraction();
-
     duration m_min_wait;
     /// The moving average of the answer rate, and its greatest recent value.
     double m_rate_per_s = 0.0;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -111,7 +111,7 @@
         return m_open_limit;
     }
 
-    /// @return the times at which refused callers are told to return
+    /// @return the schedule of the retry times of refused requests
     const return_schedule& returns() const noexcept
     {
         return m_returns;
@@ -382,7 +382,7 @@
     static void describe(const open_request& opened, routed_outcome& outcome);
     void send_progress(request_number number, open_request& opened, time_point now);
     bool uses_owner_delays() const noexcept;
-    duration longest_wait(const std::vector<service_name>& services) const;
+    duration own_delay(const std::vector<service_name>& services, time_point now) const;
     duration runner_delay_of(const open_request& opened, time_point now) const;
     std::vector<group_choice::group> choose_groups(const route& matched_route, time_point now);
     void record_owner_delay(const instance_name& peer, const routed_outcome& outcome, time_point now);
@@ -399,6 +399,7 @@
     duration time_to_answer(const route& matched_route, const routed_request& request) const;
     duration time_to_objective(const route& matched_route, const routed_request& request) const;
     int priority_of(const route& matched_route, const team_name& name) const;
+    std::vector<request_number> open_numbers() const;
     void apply_revision_to_waiting(const team_table& teams_before, time_point now);
     void refuse_waiting_parts(const open_request& opened, time_point now);
     void update_priority(open_request& opened, int priority, time_point now);
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -75,8 +75,9 @@
         m_last_contact_at = std::max(m_last_contact_at, now);
     }
 
-    /// @brief Another replica is the coordinator. It receives what its predecessor has not acknowledged, and
-    /// decides on the first request of each team, since the status of the teams there is unknown.
+    /// @brief Another replica is the coordinator. It receives what its predecessor has not acknowledged.
+    /// Until it has notified the entries, it decides on the first request of each team, since the status of
+    /// the teams there is unknown.
     void on_coordinator_changed(time_point now);
 
     /// @brief Handles a message of the coordinator.
--- a/include/flaxtiller/teams/retry_schedule.hpp
+++ b/include/flaxtiller/teams/retry_schedule.hpp
@@ -16,7 +16,7 @@
 class retry_schedule
 {
   public:
-    /// The longest time after which a caller is told to return, unless the limit has no room until later.
+    /// The longest retry time, unless the limit admits no request until later.
     static constexpr duration max_retry_after = duration::from_ms(10000);
 
     /// @brief Assigns the time for one refused request.
--- a/include/flaxtiller/teams/team_table.hpp
+++ b/include/flaxtiller/teams/team_table.hpp
@@ -17,6 +17,8 @@
     /// The team of the caller; null for an anonymous caller.
     const team* by = nullptr;
     bool is_authorized = true;
+    /// The digest of the caller's key; set if @ref by is.
+    key_digest key{};
 };
 
 /// @brief An immutable index of the teams of one revision by name and by key.
@@ -39,12 +41,6 @@
     /// @return the team that holds this key, or null
     const team* find_by_key(std::string_view key) const;
 
-    /// @return the form in which the key of a waiting request is kept
-    key_digest digest_of(std::string_view key) const
-    {
-        return {m_secret, key};
-    }
-
     /// @return whether a team no longer holds a key that an earlier revision gave it; false if the digests of
     /// both revisions can't be compared
     /// @param earlier the table by which the key was found
@@ -64,6 +60,8 @@
     }
 
   private:
+    const team* holder_of(const key_digest& key) const;
+
     shared_map<team_name, team> m_teams;
     std::string m_secret;
     std::unordered_map<key_digest, const team*> m_by_key;
--- a/src/dispatch/scheduler_availability.cpp
+++ b/src/dispatch/scheduler_availability.cpp
@@ -1,4 +1,4 @@
-// The part of the class scheduler that tells why a subquery cannot be run now.
+// The part of the class scheduler that determines why a subquery cannot be run now.
 
 #include <flaxtiller/dispatch/scheduler.hpp>
 
--- a/src/dispatch/scheduler_reports.cpp
+++ b/src/dispatch/scheduler_reports.cpp
@@ -7,10 +7,15 @@
 namespace flaxtiller::dispatch
 {
 
+bool scheduler::has_reported_load(const server_state& server, time_point now) const
+{
+    return m_options.reads_server_load && server.reported.weight(now) > 0.0;
+}
+
 /// @return the expected latency with the reported load, from the average of recent latencies
 duration scheduler::with_reported_load(const server_state& server, duration average, time_point now) const
 {
-    if (!m_options.reads_server_load || server.reported.weight(now) <= 0.0)
+    if (!has_reported_load(server, now))
     {
         return average;
     }
@@ -19,7 +24,7 @@
 
 std::optional<duration> scheduler::predicted_wait(const server_state& server, time_point now) const
 {
-    if (!m_options.reads_server_load || server.reported.weight(now) <= 0.0)
+    if (!has_reported_load(server, now))
     {
         return std::nullopt;
     }
--- a/src/dispatch/scheduler_waiting.cpp
+++ b/src/dispatch/scheduler_waiting.cpp
@@ -71,6 +71,10 @@
 /// @return the time after which work of this cost, which waits for the shard, is served
 duration scheduler::wait_behind(const shard_state& shard, double cost) const
 {
+    if (cost <= 0.0)
+    {
+        return {};
+    }
     double ends_per_ms = 0.0;
     for (const server_index index : shard.replicas)
     {
@@ -79,11 +83,7 @@
         const double hold_ms = std::max(server.recent_latency.ms(), m_mean_hold_ms);
         ends_per_ms += counts && hold_ms > 0.0 ? slots_of(server) / hold_ms : 0.0;
     }
-    if (ends_per_ms <= 0.0 || cost <= 0.0)
-    {
-        return {};
-    }
-    return duration::from_ms(cost / ends_per_ms);
+    return ends_per_ms > 0.0 ? duration::from_ms(cost / ends_per_ms) : duration{};
 }
 
 duration scheduler::estimated_wait(int shard) const
--- a/src/routing/caller_admission.cpp
+++ b/src/routing/caller_admission.cpp
@@ -106,7 +106,7 @@
         return;
     }
     request.team = caller.by->name;
-    m_keys.insert_or_assign(number, presented_key{request.team, m_teams->digest_of(key)});
+    m_keys.insert_or_assign(number, presented_key{request.team, caller.key});
     if (!by || !caller.by->limit.is_set())
     {
         admit(number, std::move(request));
--- a/src/routing/return_schedule.cpp
+++ b/src/routing/return_schedule.cpp
@@ -1,5 +1,7 @@
 #include <flaxtiller/routing/return_schedule.hpp>
 
+#include <flaxtiller/core/spread_fraction.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -37,14 +39,6 @@
     return std::max(m_greatest_rate_per_s * std::exp2(-elapsed_ms / rate_half_life.ms()), min_rate_per_s);
 }
 
-/// @return the next value of a sequence in [0, 1) whose values are evenly spread for any number of calls
-double return_schedule::next_fraction()
-{
-    constexpr double golden_ratio = 0.6180339887498949;
-    const double value = static_cast<double>(++m_assigned) * golden_ratio;
-    return value - std::floor(value);
-}
-
 duration return_schedule::next_wait(std::size_t more_urgent, duration earliest, duration longest,
                                     time_point now)
 {
@@ -66,7 +60,7 @@
     const auto steps = static_cast<double>(std::min(more_urgent, max_priorities));
     const duration later = wait * (1.0 + wait_per_priority * steps);
     // Not the longest wait itself, as many callers would then return at the same time.
-    return later <= longest ? later : wait + (longest - wait) * next_fraction();
+    return later <= longest ? later : wait + (longest - wait) * spread_fraction(++m_assigned);
 }
 
 } // namespace flaxtiller
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -150,16 +150,22 @@
     fail(number, opened, true, now);
 }
 
-void router::answer_all()
+/// @return the numbers of the open requests in order of arrival, so that equal events give equal actions
+std::vector<request_number> router::open_numbers() const
 {
     std::vector<request_number> numbers;
+    numbers.reserve(m_open.size());
     for (const auto& [number, opened] : m_open)
     {
         numbers.push_back(number);
     }
-    // In order of arrival, so that equal events give equal actions.
     std::sort(numbers.begin(), numbers.end());
-    for (const request_number number : numbers)
+    return numbers;
+}
+
+void router::answer_all()
+{
+    for (const request_number number : open_numbers())
     {
         end_at_deadline(number, m_open.at(number), std::nullopt);
     }
--- a/src/routing/router_owner_delays.cpp
+++ b/src/routing/router_owner_delays.cpp
@@ -14,8 +14,8 @@
     return m_options.load.balances_owners || m_options.load.limits_admission;
 }
 
-/// @return the longest time that a new subquery of any of the services is expected to wait at this instance
-duration router::longest_wait(const std::vector<service_name>& services) const
+/// @return the time that a group of shards of these services would wait at this instance
+duration router::own_delay(const std::vector<service_name>& services, time_point now) const
 {
     duration longest{};
     for (const service_name& service : services)
@@ -26,7 +26,7 @@
             longest = std::max(longest, scheduler->estimated_wait(0));
         }
     }
-    return longest;
+    return m_processing_delay.at(now) + longest;
 }
 
 /// @return the time that the shards of a delegated request would wait at this instance if they were delegated
@@ -43,7 +43,7 @@
     {
         services.push_back(item.service);
     }
-    return m_processing_delay.at(now) + longest_wait(services);
+    return own_delay(services, now);
 }
 
 std::vector<group_choice::group> router::choose_groups(const route& matched_route, time_point now)
@@ -57,7 +57,7 @@
                                   {
                                       services.push_back(matched_route.fan_out.at(shard));
                                   }
-                                  return m_processing_delay.at(now) + longest_wait(services);
+                                  return own_delay(services, now);
                               });
 }
 
--- a/src/routing/router_revision.cpp
+++ b/src/routing/router_revision.cpp
@@ -2,22 +2,15 @@
 
 #include <flaxtiller/routing/router.hpp>
 
-#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace flaxtiller
 {
 
 void router::apply_revision_to_waiting(const team_table& teams_before, time_point now)
 {
-    std::vector<request_number> numbers;
-    numbers.reserve(m_open.size());
-    for (const auto& [number, opened] : m_open)
-    {
-        numbers.push_back(number);
-    }
-    // In order of arrival, so that equal events give equal actions.
-    std::sort(numbers.begin(), numbers.end());
-    for (const request_number number : numbers)
+    for (const request_number number : open_numbers())
     {
         const auto found = m_open.find(number);
         if (found == m_open.end())
--- a/src/teams/retry_schedule.cpp
+++ b/src/teams/retry_schedule.cpp
@@ -1,19 +1,12 @@
 #include <flaxtiller/teams/retry_schedule.hpp>
 
+#include <flaxtiller/core/spread_fraction.hpp>
+
 #include <algorithm>
-#include <cmath>
 
 namespace flaxtiller
 {
 
-namespace
-{
-
-/// Multiples of the golden ratio, modulo 1, stay apart from each other however many there are.
-constexpr double golden_ratio = 0.6180339887498949;
-
-} // namespace
-
 duration retry_schedule::assign(const team_name& team, const rate_limit& limit, duration earliest,
                                 time_point now)
 {
@@ -27,10 +20,9 @@
         item.beyond = 0;
         return at - now;
     }
-    // All times up to the longest are assigned. The rest is spread over them, since callers that are told the
-    // same time would return together.
-    const double share = std::fmod(static_cast<double>(++item.beyond) * golden_ratio, 1.0);
-    return earliest + std::max(max_retry_after - earliest, interval) * share;
+    // All times up to the longest are assigned. The rest is spread over them, since callers with the
+    // same retry time would return together.
+    return earliest + std::max(max_retry_after - earliest, interval) * spread_fraction(++item.beyond);
 }
 
 void retry_schedule::discard_passed(time_point now)
--- a/src/teams/team_table.cpp
+++ b/src/teams/team_table.cpp
@@ -23,20 +23,25 @@
     return found == m_teams.end() ? nullptr : &found->second;
 }
 
-const team* team_table::find_by_key(std::string_view key) const
+const team* team_table::holder_of(const key_digest& key) const
 {
-    const auto found = m_by_key.find(key_digest(m_secret, key));
+    const auto found = m_by_key.find(key);
     return found == m_by_key.end() ? nullptr : found->second;
 }
 
+const team* team_table::find_by_key(std::string_view key) const
+{
+    return holder_of(key_digest(m_secret, key));
+}
+
 bool team_table::is_withdrawn(const team_name& holder, const key_digest& key, const team_table& earlier) const
 {
     if (m_teams.empty() || m_secret != earlier.m_secret)
     {
         return false;
     }
-    const auto found = m_by_key.find(key);
-    return found == m_by_key.end() || found->second->name != holder;
+    const team* present = holder_of(key);
+    return present == nullptr || present->name != holder;
 }
 
 authentication team_table::authenticate(const route* by, std::string_view key) const
@@ -47,10 +52,11 @@
     }
     if (key.empty())
     {
-        return {nullptr, by != nullptr && by->allows_anonymous};
+        return {nullptr, by != nullptr && by->allows_anonymous, {}};
     }
-    const team* holder = find_by_key(key);
-    return {holder, holder != nullptr};
+    const key_digest digest(m_secret, key);
+    const team* holder = holder_of(digest);
+    return {holder, holder != nullptr, digest};
 }
 
 } // namespace flaxtiller
--- a/tests/src/admission_play.hpp
+++ b/tests/src/admission_play.hpp
@@ -147,7 +147,7 @@
     duration patience = duration::from_ms(3000);
     /// The speed of the processor, by the time from which it applies.
     std::map<time_point, double> speed{{time_point(), 1.0}};
-    /// Whether refused callers return once at the time that they are told.
+    /// Whether refused callers return once, at their retry time.
     bool callers_return = false;
     std::vector<record> records;
 
--- a/tests/src/unit-key-withdrawal.cpp
+++ b/tests/src/unit-key-withdrawal.cpp
@@ -1,4 +1,5 @@
 #include "router_driver.hpp"
+#include "team_view.hpp"
 
 #include <flaxtiller/routing/caller_admission.hpp>
 
@@ -12,11 +13,6 @@
 
 const std::string secret = generate_key_secret();
 
-time_point at_ms(double ms)
-{
-    return time_point(duration::from_ms(ms));
-}
-
 routing_view view_with_keys(const std::vector<std::string>& keys, const std::vector<std::string>& other_keys)
 {
     shared_map<team_name, team> teams;
@@ -28,17 +24,7 @@
         item.limit = {10.0, 10.0};
         teams.insert_or_assign(item.name, item.without_keys(secret));
     }
-    route all;
-    all.name = "all";
-    all.host = "h";
-    all.path_prefix = "/";
-    all.targets = {{service_name("s"), 1}};
-    routing_view view;
-    view.entries = 3;
-    view.placed = std::make_shared<const placement>();
-    view.routes = std::make_shared<const route_table>(std::map<std::string, route>{{all.name, all}});
-    view.teams = std::make_shared<const team_table>(teams, secret);
-    return view;
+    return view_of_teams(teams, secret, 3);
 }
 
 load_options switched(bool on)
@@ -102,7 +88,7 @@
     CHECK(refused.back() == std::pair(request_number{2}, routed_end::over_limit));
 }
 
-// Guards against a withdrawal that is lost, or told twice, after the request was passed to the router.
+// Guards against a withdrawal that is lost or reported twice after the request was passed to the router.
 TEST_CASE("the admitted requests whose key is withdrawn are named once", "[teams][withdrawal]")
 {
     caller_admission admission(switched(true));
--- a/tests/src/unit-queue-scheduler.cpp
+++ b/tests/src/unit-queue-scheduler.cpp
@@ -92,7 +92,7 @@
     }
     SECTION("the retry time of dropped work is that of its team")
     {
-        // Guards against a small team that is told to wait for all the work of a large one.
+        // Guards against a retry time of a small team that includes all the work of a large one.
         queued_scheduler driver;
         for (int i = 0; i < 50; ++i)
         {
--- a/tests/src/unit-retry-schedule.cpp
+++ b/tests/src/unit-retry-schedule.cpp
@@ -1,3 +1,5 @@
+#include "team_view.hpp"
+
 #include <flaxtiller/routing/caller_admission.hpp>
 
 #include <catch2/catch.hpp>
@@ -6,17 +8,13 @@
 #include <set>
 
 using namespace flaxtiller;
+using namespace flaxtiller::test;
 
 namespace
 {
 
 const team_name by_team("t");
 
-time_point at_ms(double ms)
-{
-    return time_point(duration::from_ms(ms));
-}
-
 /// Admits the requests of one team without routes of its own; the test plays the rate limit coordinator.
 class admission_driver
 {
@@ -30,17 +28,7 @@
         shared_map<team_name, team> teams;
         const std::string secret = generate_key_secret();
         teams.insert_or_assign(by.name, by.without_keys(secret));
-        route all;
-        all.name = "all";
-        all.host = "h";
-        all.path_prefix = "/";
-        all.targets = {{service_name("s"), 1}};
-        routing_view view;
-        view.entries = 85;
-        view.placed = std::make_shared<const placement>();
-        view.routes = std::make_shared<const route_table>(std::map<std::string, route>{{all.name, all}});
-        view.teams = std::make_shared<const team_table>(teams, secret);
-        m_admission.configure(view);
+        m_admission.configure(view_of_teams(teams, secret, 85));
     }
 
     void arrive(time_point now)
