Crash records: reported again, since one message or replica may be lost

What callers saw: a request that is known to crash backend servers reached one more of them, through an entry that didn't know the proof; whatever else ran there lost its attempt.

Cause: an entry reported a changed record once, to the one replica that it follows; a replica told the other replicas once. With the message, its link or its receiver the proof was gone for good, though all other links were up.

Records are joined by union, so that a repetition is harmless, and at most 64 are sent again.

Also: whether a merged record changed no longer depends on the order in which the compiler evaluates a comparison.

--- a/include/flaxtiller/quarantine/crash_ledger.hpp
+++ b/include/flaxtiller/quarantine/crash_ledger.hpp
@@ -34,6 +34,14 @@
     static constexpr duration clearance_duration = duration::from_ms(60.0 * 1000);
     static constexpr std::size_t max_records = 1024;
     static constexpr std::size_t max_crashes_per_record = 8;
+    /// A message with records is lost if its link breaks or its receiver ends, so recent records are sent again
+    /// at this interval until they reach this age.
+    static constexpr duration resend_interval = duration::from_ms(1500);
+    static constexpr duration max_resend_age = duration::from_ms(15000);
+    static constexpr std::size_t max_resent_records = 64;
+    /// Records with fewer crashes aren't sent again. A request with a single crash is treated normally, and a
+    /// large failure of backend servers leaves many such records.
+    static constexpr std::size_t min_resent_crashes = 2;
 
     /// @brief The treatment of a request.
     enum class quarantine_state
@@ -80,6 +88,11 @@
     /// @return the records with at least @a min_crashes crashes and those of cleared requests
     std::vector<crash_record> all(std::size_t min_crashes, time_point now) const;
 
+    /// @return the records to send again: those with at least @ref min_resent_crashes crashes and those of
+    /// cleared requests, up to the age @ref max_resend_age; at most @ref max_resent_records, the newest first
+    /// @complexity O(n log n), n: records
+    std::vector<crash_record> recent(time_point now) const;
+
     /// @brief Deletes expired records.
     /// @complexity O(records)
     void expire(time_point now);
--- a/include/flaxtiller/quarantine/crash_record.hpp
+++ b/include/flaxtiller/quarantine/crash_record.hpp
@@ -38,6 +38,9 @@
     bool operator==(const crash_record&) const = default;
 };
 
+/// @return whether one of the crashes ended a trial attempt, which proves that the request is the cause
+bool prove_cause(const std::vector<server_crash>& crashes) noexcept;
+
 void to_json(nlohmann::json& j, const crash_record& value);
 void from_json(const nlohmann::json& j, crash_record& value);
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -78,7 +78,8 @@
     void on_entry_disconnected(const instance_name& peer, time_point now);
 
     /// @brief Crash records of other processes were received.
-    void on_crash_records(const std::vector<crash_record>& records, time_point now);
+    /// @return the records that were changed, as they are now
+    std::vector<crash_record> on_crash_records(const std::vector<crash_record>& records, time_point now);
 
     /// @brief Handles everything that is due at @a now.
     void on_time(time_point now);
@@ -430,7 +431,7 @@
     static const request_fingerprint& fingerprint_of(open_request& opened);
     crash_ledger::quarantine_state quarantine_state_of(open_request& opened, time_point now) const;
     bool is_held_or_quarantined(open_request& opened, time_point now) const;
-    void merge_crash_records(const std::vector<crash_record>& records, time_point now);
+    std::vector<crash_record> merge_crash_records(const std::vector<crash_record>& records, time_point now);
     void observe_crash(const started& ended, time_point now);
     void observe_answer(const started& ended, time_point now);
     std::int64_t born_ms_of(const started& attempt) const;
--- a/src/control/crash_record_distributor.cpp
+++ b/src/control/crash_record_distributor.cpp
@@ -14,17 +14,11 @@
 
 /// Changes are sent after this delay, so that crashes under the same request share a message.
 constexpr duration send_delay = duration::from_ms(10);
-/// A message is lost if its link breaks, so recent records are sent to entries again at this interval, until
-/// they reach this age. An entry that is unreachable for longer gets all records when its link is
-/// established.
-constexpr duration resend_interval = duration::from_ms(1500);
-constexpr duration max_resend_age = duration::from_ms(15000);
-constexpr std::size_t max_resent_records = 64;
 /// The minimum time between two writes, so that many crashes at once share a write.
 constexpr duration min_save_interval = duration::from_ms(100);
 /// Records with fewer crashes aren't sent to entries. An entry acts on a single crash only if it saw the
 /// crash itself.
-constexpr std::size_t min_crashes_for_entries = 2;
+constexpr std::size_t min_crashes_for_entries = crash_ledger::min_resent_crashes;
 
 std::vector<crash_record> select_for_entries(std::vector<crash_record> records)
 {
@@ -36,23 +30,6 @@
     return records;
 }
 
-/// @return the records that changed recently, at most @ref max_resent_records, the newest first
-std::vector<crash_record> select_for_resend(std::vector<crash_record> records)
-{
-    std::erase_if(records,
-                  [](const crash_record& item)
-                  {
-                      return item.age > max_resend_age;
-                  });
-    std::sort(records.begin(), records.end(),
-              [](const crash_record& a, const crash_record& b)
-              {
-                  return a.age < b.age;
-              });
-    records.resize(std::min(records.size(), max_resent_records));
-    return records;
-}
-
 } // namespace
 
 void crash_record_distributor::load(time_point now)
@@ -80,11 +57,14 @@
             m_changed_by_entries.insert(item.request);
         }
         m_send_at = std::min(m_send_at, now + send_delay);
+        const crash_record changed = m_ledger.record_of(item.request, now);
         log(log_level::info, "crash_record",
-            {{"fingerprint", item.request.str()},
+            {{"fingerprint", changed.request.str()},
              {"from", from},
-             {"crashes", m_ledger.record_of(item.request, now).crashes.size()},
-             {"cleared", item.cleared}});
+             {"crashes", changed.crashes.size()},
+             {"proved", prove_cause(changed.crashes)},
+             {"cleared", changed.cleared},
+             {"last_ms_ago", changed.age.ms()}});
     }
 }
 
@@ -142,12 +122,12 @@
     {
         return;
     }
-    m_resend_at = now + resend_interval;
+    m_resend_at = now + crash_ledger::resend_interval;
     m_ledger.expire(now);
-    if (const auto selected = select_for_resend(m_ledger.all(min_crashes_for_entries, now));
-        !selected.empty())
+    if (const crash_news recent{m_ledger.recent(now)}; !recent.items.empty())
     {
-        m_links.send(entries, crash_news{selected});
+        m_links.send(std::vector<std::string>(replicas.begin(), replicas.end()), recent);
+        m_links.send(entries, recent);
     }
 }
 
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -333,6 +333,11 @@
         distribution::revision_report final_report = subscriber.report();
         final_report.wants_updates = false;
         links.send(before, final_report);
+        if (routed)
+        {
+            // What was reported to the former replica may have ended with it.
+            routed->report_all_crash_records();
+        }
     }
     if (followed.empty())
     {
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -63,6 +63,7 @@
     explicit implementation(entry_settings wanted)
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
           report_timer(strand), catch_up_timer(strand), follow_retry_timer(strand), pools_timer(strand),
+          crash_resend_timer(strand),
           drain_timer(strand), routing_update_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
@@ -135,6 +136,7 @@
     /// Expires when the selection of a control replica is to be repeated, after no replica was near enough.
     net::steady_timer follow_retry_timer;
     net::steady_timer pools_timer;
+    net::steady_timer crash_resend_timer;
     net::steady_timer drain_timer;
     net::steady_timer routing_update_timer;
     net::signal_set signals;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -215,6 +215,14 @@
                 {
                     self.report();
                 });
+    self.repeat(self.crash_resend_timer, crash_ledger::resend_interval,
+                [&self]
+                {
+                    if (self.routed)
+                    {
+                        self.routed->report_recent_crash_records();
+                    }
+                });
     self.repeat(self.pools_timer, pool_update_interval,
                 [&self]
                 {
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -68,9 +68,12 @@
     /// @brief Handles crash records from a control replica. Thread-safe.
     void on_crash_update(const std::string& from, const std::shared_ptr<const crash_news>& crash_update);
 
-    /// @brief Reports all known crash records to the control replicas. Thread-safe.
+    /// @brief Reports all known crash records to a control replica that may have none of them. Thread-safe.
     void report_all_crash_records();
 
+    /// @brief Reports the recent crash records again, since an earlier report may be lost. Thread-safe.
+    void report_recent_crash_records();
+
     /// @brief Sets the rate limit coordinator: the control replica that holds the account of the team limits.
     /// Thread-safe.
     /// @param name name of the replica; empty if none is known
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -271,6 +271,7 @@
              {"service", sent.service.str()},
              {"backend_server", sent.server.str()},
              {"end", name_of(end)},
+             {"on_trial", sent.on_trial},
              {"status", status},
              {"after_ms", (now - sent_at).ms()},
              {"failure_rate", scheduler == nullptr ? 0.0 : scheduler->failure_rate_of(sent.server, now)},
--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -103,8 +103,16 @@
         m_strand,
         [this, from, crash_update]
         {
-            log(log_level::debug, "crash_news", {{"from", from}, {"items", crash_update->items.size()}});
-            m_router.on_crash_records(crash_update->items, m_clock.now());
+            for (const crash_record& changed : m_router.on_crash_records(crash_update->items, m_clock.now()))
+            {
+                log(log_level::info, "crash_record",
+                    {{"fingerprint", changed.request.str()},
+                     {"from", from},
+                     {"crashes", changed.crashes.size()},
+                     {"proved", prove_cause(changed.crashes)},
+                     {"cleared", changed.cleared},
+                     {"last_ms_ago", changed.age.ms()}});
+            }
             execute_actions();
         });
 }
@@ -122,6 +130,19 @@
                   });
 }
 
+void routing_frontend::report_recent_crash_records()
+{
+    net::dispatch(m_strand,
+                  [this]
+                  {
+                      crash_news recent{m_router.crashes().recent(m_clock.now())};
+                      if (!recent.items.empty())
+                      {
+                          m_report_crash_records(recent);
+                      }
+                  });
+}
+
 void routing_frontend::set_rate_limit_coordinator(std::string name, bool contacted_now)
 {
     net::dispatch(m_strand,
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -17,12 +17,7 @@
     {
         return quarantine_state::clear;
     }
-    const bool proved = std::any_of(item.crashes.begin(), item.crashes.end(),
-                                    [](const server_crash& crash)
-                                    {
-                                        return crash.on_trial;
-                                    });
-    return proved ? quarantine_state::quarantined : quarantine_state::suspect;
+    return prove_cause(item.crashes) ? quarantine_state::quarantined : quarantine_state::suspect;
 }
 
 duration crash_ledger::retention_of(const record& item) noexcept
@@ -50,7 +45,9 @@
                                     });
     if (known != item.crashes.end())
     {
-        return std::exchange(known->on_trial, known->on_trial || crash.on_trial) != known->on_trial;
+        const bool proves = crash.on_trial && !known->on_trial;
+        known->on_trial = known->on_trial || crash.on_trial;
+        return proves;
     }
     if (item.crashes.size() < max_crashes_per_record)
     {
@@ -236,6 +233,23 @@
     return known;
 }
 
+std::vector<crash_record> crash_ledger::recent(time_point now) const
+{
+    std::vector<crash_record> newest = all(min_resent_crashes, now);
+    std::erase_if(newest,
+                  [](const crash_record& item)
+                  {
+                      return item.age > max_resend_age;
+                  });
+    std::sort(newest.begin(), newest.end(),
+              [](const crash_record& a, const crash_record& b)
+              {
+                  return a.age < b.age;
+              });
+    newest.resize(std::min(newest.size(), max_resent_records));
+    return newest;
+}
+
 void crash_ledger::expire(time_point now)
 {
     std::erase_if(m_records,
--- a/src/quarantine/crash_record.cpp
+++ b/src/quarantine/crash_record.cpp
@@ -2,9 +2,20 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace flaxtiller
 {
 
+bool prove_cause(const std::vector<server_crash>& crashes) noexcept
+{
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [](const server_crash& crash)
+                       {
+                           return crash.on_trial;
+                       });
+}
+
 static void to_json(nlohmann::json& j, const server_crash& value)
 {
     j = {{"server", value.server}, {"born_ms", value.born_ms}, {"on_trial", value.on_trial}};
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -314,7 +314,7 @@
 void router::on_delegation_outcome(const instance_name& peer, delegation_number number,
                                    const routed_outcome& outcome, time_point now)
 {
-    merge_crash_records(outcome.crashes, now);
+    (void)merge_crash_records(outcome.crashes, now);
     record_owner_delay(peer, outcome, now);
     process_outcome(peer, number, outcome, now);
     process_held(now);
--- a/src/routing/router_quarantine.cpp
+++ b/src/routing/router_quarantine.cpp
@@ -87,24 +87,29 @@
     }
 }
 
-void router::merge_crash_records(const std::vector<crash_record>& records, time_point now)
+std::vector<crash_record> router::merge_crash_records(const std::vector<crash_record>& records,
+                                                      time_point now)
 {
+    std::vector<crash_record> changed;
     for (const crash_record& reported : records)
     {
         const quarantine_state before = m_crashes.quarantine_state_of(reported.request, now);
         if (m_crashes.merge(reported, now))
         {
             on_quarantine_state(reported.request, before, now);
+            changed.push_back(m_crashes.record_of(reported.request, now));
         }
     }
+    return changed;
 }
 
-void router::on_crash_records(const std::vector<crash_record>& records, time_point now)
+std::vector<crash_record> router::on_crash_records(const std::vector<crash_record>& records, time_point now)
 {
-    merge_crash_records(records, now);
+    std::vector<crash_record> changed = merge_crash_records(records, now);
     // The sender distributes the records to the other processes itself.
     (void)m_crashes.take_changes(now);
     process_held(now);
+    return changed;
 }
 
 void router::publish_crash_changes(time_point now)
--- a/tests/faults/test_crashing_request.py
+++ b/tests/faults/test_crashing_request.py
@@ -171,6 +171,41 @@
         self.assertEqual(len(platform.deadly.arrivals), before)
         self.check_contained(platform, path)
 
+    def lose_during_trial(self, platform, process):
+        """Ends the process so that it never reads what is reported of the trial. Returns the thread that does it."""
+
+        def lose():
+            deadly = platform.deadly
+            eventually("a suspect", lambda: len(deadly.arrivals) == len(deadly.crashes) >= ENOUGH_CRASHES)
+            suspected = len(deadly.crashes)
+            # A trial begins 100 ms after the last crash at the earliest. By then the crashes are known.
+            time.sleep(0.05)
+            process.signal(signal.SIGSTOP)
+            eventually("the end of the trial", lambda: len(deadly.crashes) > suspected)
+            # Until the entry has found out by a new connection that the backend server is gone.
+            time.sleep(0.3)
+            process.signal(signal.SIGKILL)
+            process.handle.wait(30)
+
+        thread = threading.Thread(target=lose, daemon=True)
+        thread.start()
+        return thread
+
+    # Guards against a proof that is reported to one replica only, once, and is lost with it.
+    def test_a_crashing_request_is_known_though_the_replica_that_was_told_of_it_is_lost(self):
+        platform = self.play()
+        path = "/all/" + DEADLY
+        # All entries are in one zone, and so all follow the first replica.
+        loss = self.lose_during_trial(platform, platform.machines[0].processes["control"])
+        self.send_copies(platform, path, platform.machines[:1], CONTACT_S + 2)
+        loss.join(30)
+        self.assertFalse(platform.machines[0].running("control"))
+        time.sleep(CONTACT_S)
+        before = len(platform.deadly.arrivals)
+        self.send_copies(platform, path, platform.machines[1:], 2.0)
+        self.assertEqual(len(platform.deadly.arrivals), before)
+        self.check_contained(platform, path)
+
     def test_what_was_under_way_beside_it_is_served_again(self):
         platform = self.play()
         platform.deadly.others = []
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -170,6 +170,36 @@
         CHECK(ledger.quarantine_time_left(suspect_request, now) ==
               other.quarantine_time_left(suspect_request, now));
     }
+    // Guards against a proof that isn't passed on, as it names a run of a backend server that is known already.
+    SECTION("a trial on a run of a backend server that is known to have crashed changes the record")
+    {
+        ledger.merge(suspect_record(suspect_request), now);
+        (void)ledger.take_changes(now);
+        CHECK(ledger.merge({suspect_request, {crash_of("x", true)}, false, {}}, now));
+        CHECK(ledger.take_changes(now).size() == 1);
+        CHECK(ledger.quarantine_state_of(suspect_request, now) == quarantine_state::quarantined);
+        CHECK_FALSE(ledger.merge({suspect_request, {crash_of("x")}, false, {}}, now));
+    }
+    // Guards against records that are lost with a message, and against sending the whole ledger again and again.
+    SECTION("recent records with more than one crash are sent again, the newest first")
+    {
+        const time_point later = now + duration::from_ms(1.0);
+        ledger.merge(suspect_record(suspect_request), now);
+        ledger.on_crash(request_fingerprint("one crash"), crash_of("a"), now);
+        ledger.merge(quarantined_record(request_fingerprint("newer")), later);
+        const auto recent = ledger.recent(later);
+        REQUIRE(recent.size() == 2);
+        CHECK(recent[0].request == request_fingerprint("newer"));
+        CHECK(prove_cause(recent[0].crashes));
+        CHECK(recent[1].request == suspect_request);
+        CHECK(ledger.recent(now + crash_ledger::max_resend_age).size() == 2);
+        CHECK(ledger.recent(later + crash_ledger::max_resend_age).size() == 1);
+        for (std::size_t i = 0; i < 2 * crash_ledger::max_resent_records; ++i)
+        {
+            ledger.merge(suspect_record(request_fingerprint(std::to_string(i))), later);
+        }
+        CHECK(ledger.recent(later).size() == crash_ledger::max_resent_records);
+    }
     SECTION("a crash in a trial is kept if the record is full")
     {
         for (int i = 0; i < 20; ++i)
