Registrations: what was lost with a link is sent with the next link's first digest

What callers saw: an entry whose link broke, or was closed, went on with the backend servers of before for up to 10 s; where those had started again meanwhile, it refused all requests (no_backend_server).

Cause: a replica takes a digest that was its own within the last 10 s for one whose changes are in transit. After a lost link they aren't in transit, but gone.

The new test fails without the fix (not all agree, no full list after one digest interval) and holds with it: the first digest after a lost link that differs gets the full list.

--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -137,6 +137,9 @@
     /// The time since which the digest of a peer differs, and the time of the last full list to a peer.
     std::map<std::string, time_point> m_mismatch_since;
     std::map<std::string, time_point> m_full_list_sent_at;
+    /// The peers whose links were lost since their last digests. Changes may be lost with a link, so that a
+    /// digest that differs doesn't mean that the changes are in transit.
+    std::set<std::string> m_link_lost;
     /// The recent digests of the registry. A peer that reports one of them merely lags behind.
     std::deque<std::pair<time_point, std::uint64_t>> m_digests;
 };
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -57,11 +57,17 @@
     {
         m_followers[from] = now;
     }
-    if (digest == own || (digest != 0 && was_recent_digest(digest, now)))
+    const bool link_was_lost = m_link_lost.erase(from) > 0;
+    if (digest == own || (digest != 0 && !link_was_lost && was_recent_digest(digest, now)))
     {
         m_mismatch_since.erase(from);
         return false;
     }
+    if (link_was_lost)
+    {
+        m_full_list_pending.insert(from);
+        return true;
+    }
     const auto sent = m_full_list_sent_at.find(from);
     if (sent != m_full_list_sent_at.end() && now - sent->second < full_list_resend_after)
     {
@@ -96,6 +102,7 @@
     m_mismatch_since.erase(peer);
     m_full_list_sent_at.erase(peer);
     m_full_list_pending.erase(peer);
+    m_link_lost.insert(peer);
 }
 
 bool registration_publisher::is_due(time_point now) const noexcept
--- a/tests/src/unit-registration-publisher.cpp
+++ b/tests/src/unit-registration-publisher.cpp
@@ -93,6 +93,17 @@
         m_entries[entry] = registry();
     }
 
+    /// Loses the messages in transit to an entry with its link. The entry establishes another link at once.
+    void break_link(const std::string& entry)
+    {
+        std::erase_if(m_in_transit,
+                      [&](const auto& item)
+                      {
+                          return item.second.to == entry;
+                      });
+        m_publisher.on_lost(entry);
+    }
+
     bool all_agree() const
     {
         return std::all_of(m_entries.begin(), m_entries.end(),
@@ -241,6 +252,30 @@
     }
 }
 
+// Guards against an entry that uses outdated registrations for as long as its digest counts as a recent one.
+TEST_CASE("changes that were lost with a link are sent with the first digest on the next link",
+          "[registration]")
+{
+    constexpr int entries = 20;
+    const duration latency = duration::from_ms(30);
+    publisher_simulation simulation(entries, 2, latency);
+    simulation.run(duration::from_ms(1500));
+    simulation.receive_heartbeats(0, 50);
+    simulation.run(duration::from_ms(3000));
+    REQUIRE(simulation.all_agree());
+    const std::size_t before = simulation.full_lists;
+
+    simulation.receive_heartbeats(50, 52);
+    simulation.run(registration_publisher::batch_window + tick);
+    simulation.break_link("e-3");
+    simulation.run(digest_interval + latency * 2.0);
+    CHECK(simulation.all_agree());
+    CHECK(simulation.full_lists == before + 1);
+    // The digests of the other entries are up to date, so that nothing more is sent.
+    simulation.run(duration::from_ms(5000));
+    CHECK(simulation.full_lists == before + 1);
+}
+
 TEST_CASE("the cost of reports and revisions for a leader grows linearly with the number of instances",
           "[distribution]")
 {
