Links: the process's own pause isn't taken for silence of its peers

What callers saw: an entry that was frozen for more than 5 s knew nothing of what happened meanwhile until its links were up again, and for 4 to 6 s more refused all requests if the backend servers had started again.

Cause: it counted the time of its own freeze as its peers' silence, closed the links and discarded what waited in them unread.

Why the fix works: the time between two ticks beyond a heartbeat interval, in which the process didn't run, is left out of the silence; a peer that stays silent while it runs is found as before (second half of the unit test).

unit-peer-links fails without the fix (lost == 0, reachable).

--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace flaxtiller::shell
 {
@@ -111,6 +112,23 @@
     log(log_level::info, "link_bytes_sent", {{"by_kind", sent}});
 }
 
+void peer_links::discount_pause(time_point now)
+{
+    const time_point last_tick_at = std::exchange(m_last_tick_at, now);
+    if (last_tick_at == time_point::never() ||
+        now - last_tick_at <= m_timing.heartbeat * max_heartbeats_between_ticks)
+    {
+        return;
+    }
+    const duration paused = now - last_tick_at;
+    log(log_level::info, "links_paused", {{"for_ms", paused.ms()}});
+    for (auto& [name, known] : m_peers)
+    {
+        known.last_received_at = std::min(known.last_received_at + paused, now);
+        known.dialled_at = std::min(known.dialled_at + paused, now);
+    }
+}
+
 void peer_links::tick()
 {
     const time_point now = m_clock.now();
@@ -119,6 +137,7 @@
     {
         const std::scoped_lock lock(m_mutex);
         static const encoded_message encoded_heartbeat{link_message(heartbeat{})};
+        discount_pause(now);
         for (auto& [name, known] : m_peers)
         {
             if (known.wanted && known.dialled == 0 && now >= known.next_dial_at)
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -98,6 +98,9 @@
     /// link is established in the end.
     static constexpr duration max_dial_timeout = duration::from_ms(6000);
 
+    /// A call of @ref tick that is late by this many heartbeat intervals shows that this process was paused.
+    static constexpr double max_heartbeats_between_ticks = 1.0;
+
     /// Interval between the log lines with the bytes sent so far. One line in ten seconds is negligible
     /// beside the log lines of the requests.
     static constexpr duration log_sent_interval = duration::from_ms(10000);
@@ -138,6 +141,10 @@
         std::shared_ptr<const hello> from;
     };
 
+    /// @brief Leaves the time for which this process was paused out of the silence of the peers. Their
+    /// messages wait in the buffers of the links, and closing a link would discard them. The caller holds the
+    /// mutex.
+    void discount_pause(time_point now);
     /// @brief Logs the bytes sent so far per kind of message, if the log interval has passed.
     void log_sent_bytes(time_point now);
     void on_opened(link_id id);
@@ -156,6 +163,8 @@
     mutable std::mutex m_mutex;
     std::map<std::string, peer> m_peers;
     std::map<link_id, link> m_links;
+    /// Time of the last call of @ref tick; accessed only by the thread that calls it.
+    time_point m_last_tick_at = time_point::never();
     /// Time of the next log line with the bytes sent; accessed only by the thread that calls @ref tick.
     time_point m_next_log_at{};
     // The last member, so that its thread ends before the members that the thread uses are destroyed.
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import sys
 import threading
@@ -11,7 +12,11 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import eventually
-from platform_stand_in import Platform, call, configuration
+from platform_stand_in import Backend, Platform, call, configuration
+
+# Within this all instances that reach one another know what is in force.
+CONTACT_S = 2.0
+LONG_FREEZE_S = 6.5
 
 
 class PlatformTest(unittest.TestCase):
@@ -387,6 +392,21 @@
             self.assertEqual(first.dump("entry")["registered_backend_servers"], 6)
             self.assertTrue(self.whole(platform, first, "r-after"))
 
+    # Guards against an entry that goes on with the backends of before its freeze, since it lost what it was sent meanwhile.
+    def test_an_entry_that_was_frozen_serves_with_its_first_contact(self):
+        with Platform(entries=3) as platform:
+            backends = self.serve(platform)
+            frozen = platform.machines[2]
+            frozen.processes["entry"].signal(signal.SIGSTOP)
+            for backend in [backend for group in backends.values() for backend in group]:
+                backend.crash()
+                platform.backends.append(Backend(platform, backend.service, backend.address, backend.zone))
+            # Longer than the silence after which links are closed.
+            time.sleep(LONG_FREEZE_S)
+            frozen.processes["entry"].signal(signal.SIGCONT)
+            eventually("an answer of the entry that was frozen",
+                       lambda: self.whole(platform, frozen, "thawed-%d" % time.monotonic_ns()), patience=CONTACT_S)
+
     def test_a_backend_starts_again_under_its_id(self):
         with Platform() as platform:
             backends = self.serve(platform, replicas=1)
--- /dev/null
+++ b/tests/src/unit-peer-links.cpp
@@ -0,0 +1,96 @@
+#include "links/peer_links.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <thread>
+
+using namespace flaxtiller;
+using namespace flaxtiller::shell;
+
+namespace
+{
+
+const link_timing timing{duration::from_ms(20), duration::from_ms(60), duration::from_ms(80)};
+
+std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+}
+
+/// A process with links, and how often its peers became reachable and unreachable.
+struct linked_process
+{
+    linked_process(const std::string& name, const std::string& role)
+        : links(identity(name, role), counted, timing,
+                {[](const auto&, const auto&) {},
+                 [this](const std::string&, bool is_reachable)
+                 {
+                     ++(is_reachable ? reached : lost);
+                 }})
+    {
+    }
+
+    static hello identity(const std::string& name, const std::string& role)
+    {
+        hello self;
+        self.name = name;
+        self.role = role;
+        return self;
+    }
+
+    metrics counted;
+    std::atomic<int> reached{0};
+    std::atomic<int> lost{0};
+    peer_links links;
+};
+
+/// Calls @a tick until the condition holds.
+bool tick_until(linked_process& process, const std::function<bool()>& condition)
+{
+    constexpr int max_ticks = 2000;
+    for (int i = 0; i < max_ticks && !condition(); ++i)
+    {
+        process.links.tick();
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace
+
+// Guards against a process that, after a pause, closes its links and discards the messages that wait in them.
+TEST_CASE("the time for which a process was paused isn't counted as silence of its peers", "[links]")
+{
+    const address at{"127.0.0.1", free_port()};
+    linked_process accepting("b", "control");
+    std::string why;
+    REQUIRE(accepting.links.listen(at, why));
+    accepting.links.start();
+    linked_process dialling("a", "entry");
+    dialling.links.set_peers({{"b", at}});
+    dialling.links.start();
+    REQUIRE(tick_until(dialling,
+                       [&]
+                       {
+                           return dialling.reached == 1 && accepting.reached == 1;
+                       }));
+
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    dialling.links.tick();
+    CHECK(dialling.lost == 0);
+    CHECK(dialling.links.reachable().count("b") == 1);
+
+    // A peer that sends nothing while the process runs is silent: `accepting` sends no heartbeats here.
+    CHECK(tick_until(dialling,
+                     [&]
+                     {
+                         return dialling.lost > 0;
+                     }));
+}
