Limits: the other control replicas are witnesses of large teams

Cause: of a flood each entry sees one request and may admit it, as it can't know yet that the coordinator is silent; nobody but the suspended coordinator is told. The election lasts as long as the flood needs.

Why the fix works: entries report admitted requests of such teams to all control replicas. A replica beside the coordinator keeps the account and, when the limit is used up, tells all entries, which then ask for each request. It never grants, so that a partition can't grant twice. As the new coordinator it keeps its accounts' debts.

--- a/bench/limit_play.hpp
+++ b/bench/limit_play.hpp
@@ -210,20 +210,18 @@
     void set_limit(const rate_limit& limit) override
     {
         m_team.limit = limit;
-        shared_map<team_name, team> teams;
-        teams.insert_or_assign(m_team.name, m_team);
-        teams.insert_or_assign(m_other.name, m_other);
-        m_ledger.configure(teams, m_time.now);
-        m_successor.configure(teams, m_time.now);
+        configure(m_ledger);
+        configure(m_successor);
         for (rate_limiter& limiter : m_limiters)
         {
-            limiter.configure(teams, m_wanted.entries);
+            limiter.configure(teams(), m_wanted.entries);
         }
     }
 
     void restart() override
     {
-        m_ledger.restart(m_time.now);
+        m_ledger = rate_limit_coordinator(tolerance);
+        m_successor = rate_limit_coordinator(tolerance);
         for (rate_limiter& limiter : m_limiters)
         {
             limiter = rate_limiter();
@@ -232,6 +230,22 @@
     }
 
   private:
+    /// The replicas beside the coordinator.
+    static constexpr std::uint64_t witnesses = 2;
+
+    shared_map<team_name, team> teams() const
+    {
+        shared_map<team_name, team> all;
+        all.insert_or_assign(m_team.name, m_team);
+        all.insert_or_assign(m_other.name, m_other);
+        return all;
+    }
+
+    void configure(rate_limit_coordinator& ledger) const
+    {
+        ledger.configure(teams(), m_time.now);
+    }
+
     bool is_within(double from_s, double for_s) const
     {
         const double now_s = m_time.now.since_start().ms() / 1000.0;
@@ -292,7 +306,7 @@
     void follow_successor(int entry)
     {
         m_follows_successor[static_cast<std::size_t>(entry)] = true;
-        m_limiters[static_cast<std::size_t>(entry)].on_coordinator_changed(m_time.now);
+        m_limiters[static_cast<std::size_t>(entry)].on_coordinator_changed(true, m_time.now);
         look(entry);
         m_time.at(m_time.now + way_to_leader() + way_to_leader(),
                   [this, entry]
@@ -361,6 +375,7 @@
                           });
             }
         }
+        send_to_witness(entry);
         const time_point next = limiter.next_time();
         if (next != time_point::never())
         {
@@ -372,6 +387,38 @@
         }
     }
 
+    /// Of the replicas beside the coordinator, one is played: the successor, until an entry follows it.
+    void send_to_witness(int entry)
+    {
+        const auto report = m_limiters[static_cast<std::size_t>(entry)].take_witness_report(m_time.now);
+        if (!report)
+        {
+            return;
+        }
+        messages += witnesses;
+        if (is_reachable(entry) && !follows_successor(entry))
+        {
+            m_time.at(m_time.now + way_to_leader(),
+                      [this, told = *report]
+                      {
+                          (void)m_successor.on_report(told, m_time.now);
+                          tell_statuses(m_successor, true);
+                      });
+        }
+    }
+
+    void tell_statuses(rate_limit_coordinator& ledger, bool successor)
+    {
+        if (ledger.has_status_updates())
+        {
+            const limit_update news = ledger.take_status_updates(m_time.now);
+            for (int other = 0; other < m_wanted.entries; ++other)
+            {
+                tell(other, news, successor);
+            }
+        }
+    }
+
     void look_if_due(int entry)
     {
         if (m_limiters[static_cast<std::size_t>(entry)].next_time() <= m_time.now)
@@ -408,18 +455,12 @@
         if (keeper != m_keeper)
         {
             m_keeper = keeper;
-            m_ledger.restart(m_time.now);
+            m_ledger = rate_limit_coordinator(tolerance);
+            configure(m_ledger);
         }
         rate_limit_coordinator& ledger = successor ? m_successor : m_ledger;
         tell(entry, ledger.on_report(report, m_time.now), successor);
-        if (ledger.has_status_updates())
-        {
-            const limit_update news = ledger.take_status_updates(m_time.now);
-            for (int other = 0; other < m_wanted.entries; ++other)
-            {
-                tell(other, news, successor);
-            }
-        }
+        tell_statuses(ledger, successor);
     }
 
     void tell(int entry, const limit_update& word, bool successor)
--- a/include/flaxtiller/routing/caller_admission.hpp
+++ b/include/flaxtiller/routing/caller_admission.hpp
@@ -40,7 +40,13 @@
     limit_report report;
 };
 
-using admission_action = std::variant<admit_request, reject_request, send_limit_report>;
+/// @brief Action: send this usage report to the witnesses (the other control replicas).
+struct send_witness_report
+{
+    limit_report report;
+};
+
+using admission_action = std::variant<admit_request, reject_request, send_limit_report, send_witness_report>;
 
 /// @brief Authenticates each caller's request and applies its team's rate limit, before the request is
 /// routed.
@@ -83,9 +89,10 @@
     }
 
     /// @brief Another replica is the rate limit coordinator.
-    void on_coordinator_changed(time_point now)
+    /// @param was_witness whether it was sent the reports for witnesses
+    void on_coordinator_changed(bool was_witness, time_point now)
     {
-        m_limiter.on_coordinator_changed(now);
+        m_limiter.on_coordinator_changed(was_witness, now);
     }
 
     /// @brief A message to all entries was received from a replica that this entry doesn't know as the rate
--- a/include/flaxtiller/teams/limit_message.hpp
+++ b/include/flaxtiller/teams/limit_message.hpp
@@ -43,6 +43,9 @@
     int entries = 0;
     std::vector<limit_usage> usage;
     std::vector<limit_request> pending_requests;
+    /// Whether the receiver is a witness, that is, a control replica other than the coordinator. It accounts
+    /// for the usage and doesn't answer.
+    bool for_witness = false;
 
     bool operator==(const limit_report&) const = default;
 };
--- a/include/flaxtiller/teams/rate_limit_coordinator.hpp
+++ b/include/flaxtiller/teams/rate_limit_coordinator.hpp
@@ -34,7 +34,8 @@
     void configure(const shared_map<team_name, team>& teams, time_point now);
 
     /// @brief Resets all accounts when this replica becomes the rate limit coordinator. The previous usage is
-    /// unknown, so that no team starts with all its tokens.
+    /// unknown but for what was reported to this replica as a witness, so that no team starts with all its
+    /// tokens, or with more than its account has.
     void restart(time_point now);
 
     /// @brief Reduces each limit to a share, for a replica that only some of the entries can reach.
@@ -75,7 +76,7 @@
     limit_status status_of(const team_name& name, const account& item, time_point now) const;
     limit_decision decide(const limit_request& request, time_point now);
 
-    const rate_tolerance m_tolerance;
+    rate_tolerance m_tolerance;
     double m_limit_share = 1.0;
     shared_map<team_name, team> m_teams;
     std::map<team_name, account> m_accounts;
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -78,7 +78,8 @@
     /// @brief Another replica is the coordinator. It receives what its predecessor has not acknowledged.
     /// Until it has notified the entries, it decides on the first request of each team, since the status of
     /// the teams there is unknown.
-    void on_coordinator_changed(time_point now);
+    /// @param was_witness whether the replica was sent the witness reports, so that it knows their usage
+    void on_coordinator_changed(bool was_witness, time_point now);
 
     /// @brief Handles a message of the coordinator.
     void on_limit_update(const limit_update& update, time_point now);
@@ -99,7 +100,13 @@
     /// @return the report to send to the coordinator now, if any
     std::optional<limit_report> take_report(time_point now);
 
-    /// @return the time of the next call of @ref on_time and @ref take_report that is needed
+    /// @return the report to send to the control replicas other than the coordinator now, if any: the
+    /// admitted requests of teams whose flood could use up the tolerance with one request of each entry. It
+    /// is sent once, and has no answer.
+    std::optional<limit_report> take_witness_report(time_point now);
+
+    /// @return the time of the next call of @ref on_time, @ref take_report and @ref take_witness_report that
+    /// is needed
     time_point next_time() const noexcept;
 
     /// @return whether the answer to a report is overdue
@@ -111,6 +118,8 @@
         /// The admitted requests that still have to be reported, and those reported without an answer yet.
         std::int64_t unreported = 0;
         std::int64_t unacknowledged = 0;
+        /// The admitted requests that still have to be reported to the witnesses.
+        std::int64_t unwitnessed = 0;
         bool limited = false;
         /// The value of @ref m_coordinators when the status was received.
         std::uint64_t status_from = 0;
@@ -121,6 +130,8 @@
         bool counts_unacknowledged = false;
         /// Whether a flood of the team could use up the tolerance with one request of each entry.
         bool exceeds_by_one_each = false;
+        /// Whether the witnesses account for the team.
+        bool is_witnessed = false;
     };
 
     struct sent_report
@@ -144,6 +155,7 @@
     duration contact_is_recent_for(const team_state& item) const noexcept;
     duration max_brief_outage() const noexcept;
     void record_admitted(team_state& item, time_point now);
+    void record_for_witnesses(team_state& item, time_point now);
     void update_local_share(team_state& item, const rate_limit& limit, time_point now) const;
     bool may_admit_unacknowledged(const team_state& item, std::int64_t max_requests,
                                   time_point now) const noexcept;
@@ -154,6 +166,7 @@
     void schedule_report(time_point at) noexcept;
     void resend_unacknowledged(time_point now);
     void resend(const sent_report& report);
+    void drop_witnessed(sent_report& report);
 
     int m_entries = 0;
     std::map<team_name, team_state> m_teams;
@@ -166,6 +179,7 @@
     std::uint64_t m_coordinators = 0;
     time_point m_coordinator_changed_at = time_point() - duration::from_ms(3600000);
     time_point m_report_at = time_point::never();
+    time_point m_witness_report_at = time_point::never();
     time_point m_last_contact_at{};
 };
 
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -268,9 +268,14 @@
     /// @return the share of the limits that this replica may grant, given the number of all entries
     double reachable_limit_share(int all_entries, time_point now);
 
-    /// Handles the report of an entry if this replica acts as the rate limit coordinator.
+    /// Handles the report of an entry if this replica acts as the rate limit coordinator, or as a witness.
     void on_limit_report(const hello& from, const limit_report& report, time_point now);
 
+    void send_limit_statuses(bool coordinates, time_point now);
+
+    /// @return the names of the entries that have a link to this replica
+    std::vector<std::string> linked_entry_names() const;
+
     /// Sends the list of all entries, or its changes, to each entry. For leaders only.
     void send_entry_lists(time_point now);
 
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -182,35 +182,66 @@
 void control_process::implementation::on_limit_report(const hello& from, const limit_report& report,
                                                       time_point now)
 {
-    if (!acts_as_rate_limit_coordinator(now))
+    const bool coordinates = acts_as_rate_limit_coordinator(now);
+    if (!coordinates && !report.for_witness)
     {
         // Another replica is the coordinator, or none. The entry decides locally until it finds a
         // coordinator.
         return;
     }
-    if (now >= next_limit_share_at)
+    if (!coordinates)
+    {
+        rate_limits.set_limit_share(1.0, now);
+    }
+    else if (now >= next_limit_share_at)
     {
         next_limit_share_at = now + limit_share_interval;
         rate_limits.set_limit_share(reachable_limit_share(report.entries, now), now);
     }
-    links.send(from.name, rate_limits.on_report(report, now));
+    const limit_update answer = rate_limits.on_report(report, now);
+    if (!report.for_witness)
+    {
+        links.send(from.name, answer);
+    }
+    send_limit_statuses(coordinates, now);
+}
+
+/// Notifies the entries of the teams that used up their limits. A witness does so, too: the coordinator may
+/// have stopped, and an entry that doesn't know that yet admits requests of these teams.
+void control_process::implementation::send_limit_statuses(bool coordinates, time_point now)
+{
     if (!rate_limits.has_status_updates())
     {
         return;
     }
     const limit_update status_update = rate_limits.take_status_updates(now);
-    const std::vector<std::string> receivers = entry_names();
+    const std::vector<std::string> receivers = linked_entry_names();
     for (const limit_status& status : status_update.statuses)
     {
         log(log_level::info, "team_limited",
             {{"team", status.team.str()},
              {"tokens", rate_limits.tokens(status.team, now)},
              {"dry_ms", status.exhausted_for.ms()},
+             {"coordinates", coordinates},
              {"told", receivers.size()}});
     }
     links.send(receivers, status_update);
 }
 
+std::vector<std::string> control_process::implementation::linked_entry_names() const
+{
+    std::vector<std::string> names;
+    for (const std::string& name : links.reachable())
+    {
+        const auto identity = links.identity(name);
+        if (identity && identity->role == "entry")
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void control_process::implementation::send_entry_lists(time_point now)
 {
     if (now < next_entry_lists_at)
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -37,7 +37,7 @@
     const time_point now = clock.now();
     if (routed)
     {
-        routed->set_rate_limit_coordinator(from.name, true);
+        set_rate_limit_coordinator(from.name, true);
     }
     leader = from.name;
     leader_contact_at = now;
@@ -85,7 +85,7 @@
     leader_reported_at = now;
     if (routed)
     {
-        routed->set_rate_limit_coordinator(leader, false);
+        set_rate_limit_coordinator(leader, false);
     }
     links.send(leader, subscriber.report());
 }
@@ -352,7 +352,7 @@
         now - leader_contact_at < leader_report_interval * missed_reports_until_leader_lost;
     if (routed && !leader_known)
     {
-        routed->set_rate_limit_coordinator(control.first_by_name(), false);
+        set_rate_limit_coordinator(control.first_by_name(), false);
     }
     // An entry that doesn't serve callers yet needs the confirmation of the leader, and reports every time.
     const bool leader_waits =
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -63,8 +63,8 @@
     explicit implementation(entry_settings wanted)
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
           report_timer(strand), catch_up_timer(strand), follow_retry_timer(strand), pools_timer(strand),
-          crash_resend_timer(strand),
-          drain_timer(strand), routing_update_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
+          crash_resend_timer(strand), drain_timer(strand), routing_update_timer(strand),
+          signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links,
@@ -89,29 +89,38 @@
                                                      options_of(settings)},
           current_snapshot(std::make_shared<const routing_snapshot>()), control(settings.control),
           region_of_zone(settings.region_of_zone),
-          routed(settings.routed.port == 0 ? nullptr
-                                           : std::make_unique<routing_frontend>(
-                                                 io, counted, settings.routing, settings.routed_names,
-                                                 [this](const std::string& to, const link_message& message)
-                                                 {
-                                                     links.send(to, message);
-                                                 },
-                                                 [this](const std::set<instance_name>& owners)
-                                                 {
-                                                     net::post(strand,
-                                                               [this, owners]
-                                                               {
-                                                                   link_to_entries(owners);
-                                                               });
-                                                 },
-                                                 [this](const crash_news& crash_update)
-                                                 {
-                                                     net::post(strand,
-                                                               [this, crash_update]
-                                                               {
-                                                                   report_crash_records(crash_update);
-                                                               });
-                                                 })),
+          routed(settings.routed.port == 0
+                     ? nullptr
+                     : std::make_unique<routing_frontend>(
+                           io, counted, settings.routing, settings.routed_names,
+                           [this](const std::string& to, const link_message& message)
+                           {
+                               links.send(to, message);
+                           },
+                           [this](const std::set<instance_name>& owners)
+                           {
+                               net::post(strand,
+                                         [this, owners]
+                                         {
+                                             link_to_entries(owners);
+                                         });
+                           },
+                           [this](const crash_news& crash_update)
+                           {
+                               net::post(strand,
+                                         [this, crash_update]
+                                         {
+                                             report_crash_records(crash_update);
+                                         });
+                           },
+                           [this](const limit_report& report, const std::string& coordinator)
+                           {
+                               net::post(strand,
+                                         [this, report, coordinator]
+                                         {
+                                             report_to_witnesses(report, coordinator);
+                                         });
+                           })),
           callers(io, limits_of(settings),
                   [this](const http_request& request, http_server::respond respond)
                   {
@@ -149,6 +158,8 @@
     service_runner_context runner_context;
     rcu_cell<routing_snapshot> current_snapshot;
     distribution::subscriber subscriber;
+    /// The control replicas to which the last usage report for witnesses was sent.
+    std::set<std::string> witnesses;
     /// When a leader last confirmed the active revision, in microseconds of the monotonic clock; 0 for never.
     std::atomic<std::int64_t> confirmed_at_us{0};
     std::atomic<bool> draining{false};
@@ -267,6 +278,11 @@
     /// replica is unreachable.
     void report_crash_records(const crash_news& crash_update);
 
+    /// Sends a usage report of teams to the control replicas other than the rate limit coordinator.
+    void report_to_witnesses(const limit_report& report, const std::string& coordinator);
+
+    void set_rate_limit_coordinator(const std::string& name, bool contacted_now);
+
     /// Selects a few entries of each other region to link to. Each entry selects different ones, by a hash of
     /// both names, so that the number of links doesn't grow with the square of the number of instances.
     std::set<instance_name> remote_entries() const;
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -334,6 +334,25 @@
     links.send(all, crash_update);
 }
 
+void entry_process::implementation::report_to_witnesses(const limit_report& report,
+                                                        const std::string& coordinator)
+{
+    witnesses.clear();
+    for (const named_address& replica : control.addresses())
+    {
+        if (replica.name != coordinator && reachable.count(replica.name) > 0)
+        {
+            witnesses.insert(replica.name);
+        }
+    }
+    links.send(std::vector<std::string>(witnesses.begin(), witnesses.end()), report);
+}
+
+void entry_process::implementation::set_rate_limit_coordinator(const std::string& name, bool contacted_now)
+{
+    routed->set_rate_limit_coordinator(name, contacted_now, witnesses.count(name) > 0);
+}
+
 void entry_process::implementation::post_to_service(const service_name& service, coordinator_event event)
 {
     const auto snapshot = current_snapshot.load();
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -55,15 +55,15 @@
 
 routing_frontend::routing_frontend(net::io_context& io, metrics& counted, const router_options& options,
                                    routed_header_names names, sender send, owners_handler owners,
-                                   crash_records_handler crashes)
+                                   crash_records_handler crashes, witness_report_handler witnesses)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
       m_send(std::move(send)), m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
-      m_admission(options.load), m_router(options), m_pools(m_strand, counted),
-      m_server(io, limits_of({}),
-               [this](const http_request& request, http_server::respond respond)
-               {
-                   on_request(request, std::move(respond));
-               })
+      m_report_to_witnesses(std::move(witnesses)), m_admission(options.load), m_router(options),
+      m_pools(m_strand, counted), m_server(io, limits_of({}),
+                                           [this](const http_request& request, http_server::respond respond)
+                                           {
+                                               on_request(request, std::move(respond));
+                                           })
 {
 }
 
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -45,9 +45,14 @@
     /// strand of the frontend.
     using crash_records_handler = std::function<void(const crash_news&)>;
 
+    /// Sends a usage report to the control replicas other than the named one. Called on the strand of the
+    /// frontend.
+    using witness_report_handler =
+        std::function<void(const limit_report& report, const std::string& coordinator)>;
+
     routing_frontend(boost::asio::io_context& io, metrics& counted, const router_options& options,
                      routed_header_names names, sender send, owners_handler owners,
-                     crash_records_handler crashes);
+                     crash_records_handler crashes, witness_report_handler witnesses);
 
     std::error_code listen(const address& at);
 
@@ -78,7 +83,8 @@
     /// Thread-safe.
     /// @param name name of the replica; empty if none is known
     /// @param contacted_now whether a message of this replica was received just now
-    void set_rate_limit_coordinator(std::string name, bool contacted_now);
+    /// @param was_witness whether the last usage report for witnesses was sent to it
+    void set_rate_limit_coordinator(std::string name, bool contacted_now, bool was_witness);
 
     /// @brief Handles the loss of the link to another entry. Thread-safe.
     void on_entry_unreachable(const std::string& name);
@@ -142,6 +148,7 @@
     void execute(const admit_request& action);
     void execute(const reject_request& action);
     void execute(const send_limit_report& action);
+    void execute(const send_witness_report& action);
     void log_over_limit(const reject_request& action) const;
     void log_admission_refused(const caller& from, const routed_outcome& outcome) const;
     nlohmann::json dump_admission() const;
@@ -174,6 +181,7 @@
     const sender m_send;
     const owners_handler m_report_owners;
     const crash_records_handler m_report_crash_records;
+    const witness_report_handler m_report_to_witnesses;
     std::atomic<bool> m_open{false};
     std::atomic<request_number> m_next_request{1};
     // The members below are used on the strand only.
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -213,6 +213,11 @@
     }
 }
 
+void routing_frontend::execute(const send_witness_report& action)
+{
+    m_report_to_witnesses(action.report, m_rate_limit_coordinator);
+}
+
 void routing_frontend::execute(const start_routed_attempt& action)
 {
     m_metrics.add(metrics::counter::attempts);
--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -84,9 +84,9 @@
                   {
                       if (from != m_rate_limit_coordinator)
                       {
-                          // A replica that was suspended may not know yet that another replica is the leader;
-                          // or it is the new leader, and this entry doesn't know that yet.
-                          log(log_level::info, "limit_word_ignored",
+                          // A witness, a former coordinator that was suspended, or a new one that this entry
+                          // doesn't know yet.
+                          log(log_level::debug, "limit_word_ignored",
                               {{"from", from}, {"keeper", m_rate_limit_coordinator}});
                           m_admission.on_other_limit_update(*limit_message, m_clock.now());
                           return;
@@ -99,22 +99,22 @@
 void routing_frontend::on_crash_update(const std::string& from,
                                        const std::shared_ptr<const crash_news>& crash_update)
 {
-    net::dispatch(
-        m_strand,
-        [this, from, crash_update]
-        {
-            for (const crash_record& changed : m_router.on_crash_records(crash_update->items, m_clock.now()))
-            {
-                log(log_level::info, "crash_record",
-                    {{"fingerprint", changed.request.str()},
-                     {"from", from},
-                     {"crashes", changed.crashes.size()},
-                     {"proved", prove_cause(changed.crashes)},
-                     {"cleared", changed.cleared},
-                     {"last_ms_ago", changed.age.ms()}});
-            }
-            execute_actions();
-        });
+    net::dispatch(m_strand,
+                  [this, from, crash_update]
+                  {
+                      for (const crash_record& changed :
+                           m_router.on_crash_records(crash_update->items, m_clock.now()))
+                      {
+                          log(log_level::info, "crash_record",
+                              {{"fingerprint", changed.request.str()},
+                               {"from", from},
+                               {"crashes", changed.crashes.size()},
+                               {"proved", prove_cause(changed.crashes)},
+                               {"cleared", changed.cleared},
+                               {"last_ms_ago", changed.age.ms()}});
+                      }
+                      execute_actions();
+                  });
 }
 
 void routing_frontend::report_all_crash_records()
@@ -143,24 +143,25 @@
                   });
 }
 
-void routing_frontend::set_rate_limit_coordinator(std::string name, bool contacted_now)
+void routing_frontend::set_rate_limit_coordinator(std::string name, bool contacted_now, bool was_witness)
 {
-    net::dispatch(m_strand,
-                  [this, contacted_now, name = std::move(name)]
-                  {
-                      if (name != m_rate_limit_coordinator)
-                      {
-                          log(log_level::info, "limit_keeper",
-                              {{"replica", name}, {"before", m_rate_limit_coordinator}});
-                          m_rate_limit_coordinator = name;
-                          m_admission.on_coordinator_changed(m_clock.now());
-                      }
-                      if (contacted_now)
-                      {
-                          m_admission.on_coordinator_contact(m_clock.now());
-                      }
-                      execute_actions();
-                  });
+    net::dispatch(
+        m_strand,
+        [this, contacted_now, was_witness, name = std::move(name)]
+        {
+            if (name != m_rate_limit_coordinator)
+            {
+                log(log_level::info, "limit_keeper",
+                    {{"replica", name}, {"before", m_rate_limit_coordinator}, {"was_witness", was_witness}});
+                m_rate_limit_coordinator = name;
+                m_admission.on_coordinator_changed(was_witness, m_clock.now());
+            }
+            if (contacted_now)
+            {
+                m_admission.on_coordinator_contact(m_clock.now());
+            }
+            execute_actions();
+        });
 }
 
 void routing_frontend::on_entry_unreachable(const std::string& name)
--- a/src/routing/caller_admission.cpp
+++ b/src/routing/caller_admission.cpp
@@ -183,6 +183,10 @@
     {
         m_actions.emplace_back(send_limit_report{std::move(*report)});
     }
+    if (auto report = m_limiter.take_witness_report(now))
+    {
+        m_actions.emplace_back(send_witness_report{std::move(*report)});
+    }
     return std::exchange(m_actions, {});
 }
 
--- a/src/teams/limit_message.cpp
+++ b/src/teams/limit_message.cpp
@@ -56,6 +56,10 @@
 void to_json(nlohmann::json& j, const limit_report& value)
 {
     j = nlohmann::json::array({value.number, value.entries, value.usage, value.pending_requests});
+    if (value.for_witness)
+    {
+        j.push_back(true);
+    }
 }
 
 void from_json(const nlohmann::json& j, limit_report& value)
@@ -64,6 +68,8 @@
     value.entries = j.at(1).get<int>();
     value.usage = j.at(2).get<std::vector<limit_usage>>();
     value.pending_requests = j.at(3).get<std::vector<limit_request>>();
+    constexpr std::size_t witness_position = 4;
+    value.for_witness = j.size() > witness_position && j.at(witness_position).get<bool>();
 }
 
 void to_json(nlohmann::json& j, const limit_update& value)
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -39,6 +39,9 @@
 constexpr double min_flood_limit = 4.0;
 /// The highest number of requests that wait for the coordinator; further requests are refused.
 constexpr std::size_t max_waiting_requests = 1024;
+/// A team is witnessed if the requests that all entries may admit without an answer are more than this share
+/// of its limit. The tolerance has room for a smaller share.
+constexpr double witnessed_share = 0.5;
 /// A new coordinator has notified all entries of the teams that used up their limit within this time. Until
 /// then it is asked for the first request of each team; later, each of many teams would be asked for at each
 /// of many entries, which delays most requests.
@@ -91,10 +94,12 @@
     const double entries = m_entries > 0 ? m_entries : assumed_entries;
     item.local_share.limit(limit.requests_per_s * combined_local_share / entries, 1.0, now);
     constexpr double max_requests_without_answer = max_unacknowledged_requests + 1.0;
-    item.counts_unacknowledged =
-        max_requests_without_answer * entries > rate_tolerance{}.limit_per_window(limit);
-    item.exceeds_by_one_each =
-        limit.requests_per_s >= min_flood_limit && entries > rate_tolerance{}.limit_per_window(limit);
+    const double limit_per_window = rate_tolerance{}.limit_per_window(limit);
+    const bool may_flood = limit.requests_per_s >= min_flood_limit;
+    item.counts_unacknowledged = max_requests_without_answer * entries > limit_per_window;
+    item.exceeds_by_one_each = may_flood && entries > limit_per_window;
+    item.is_witnessed =
+        may_flood && max_requests_without_answer * entries > limit_per_window * witnessed_share;
 }
 
 void rate_limiter::schedule_report(time_point at) noexcept
@@ -106,6 +111,16 @@
 {
     ++item.unreported;
     schedule_report(now + report_batch_window);
+    record_for_witnesses(item, now);
+}
+
+void rate_limiter::record_for_witnesses(team_state& item, time_point now)
+{
+    if (item.is_witnessed)
+    {
+        ++item.unwitnessed;
+        m_witness_report_at = std::min(m_witness_report_at, now + report_batch_window);
+    }
 }
 
 duration rate_limiter::contact_is_recent_for(const team_state& item) const noexcept
@@ -252,6 +267,10 @@
         decision decided = make_decision(waiting->second.request, waiting->second.team,
                                          answer.granted ? verdict::admitted : verdict::refused, now);
         decided.retry_after = answer.retry_after;
+        if (answer.granted)
+        {
+            record_for_witnesses(m_teams[waiting->second.team], now);
+        }
         m_decisions.push_back(std::move(decided));
         m_waiting.erase(waiting);
     }
@@ -297,12 +316,28 @@
     }
 }
 
-void rate_limiter::on_coordinator_changed(time_point now)
+/// Removes from a report what the witnesses know, which counts as acknowledged.
+void rate_limiter::drop_witnessed(sent_report& report)
+{
+    std::erase_if(report.usage,
+                  [&](const limit_usage& usage)
+                  {
+                      team_state& item = m_teams[usage.team];
+                      item.unacknowledged -= item.is_witnessed ? usage.requests : 0;
+                      return item.is_witnessed;
+                  });
+}
+
+void rate_limiter::on_coordinator_changed(bool was_witness, time_point now)
 {
     ++m_coordinators;
     m_coordinator_changed_at = now;
-    for (const auto& [number, report] : m_sent)
+    for (auto& [number, report] : m_sent)
     {
+        if (was_witness)
+        {
+            drop_witnessed(report);
+        }
         resend(report);
     }
     m_sent.clear();
@@ -380,9 +415,29 @@
     return report;
 }
 
+std::optional<limit_report> rate_limiter::take_witness_report(time_point now)
+{
+    if (now < m_witness_report_at)
+    {
+        return std::nullopt;
+    }
+    m_witness_report_at = time_point::never();
+    limit_report report;
+    report.entries = m_entries;
+    report.for_witness = true;
+    for (auto& [name, item] : m_teams)
+    {
+        if (item.unwitnessed > 0)
+        {
+            report.usage.push_back({name, std::exchange(item.unwitnessed, 0)});
+        }
+    }
+    return report.usage.empty() ? std::nullopt : std::optional(std::move(report));
+}
+
 time_point rate_limiter::next_time() const noexcept
 {
-    time_point next = m_report_at;
+    time_point next = std::min(m_report_at, m_witness_report_at);
     if (!m_waiting.empty())
     {
         // Requests are ordered by arrival, so that the first one expires first.
--- a/tests/src/unit-team-limits.cpp
+++ b/tests/src/unit-team-limits.cpp
@@ -3,6 +3,7 @@
 #include "limit_play.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cstdlib>
 #include <iostream>
@@ -225,6 +226,27 @@
     }
 }
 
+// Guards against the same at other sizes and limits: teams of which one request an entry, or a few, exceed
+// the tolerance.
+TEST_CASE("the limits of large teams hold at any size while a suspended coordinator is replaced",
+          "[policy][teams]")
+{
+    for (const int entries : {150, 240, 500})
+    {
+        for (const double per_s : {20.0, 31.0, 60.0})
+        {
+            check_suspensions({per_s, per_s}, entries, 24);
+        }
+    }
+    for (const int entries : {300, 995})
+    {
+        for (const double per_s : {20.0, 60.0})
+        {
+            check_suspensions({per_s, per_s}, entries, 24);
+        }
+    }
+}
+
 TEST_CASE("an entry admits requests within the limit immediately and asks the coordinator about others",
           "[teams]")
 {
@@ -313,7 +335,7 @@
 
     SECTION("the usage is reported again at once, to the successor")
     {
-        limiter.on_coordinator_changed(at_ms(30));
+        limiter.on_coordinator_changed(false, at_ms(30));
         const auto again = limiter.take_report(at_ms(30));
         REQUIRE(again);
         CHECK(again->usage == first->usage);
@@ -327,7 +349,7 @@
         limiter.admit(2, by, at_ms(21));
         limiter.admit(3, by, at_ms(22));
         REQUIRE(limiter.take_report(at_ms(22))->pending_requests.size() == 1);
-        limiter.on_coordinator_changed(at_ms(30));
+        limiter.on_coordinator_changed(false, at_ms(30));
         CHECK(limiter.take_report(at_ms(30))->pending_requests.size() == 1);
     }
     SECTION("a replica that isn't known as the coordinator can limit a team, and nothing else")
@@ -341,6 +363,101 @@
     }
 }
 
+// Guards against a flood that no replica but a suspended coordinator knows of, and against a successor that
+// counts it twice.
+TEST_CASE("the other control replicas are witnesses of the usage of teams whose flood could pass", "[teams]")
+{
+    rate_limiter limiter;
+    const team by = team_with_limit(10.0, 10.0);
+    limiter.configure(teams_of(by), 85);
+    limiter.on_coordinator_contact(at_ms(0));
+    using verdict = rate_limiter::verdict;
+    REQUIRE(limiter.admit(1, by, at_ms(0)).what == verdict::admitted);
+    CHECK_FALSE(limiter.take_witness_report(at_ms(1)));
+    const time_point due = at_ms(0) + rate_limiter::report_batch_window;
+    REQUIRE(limiter.next_time() <= due);
+    const auto report = limiter.take_report(due);
+    REQUIRE(report);
+    CHECK_FALSE(report->for_witness);
+    const auto witnessed = limiter.take_witness_report(due);
+    REQUIRE(witnessed);
+    CHECK(witnessed->for_witness);
+    CHECK(witnessed->usage == report->usage);
+    CHECK(witnessed->pending_requests.empty());
+    CHECK(nlohmann::json(*witnessed).get<limit_report>() == *witnessed);
+    CHECK(nlohmann::json(*report).get<limit_report>() == *report);
+
+    SECTION("each request is reported to them once")
+    {
+        CHECK_FALSE(limiter.take_witness_report(at_ms(2000)));
+    }
+    SECTION("a request that the coordinator granted is reported to them, too")
+    {
+        REQUIRE(limiter.admit(2, by, at_ms(21)).what == verdict::admitted);
+        REQUIRE(limiter.admit(3, by, at_ms(22)).what == verdict::awaiting_coordinator);
+        const auto asked = limiter.take_report(at_ms(22));
+        REQUIRE(asked);
+        REQUIRE(limiter.take_witness_report(at_ms(41)));
+        limiter.on_limit_update(
+            {asked->number, {{asked->pending_requests.at(0).number, true, {}}}, {{by.name, false, {}}}},
+            at_ms(50));
+        const auto granted = limiter.take_witness_report(at_ms(50) + rate_limiter::report_batch_window);
+        REQUIRE(granted);
+        CHECK(granted->usage == std::vector<limit_usage>{{by.name, 1}});
+    }
+    SECTION("a successor that was a witness isn't told again")
+    {
+        limiter.on_coordinator_changed(true, at_ms(30));
+        CHECK_FALSE(limiter.take_report(at_ms(30)));
+    }
+    SECTION("a successor that wasn't is told")
+    {
+        limiter.on_coordinator_changed(false, at_ms(30));
+        const auto again = limiter.take_report(at_ms(30));
+        REQUIRE(again);
+        CHECK(again->usage == report->usage);
+    }
+}
+
+TEST_CASE("a small limit or a small number of entries needs no witnesses", "[teams]")
+{
+    const std::vector<std::pair<team, int>> cases{{team_with_limit(1.0, 1.0), 85},
+                                                  {team_with_limit(10.0, 10.0), 8}};
+    for (const auto& [by, entries] : cases)
+    {
+        rate_limiter limiter;
+        limiter.configure(teams_of(by), entries);
+        limiter.on_coordinator_contact(at_ms(0));
+        REQUIRE(limiter.admit(1, by, at_ms(0)).what == rate_limiter::verdict::admitted);
+        CHECK_FALSE(limiter.take_witness_report(at_ms(1000)));
+    }
+}
+
+// Guards against a new coordinator that grants again what it knows to be used up.
+TEST_CASE("a witness that becomes the coordinator keeps the debts of its accounts", "[teams]")
+{
+    rate_limit_coordinator ledger({duration::from_ms(5000), 0.0, 0.0});
+    const team by = team_with_limit(2.0, 10.0);
+    ledger.configure(teams_of(by), at_ms(0));
+    ledger.restart(at_ms(0));
+    const double initial = ledger.tokens(by.name, at_ms(0));
+    CHECK(initial < by.limit.burst);
+
+    limit_report report{0, 85, {{by.name, 8}}, {}, true};
+    (void)ledger.on_report(report, at_ms(0));
+    CHECK(ledger.has_status_updates());
+    const double debt = ledger.tokens(by.name, at_ms(0));
+    CHECK(debt < 0.0);
+    ledger.restart(at_ms(0));
+    CHECK(ledger.tokens(by.name, at_ms(0)) == Approx(debt));
+    // The entries that follow the new coordinator are notified again.
+    CHECK(ledger.take_status_updates(at_ms(0)).statuses.at(0).limited);
+
+    // Unused tokens beyond the initial share aren't kept: the usage may be incomplete.
+    ledger.restart(at_ms(60000));
+    CHECK(ledger.tokens(by.name, at_ms(60000)) == Approx(initial));
+}
+
 TEST_CASE("refused requests get successive retry times", "[teams]")
 {
     rate_limit_coordinator ledger({duration::from_ms(5000), 0.0, 0.0});
