--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -91,7 +91,7 @@
     void request_full_list(const std::string& peer);
 
     /// @brief Handles the loss of the link to a peer.
-    void on_lost(const std::string& peer);
+    void on_lost(const std::string& peer, time_point now);
 
     /// @return whether @ref take would return messages
     bool is_due(time_point now) const noexcept;
@@ -137,9 +137,9 @@
     /// The time since which the digest of a peer differs, and the time of the last full list to a peer.
     std::map<std::string, time_point> m_mismatch_since;
     std::map<std::string, time_point> m_full_list_sent_at;
-    /// The peers whose links were lost since their last digests. Changes may be lost with a link, so that a
-    /// digest that differs doesn't mean that the changes are in transit.
-    std::set<std::string> m_link_lost;
+    /// The peers whose links were lost since their last digests, with the times. Changes may be lost with a
+    /// link, so that a digest that differs doesn't mean that the changes are in transit.
+    std::map<std::string, time_point> m_link_lost_at;
     /// The recent digests of the registry. A peer that reports one of them merely lags behind.
     std::deque<std::pair<time_point, std::uint64_t>> m_digests;
 };
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -22,6 +22,9 @@
 /// the coordinator. A request of a limited team waits for the decision of the coordinator. Without an answer,
 /// the entry admits one further request of each team for a short time, and after that applies its local share
 /// of the limit.
+///
+/// The other control replicas are witnesses: they account for teams that could exceed their limits in that
+/// time, and notify the entries when such a limit is used up. They grant nothing.
 class rate_limiter
 {
   public:
@@ -100,9 +103,9 @@
     /// @return the report to send to the coordinator now, if any
     std::optional<limit_report> take_report(time_point now);
 
-    /// @return the report to send to the control replicas other than the coordinator now, if any: the
-    /// admitted requests of teams whose flood could use up the tolerance with one request of each entry. It
-    /// is sent once, and has no answer.
+    /// @return the report to send to the witnesses now, if any: the admitted requests of teams whose flood
+    /// could pass through entries that have no answer of the coordinator yet. It is sent once, and has no
+    /// answer.
     std::optional<limit_report> take_witness_report(time_point now);
 
     /// @return the time of the next call of @ref on_time, @ref take_report and @ref take_witness_report that
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -116,9 +116,9 @@
     }
 }
 
-void registration_distributor::on_lost(const std::string& peer)
+void registration_distributor::on_lost(const std::string& peer, time_point now)
 {
-    m_publisher.on_lost(peer);
+    m_publisher.on_lost(peer, now);
 }
 
 void registration_distributor::publish_changes(bool received_here, time_point now)
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -50,7 +50,7 @@
     void on_reachable(const std::string& peer, time_point now);
 
     /// @brief Handles the loss of the link to a peer.
-    void on_lost(const std::string& peer);
+    void on_lost(const std::string& peer, time_point now);
 
     /// @brief Sends changes, reports received heartbeats to the other replicas, and marks backend servers
     /// without heartbeats as lost.
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -57,7 +57,7 @@
     {
         m_followers[from] = now;
     }
-    const bool link_was_lost = m_link_lost.erase(from) > 0;
+    const bool link_was_lost = m_link_lost_at.erase(from) > 0;
     if (digest == own || (digest != 0 && !link_was_lost && was_recent_digest(digest, now)))
     {
         m_mismatch_since.erase(from);
@@ -96,13 +96,19 @@
     m_full_list_pending.insert(peer);
 }
 
-void registration_publisher::on_lost(const std::string& peer)
+void registration_publisher::on_lost(const std::string& peer, time_point now)
 {
     m_followers.erase(peer);
     m_mismatch_since.erase(peer);
     m_full_list_sent_at.erase(peer);
     m_full_list_pending.erase(peer);
-    m_link_lost.insert(peer);
+    // Later, the digest of such a peer no longer counts as a recent one anyway.
+    std::erase_if(m_link_lost_at,
+                  [&](const auto& item)
+                  {
+                      return now - item.second > digest_retention;
+                  });
+    m_link_lost_at[peer] = now;
 }
 
 bool registration_publisher::is_due(time_point now) const noexcept
--- a/tests/src/unit-registration-publisher.cpp
+++ b/tests/src/unit-registration-publisher.cpp
@@ -101,7 +101,7 @@
                       {
                           return item.second.to == entry;
                       });
-        m_publisher.on_lost(entry);
+        m_publisher.on_lost(entry, m_now);
     }
 
     bool all_agree() const
