Limits: witnesses also for teams of 2 requests/s and more

What callers saw: with a limit of 3.9 requests/s and a burst of 3.9 a team got up to 1.12 of the tolerance at 995 entries while a coordinator was suspended.

Cause: witnesses were used from 4 requests/s on, the bound of another mechanism.

--- a/include/flaxtiller/quarantine/crash_ledger.hpp
+++ b/include/flaxtiller/quarantine/crash_ledger.hpp
@@ -34,8 +34,8 @@
     static constexpr duration clearance_duration = duration::from_ms(60.0 * 1000);
     static constexpr std::size_t max_records = 1024;
     static constexpr std::size_t max_crashes_per_record = 8;
-    /// A message with records is lost if its link breaks or its receiver ends, so recent records are sent again
-    /// at this interval until they reach this age.
+    /// A message with records is lost if its link breaks or its receiver ends, so recent records are sent
+    /// again at this interval until they reach this age.
     static constexpr duration resend_interval = duration::from_ms(1500);
     static constexpr duration max_resend_age = duration::from_ms(15000);
     static constexpr std::size_t max_resent_records = 64;
--- a/src/teams/rate_limiter.cpp
+++ b/src/teams/rate_limiter.cpp
@@ -39,6 +39,9 @@
 constexpr double min_flood_limit = 4.0;
 /// The highest number of requests that wait for the coordinator; further requests are refused.
 constexpr std::size_t max_waiting_requests = 1024;
+/// The limit, in requests per second, from which a flood until another replica takes over may exceed a large
+/// part of the fixed slack, so that it takes a witness.
+constexpr double min_witnessed_limit = 2.0;
 /// A team is witnessed if the requests that all entries may admit without an answer are more than this share
 /// of its limit. The tolerance has room for a smaller share.
 constexpr double witnessed_share = 0.5;
@@ -95,11 +98,10 @@
     item.local_share.limit(limit.requests_per_s * combined_local_share / entries, 1.0, now);
     constexpr double max_requests_without_answer = max_unacknowledged_requests + 1.0;
     const double limit_per_window = rate_tolerance{}.limit_per_window(limit);
-    const bool may_flood = limit.requests_per_s >= min_flood_limit;
     item.counts_unacknowledged = max_requests_without_answer * entries > limit_per_window;
-    item.exceeds_by_one_each = may_flood && entries > limit_per_window;
-    item.is_witnessed =
-        may_flood && max_requests_without_answer * entries > limit_per_window * witnessed_share;
+    item.exceeds_by_one_each = limit.requests_per_s >= min_flood_limit && entries > limit_per_window;
+    item.is_witnessed = limit.requests_per_s >= min_witnessed_limit &&
+                        max_requests_without_answer * entries > limit_per_window * witnessed_share;
 }
 
 void rate_limiter::schedule_report(time_point at) noexcept
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -170,7 +170,8 @@
         CHECK(ledger.quarantine_time_left(suspect_request, now) ==
               other.quarantine_time_left(suspect_request, now));
     }
-    // Guards against a proof that isn't passed on, as it names a run of a backend server that is known already.
+    // Guards against a proof that isn't passed on, as it names a run of a backend server that is known
+    // already.
     SECTION("a trial on a run of a backend server that is known to have crashed changes the record")
     {
         ledger.merge(suspect_record(suspect_request), now);
@@ -180,7 +181,8 @@
         CHECK(ledger.quarantine_state_of(suspect_request, now) == quarantine_state::quarantined);
         CHECK_FALSE(ledger.merge({suspect_request, {crash_of("x")}, false, {}}, now));
     }
-    // Guards against records that are lost with a message, and against sending the whole ledger again and again.
+    // Guards against records that are lost with a message, and against sending the whole ledger again and
+    // again.
     SECTION("recent records with more than one crash are sent again, the newest first")
     {
         const time_point later = now + duration::from_ms(1.0);
--- a/tests/src/unit-team-limits.cpp
+++ b/tests/src/unit-team-limits.cpp
@@ -240,6 +240,7 @@
     }
     for (const int entries : {300, 995})
     {
+        check_suspensions({3.9, 3.9}, entries, 90);
         for (const double per_s : {20.0, 60.0})
         {
             check_suspensions({per_s, per_s}, entries, 24);
