--- a/src/teams/rate_limit_coordinator.cpp
+++ b/src/teams/rate_limit_coordinator.cpp
@@ -95,7 +95,7 @@
         account restarted = make_account(item.limit, now);
         const double excess = restarted.tokens.tokens(now) - item.tokens.tokens(now);
         restarted.tokens.spend(std::max(excess, 0.0), m_tolerance.limit_per_window(item.limit), now);
-        item = std::move(restarted);
+        item = restarted;
         update_status(name, item, now);
     }
 }
