Logs: what tells a silent link, a replica that lags and a report that is lost from one another

peer_silent says for how long; link_opened which link was opened anew; revision_in_force who sent it and how long the entry knew that it lacked it; control_followed whether the replica left could be reached; reports_unanswered that a replica doesn't answer although its messages arrive, which only a link that is silent in one direction, or a process that stands still, explains. No decision changes.

--- a/include/flaxtiller/distribution/control_replica_selector.hpp
+++ b/include/flaxtiller/distribution/control_replica_selector.hpp
@@ -76,6 +76,12 @@
     std::string choose(const std::vector<candidate>& reachable, const std::string& leader, bool serves,
                        time_point now);
 
+    /// @return the time for which the instance has lacked the current revision; zero if it has it
+    duration behind_for(time_point now) const noexcept
+    {
+        return m_behind_since == time_point::never() ? duration{} : now - m_behind_since;
+    }
+
     /// @return the revision that a replica last reported; 0 if it reported none
     std::int64_t reported_revision(const std::string& replica) const;
 
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -17,16 +17,18 @@
 
 } // namespace
 
-void entry_process::implementation::on_update(const distribution::revision_update& update)
+void entry_process::implementation::on_update(const hello& from, const distribution::revision_update& update)
 {
     if (!subscriber.on_update(update))
     {
         report();
         return;
     }
+    const duration behind = control_choice.behind_for(clock.now());
     control_choice.on_activated(subscriber.revision());
     apply_configuration();
-    log(log_level::info, "revision_in_force", {{"revision", subscriber.revision()}});
+    log(log_level::info, "revision_in_force",
+        {{"revision", subscriber.revision()}, {"from", from.name}, {"behind_ms", behind.ms()}});
     report();
     update_confirmation_time();
 }
@@ -317,9 +319,26 @@
     return candidates;
 }
 
+void entry_process::implementation::log_unanswered_reports(time_point now)
+{
+    const std::string& followed = control_choice.followed();
+    const auto answer = answered_at.find(followed);
+    const bool unanswered = answer != answered_at.end() &&
+                            now - answer->second >= settings.report_every * missed_reports_until_leader_lost;
+    if (unanswered && !reports_unanswered)
+    {
+        log(log_level::warning, "reports_unanswered",
+            {{"replica", followed},
+             {"for_ms", (now - answer->second).ms()},
+             {"reachable", reachable.count(followed) > 0}});
+    }
+    reports_unanswered = unanswered;
+}
+
 void entry_process::implementation::report()
 {
     const time_point now = clock.now();
+    log_unanswered_reports(now);
     const std::string before = control_choice.followed();
     const std::string followed = control_choice.choose(control_candidates(), leader, serves(), now);
     if (followed != before)
@@ -327,6 +346,7 @@
         log(log_level::info, "control_followed",
             {{"replica", followed},
              {"before", before},
+             {"before_reachable", reachable.count(before) > 0},
              {"before_said_revision", control_choice.reported_revision(before)},
              {"wanted_revision", leader_revision},
              {"revision", subscriber.revision()}});
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -210,6 +210,9 @@
     std::int64_t leader_revision = 0;
     /// Selects the control replica from which this entry receives updates.
     distribution::control_replica_selector control_choice;
+    /// The times at which the control replicas last answered a report.
+    std::map<std::string, time_point> answered_at;
+    bool reports_unanswered = false;
     std::map<backend_server_name, bool> leaving_by_server;
     std::thread platform_poller;
     std::atomic<bool> stopping{false};
@@ -297,7 +300,7 @@
 
     // ------------------------------------------------------------------ configuration
 
-    void on_update(const distribution::revision_update& update);
+    void on_update(const hello& from, const distribution::revision_update& update);
 
     void on_confirmation(const hello& from, const distribution::revision_confirmation& confirmation);
 
@@ -321,6 +324,9 @@
 
     void report();
 
+    /// Logs once that the followed replica doesn't answer reports: a link may carry messages one way only.
+    void log_unanswered_reports(time_point now);
+
     /// @return whether a leader has confirmed the configuration since the start, so that callers are served
     bool serves() const noexcept
     {
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -98,10 +98,11 @@
 {
     if (const auto* update = std::get_if<distribution::revision_update>(&message))
     {
-        on_update(*update);
+        on_update(from, *update);
     }
     else if (const auto* confirmation = std::get_if<distribution::revision_confirmation>(&message))
     {
+        answered_at[from.name] = clock.now();
         on_confirmation(from, *confirmation);
     }
     else if (const auto* registrations = std::get_if<registration_update>(&message))
@@ -110,6 +111,7 @@
     }
     else if (const auto* revision_state = std::get_if<distribution::revision_report>(&message))
     {
+        answered_at[from.name] = clock.now();
         control_choice.on_word(from.name, revision_state->revision);
         on_leader_named(revision_state->leader);
     }
--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -133,7 +133,7 @@
 {
     const time_point now = m_clock.now();
     log_sent_bytes(now);
-    std::vector<std::string> silent;
+    std::vector<std::pair<std::string, duration>> silent;
     {
         const std::scoped_lock lock(m_mutex);
         static const encoded_message encoded_heartbeat{link_message(heartbeat{})};
@@ -168,13 +168,13 @@
             if (known.reachable && now - known.last_received_at > m_timing.silence)
             {
                 known.reachable = false;
-                silent.push_back(name);
+                silent.emplace_back(name, now - known.last_received_at);
             }
         }
     }
-    for (const std::string& name : silent)
+    for (const auto& [name, span] : silent)
     {
-        log(log_level::warning, "peer_silent", {{"peer", name}});
+        log(log_level::warning, "peer_silent", {{"peer", name}, {"for_ms", span.ms()}});
         m_callbacks.reachable(name, false);
     }
 }
@@ -254,6 +254,8 @@
     const auto message = std::make_shared<const link_message>(std::move(*decoded));
     std::shared_ptr<const hello> from;
     bool became_reachable = false;
+    bool is_handshake = false;
+    bool was_dialled = false;
     {
         const std::scoped_lock lock(m_mutex);
         link& current_link = m_links[id];
@@ -268,6 +270,8 @@
             }
             current_link.from = std::make_shared<const hello>(*greeting);
             m_peers[greeting->name].links.insert(id);
+            is_handshake = true;
+            was_dialled = !current_link.dialled.empty();
         }
         if (!current_link.from)
         {
@@ -281,6 +285,10 @@
         became_reachable = !known.reachable;
         known.reachable = true;
     }
+    if (is_handshake)
+    {
+        log(log_level::info, "link_opened", {{"peer", from->name}, {"link", id}, {"dialled", was_dialled}});
+    }
     if (became_reachable)
     {
         log(log_level::info, "peer_reachable", {{"peer", from->name}, {"role", from->role}});
