--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -147,7 +147,7 @@
     """Control replicas, entries and stand-in backend servers in a temporary folder."""
 
     def __init__(self, controls=1, entries=2, shards=3, replicas=2, behaviour=None, relays=False, drain_ms=5000,
-                 connection_limit=25, suspendable=False):
+                 connection_limit=25, suspendable=False, control_extra=None):
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-")
         self.processes = []
         self.ports = {}
@@ -157,6 +157,7 @@
         self.drain_ms = drain_ms
         self.connection_limit = connection_limit
         self.suspendable = suspendable
+        self.control_extra = control_extra or {}
         self.relays = {}
         self.control_names = ["c%d" % i for i in range(1, controls + 1)]
         self.entry_names = ["e%d" % i for i in range(1, entries + 1)]
@@ -189,8 +190,9 @@
         return process.may_be_suspended() if self.suspendable else process
 
     def start_relays(self):
-        """One relay for each ordered pair of control replicas, so that each direction can be cut."""
-        for a in self.control_names:
+        """One relay for each ordered pair of control replicas, so that each direction can be cut, and one from each entry
+        to each control replica."""
+        for a in self.control_names + self.entry_names:
             for b in self.control_names:
                 if a != b:
                     port = free_port()
@@ -210,11 +212,13 @@
 
     def control_settings(self, name):
         ports = self.ports[name]
-        return self.write(name, {
+        settings = {
             "replica": {"name": name},
             "listen": {"link": "127.0.0.1:%d" % ports["link"], "operators": "127.0.0.1:%d" % ports["operators"]},
             "replicas": [{"name": other, "address": self.link_address(other, name)} for other in self.control_names],
-            "data_folder": os.path.join(self.folder, name)})
+            "data_folder": os.path.join(self.folder, name)}
+        settings.update(self.control_extra)
+        return self.write(name, settings)
 
     def start_control(self, name, init=False):
         path = self.control_settings(name)
@@ -227,7 +231,7 @@
         settings = {
             "instance": {"name": name},
             "listen": {kind: "127.0.0.1:%d" % port for kind, port in ports.items()},
-            "control": [{"name": c, "address": "127.0.0.1:%d" % self.ports[c]["link"]} for c in self.control_names],
+            "control": [{"name": c, "address": self.link_address(c, name)} for c in self.control_names],
             "limits": {"drain_bound_ms": self.drain_ms, "request_bytes": 65536, "request_timeout_ms": 1000},
             "threads": 2}
         settings.update(extra or {})
@@ -336,6 +340,13 @@
         """What `source` sends to `target` is lost; the other direction works."""
         self.relays[(source, target)][1].signal(signal.SIGUSR1)
 
+    def silence(self, sources, how=signal.SIGALRM):
+        """The open links that `sources` dialled to control replicas stay open and carry nothing more: in both directions,
+        or with SIGPROF towards the replica, with SIGVTALRM from it. New ones work."""
+        for (a, _), (_, relay) in self.relays.items():
+            if a in sources:
+                relay.signal(how)
+
     def heal(self):
         for _, relay in self.relays.values():
             relay.signal(signal.SIGHUP)
--- a/tests/stand_in/relay.hpp
+++ b/tests/stand_in/relay.hpp
@@ -11,6 +11,7 @@
 #include <csignal>
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <system_error>
 #include <vector>
@@ -22,13 +23,18 @@
 {
 
 /// @brief Relays TCP connections, and on signals drops bytes in silence: SIGUSR1 cuts towards the target,
-/// SIGUSR2 cuts both directions, SIGHUP heals. Connections stay open, as over a network that lost its way.
+/// SIGUSR2 cuts both directions, SIGHUP heals. SIGALRM silences the open connections for good, SIGPROF only
+/// what they carry towards the target, and SIGVTALRM only what they carry from it; new connections work.
+/// Connections stay open, as over a network that lost its way.
 class relay
 {
   public:
     relay(boost::asio::io_context& io, shell::address target)
         : m_io(io), m_target(std::move(target)), m_acceptor(io), m_signals(io, SIGUSR1, SIGUSR2, SIGHUP)
     {
+        m_signals.add(SIGALRM);
+        m_signals.add(SIGPROF);
+        m_signals.add(SIGVTALRM);
         await_signal();
     }
 
@@ -61,12 +67,45 @@
         {
         }
 
+        /// Connections are numbered in the order in which they are accepted.
+        std::uint64_t number = 0;
         tcp::socket near;
         tcp::socket far;
         std::array<char, buffer_size> to_far{};
         std::array<char, buffer_size> to_near{};
     };
 
+    /// @brief What is dropped in one direction.
+    struct direction
+    {
+        /// Whether the network loses everything.
+        bool cut = false;
+        /// The connections with a smaller number are silent for good.
+        std::uint64_t silent_below = 0;
+
+        bool drops(const pipe& item) const noexcept
+        {
+            return cut || item.number < silent_below;
+        }
+    };
+
+    void on_signal(int signal)
+    {
+        if (signal == SIGUSR1 || signal == SIGUSR2 || signal == SIGHUP)
+        {
+            m_to_far.cut = signal != SIGHUP;
+            m_to_near.cut = signal == SIGUSR2;
+        }
+        if (signal == SIGALRM || signal == SIGPROF)
+        {
+            m_to_far.silent_below = m_next_number;
+        }
+        if (signal == SIGALRM || signal == SIGVTALRM)
+        {
+            m_to_near.silent_below = m_next_number;
+        }
+    }
+
     void await_signal()
     {
         m_signals.async_wait(
@@ -76,8 +115,7 @@
                 {
                     return;
                 }
-                m_cut_to_far = signal != SIGHUP;
-                m_cut_to_near = signal == SIGUSR2;
+                on_signal(signal);
                 await_signal();
             });
     }
@@ -90,6 +128,7 @@
                                 {
                                     if (!failed)
                                     {
+                                        fresh->number = m_next_number++;
                                         connect(fresh);
                                     }
                                     accept();
@@ -109,25 +148,28 @@
                                      boost::system::error_code ignored;
                                      fresh->near.set_option(tcp::no_delay(true), ignored);
                                      fresh->far.set_option(tcp::no_delay(true), ignored);
-                                     pump(fresh, fresh->near, fresh->far, fresh->to_far, m_cut_to_far);
-                                     pump(fresh, fresh->far, fresh->near, fresh->to_near, m_cut_to_near);
+                                     pump(fresh, fresh->near, fresh->far, fresh->to_far, m_to_far);
+                                     pump(fresh, fresh->far, fresh->near, fresh->to_near, m_to_near);
                                  });
     }
 
     void pump(const std::shared_ptr<pipe>& held, tcp::socket& from, tcp::socket& to,
-              std::array<char, buffer_size>& buffer, const bool& cut)
+              std::array<char, buffer_size>& buffer, const direction& way)
     {
         from.async_read_some(boost::asio::buffer(buffer),
-                             [this, held, &from, &to, &buffer, &cut](const boost::system::error_code& failed,
+                             [this, held, &from, &to, &buffer, &way](const boost::system::error_code& failed,
                                                                      std::size_t count)
                              {
                                  boost::system::error_code ignored;
                                  if (failed)
                                  {
-                                     to.shutdown(tcp::socket::shutdown_both, ignored);
+                                     if (!way.drops(*held))
+                                     {
+                                         to.shutdown(tcp::socket::shutdown_both, ignored);
+                                     }
                                      return;
                                  }
-                                 if (cut)
+                                 if (way.drops(*held))
                                  {
                                      // Lost; what follows on this connection can't be understood, so it stays
                                      // silent for good.
@@ -137,11 +179,11 @@
                                  boost::asio::async_write(
                                      to, boost::asio::buffer(buffer.data(), count),
                                      [this, held, &from, &to, &buffer,
-                                      &cut](const boost::system::error_code& write_failed, std::size_t)
+                                      &way](const boost::system::error_code& write_failed, std::size_t)
                                      {
                                          if (!write_failed)
                                          {
-                                             pump(held, from, to, buffer, cut);
+                                             pump(held, from, to, buffer, way);
                                          }
                                      });
                              });
@@ -164,8 +206,9 @@
     shell::address m_target;
     tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
-    bool m_cut_to_far = false;
-    bool m_cut_to_near = false;
+    direction m_to_far;
+    direction m_to_near;
+    std::uint64_t m_next_number = 1;
 };
 
 } // namespace flaxtiller::stand_in
