Changes: an update that was lost with its link is sent again at once

What callers saw: after a link had been replaced, an entry could serve by the older version for up to 1.5 s and a report interval more. Cause: the publisher took an update for being in transit until its resend timeout, though nothing that was sent on a lost link arrives. Fix: the loss of the link ends the transit, so that the first report on the next link is answered with the update.

--- a/include/flaxtiller/distribution/publisher.hpp
+++ b/include/flaxtiller/distribution/publisher.hpp
@@ -27,7 +27,7 @@
     static constexpr std::size_t max_retained_revisions = 16;
     /// An update is repeated if a report that is received this long after it still names an older revision;
     /// the time doubles with each repetition. A small instance needs up to a second for a large update, and
-    /// connections lose messages only when they break.
+    /// updates are lost only with their link; see @ref on_link_lost.
     static constexpr duration resend_after = duration::from_ms(1500);
     /// The time without a report after which an instance receives no updates, because it is down, or follows
     /// another replica and its report of that was lost. At one report per second, three reports may be late.
@@ -66,6 +66,9 @@
     /// @brief Processes an instance's report of its active revision.
     void on_report(const instance_name& from, const revision_report& report, time_point now);
 
+    /// @brief Processes the loss of the link to an instance, with which updates in transit may be lost.
+    void on_link_lost(const instance_name& instance);
+
     /// @brief Removes an instance that will not return.
     void forget(const instance_name& instance);
 
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -261,6 +261,7 @@
     sent_entry_lists.erase(name);
     if (!up)
     {
+        publisher.on_link_lost(instance_name(name));
         registrations.on_lost(name, clock.now());
         // The replica may return with another data folder.
         announced[catalog_log].erase(quorum::replica_name(name));
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -50,6 +50,15 @@
     }
 }
 
+void publisher::on_link_lost(const instance_name& instance)
+{
+    const auto known = m_instances.find(instance);
+    if (known != m_instances.end())
+    {
+        known->second.sent_revision = 0;
+    }
+}
+
 void publisher::forget(const instance_name& instance)
 {
     m_instances.erase(instance);
--- a/tests/src/unit-distribution.cpp
+++ b/tests/src/unit-distribution.cpp
@@ -150,6 +150,23 @@
     }
 }
 
+// Guards against an update that is lost with its link and sent again only after its resend timeout.
+TEST_CASE("an update in transit is sent again once its link was lost", "[distribution]")
+{
+    time_point now(duration::from_ms(1000));
+    publisher sender;
+    const subscriber receiver;
+    sender.on_revision(1, with_services(1));
+    sender.on_report(e1, receiver.report(), now);
+    REQUIRE(sender.take_updates(now).size() == 1);
+    now = now + duration::from_ms(100);
+    sender.on_report(e1, receiver.report(), now);
+    REQUIRE(sender.take_updates(now).empty());
+    sender.on_link_lost(e1);
+    sender.on_report(e1, receiver.report(), now);
+    CHECK(sender.take_updates(now).size() == 1);
+}
+
 TEST_CASE("an instance that follows another replica gets no updates", "[distribution]")
 {
     const time_point now(duration::from_ms(1000));
