Links: a silent link is replaced within half of the shortest agreed bound

What callers saw: an acknowledged change was in force up to 5.6 s later (4.0 s allowed on the deployments of the incident), and no change was acknowledged for 5.3 s, once all open links of a kind had fallen silent while new ones worked. Cause: heartbeat, silence and redial (1,500, 4,500, 5,000 ms) were constants of the platform's templates, with the reason that nothing waits for a silent link. They weren't derived from the bounds that they must keep, and kept them only where these are long. Class: a timeout on the way of a promise that isn't derived from the promise. Fix: the settings state the bounds (/bounds); the times of links follow from the shortest of them, and times that exceed half of it are refused, as is an interval of reports above a third. Links between replicas are replaced before the leader loses its role. The new link is dialled beside the silent one, which is kept in case its peer was only frozen; the side that accepted takes the older link's loss for what it is, and the entry reports again at once.

--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -65,7 +65,7 @@
           signals(strand, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "control", settings.replica.name, draw64(),
                       settings.replica.region, settings.replica.availability_zone, settings.link.str()},
-                counted, settings.links,
+                counted, link_timing_between_replicas(settings.links, settings.timing), settings.links,
                 {[this](const std::shared_ptr<const hello>& from,
                         const std::shared_ptr<const link_message>& message)
                  {
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -67,7 +67,7 @@
           signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
-                counted, settings.links,
+                counted, settings.links, settings.links,
                 {[this](const std::shared_ptr<const hello>& from,
                         const std::shared_ptr<const link_message>& message)
                  {
--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -5,13 +5,16 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace flaxtiller::shell
 {
 
-peer_links::peer_links(hello self, metrics& link_metrics, link_timing timing, handlers callbacks)
-    : m_self(std::move(self)), m_metrics(link_metrics), m_timing(timing), m_callbacks(std::move(callbacks)),
+peer_links::peer_links(hello self, metrics& link_metrics, link_timing dialled_timing,
+                       link_timing accepted_timing, handlers callbacks)
+    : m_self(std::move(self)), m_metrics(link_metrics), m_dialled_timing(dialled_timing),
+      m_accepted_timing(accepted_timing), m_callbacks(std::move(callbacks)),
       m_endpoint({[this](link_id id)
                   {
                       on_opened(id);
@@ -112,21 +115,73 @@
     log(log_level::info, "link_bytes_sent", {{"by_kind", sent}});
 }
 
+const link_timing& peer_links::timing_of(const peer& known) const noexcept
+{
+    return known.wanted ? m_dialled_timing : m_accepted_timing;
+}
+
 void peer_links::discount_pause(time_point now)
 {
     const time_point last_tick_at = std::exchange(m_last_tick_at, now);
+    const duration shortest_heartbeat = std::min(m_dialled_timing.heartbeat, m_accepted_timing.heartbeat);
     if (last_tick_at == time_point::never() ||
-        now - last_tick_at <= m_timing.heartbeat * max_heartbeats_between_ticks)
+        now - last_tick_at <= shortest_heartbeat * max_heartbeats_between_ticks)
     {
         return;
     }
-    const duration paused = now - last_tick_at;
-    log(log_level::info, "links_paused", {{"for_ms", paused.ms()}});
+    const duration span = now - last_tick_at;
+    log(log_level::info, "links_paused", {{"for_ms", span.ms()}});
     for (auto& [name, known] : m_peers)
     {
-        known.last_received_at = std::min(known.last_received_at + paused, now);
-        known.dialled_at = std::min(known.dialled_at + paused, now);
+        known.paused = std::min(known.paused + span, now - known.last_received_at);
+        known.dialled_at = std::min(known.dialled_at + span, now);
+    }
+}
+
+void peer_links::redial(peer& known)
+{
+    known.dialled = 0;
+    known.increase_dial_backoff();
+}
+
+void peer_links::maintain_dialled_link(const std::string& name, peer& known, time_point now)
+{
+    if (known.wanted && known.dialled == 0 && now >= known.next_dial_at)
+    {
+        known.next_dial_at = now + known.dial_backoff;
+        known.dialled_at = now;
+        known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
+        m_links[known.dialled].dialled = name;
+    }
+    // Without a dialled link, messages may still arrive on a link that the peer dialled.
+    const bool waits_for_dial = known.last_received_at < known.dialled_at;
+    const bool dial_timed_out = waits_for_dial && now - known.dialled_at > known.dial_timeout;
+    const duration limit = timing_of(known).redial * std::exp2(known.silent_redials);
+    const bool receive_timed_out = known.silent_for(now) > limit && now - known.dialled_at > limit;
+    if (known.dialled == 0 || (!dial_timed_out && !receive_timed_out))
+    {
+        return;
+    }
+    if (dial_timed_out)
+    {
+        known.dial_timeout = std::min(known.dial_timeout * 2.0, max_dial_timeout);
     }
+    else
+    {
+        known.silent_redials = std::min(known.silent_redials + 1, max_redial_doublings);
+    }
+    redial(known);
+}
+
+void peer_links::send_heartbeat(peer& known, time_point now)
+{
+    if (known.links.empty() || now - known.last_sent_at < timing_of(known).heartbeat)
+    {
+        return;
+    }
+    known.last_sent_at = now;
+    static const encoded_message encoded_heartbeat{link_message(heartbeat{})};
+    post(*known.links.rbegin(), encoded_heartbeat);
 }
 
 void peer_links::tick()
@@ -136,39 +191,20 @@
     std::vector<std::pair<std::string, duration>> silent;
     {
         const std::scoped_lock lock(m_mutex);
-        static const encoded_message encoded_heartbeat{link_message(heartbeat{})};
         discount_pause(now);
         for (auto& [name, known] : m_peers)
         {
-            if (known.wanted && known.dialled == 0 && now >= known.next_dial_at)
+            maintain_dialled_link(name, known, now);
+            send_heartbeat(known, now);
+            const duration limit = timing_of(known).silence;
+            if (known.reachable && known.silent_for(now) > limit)
             {
-                known.next_dial_at = now + known.dial_backoff;
-                known.dialled_at = now;
-                known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
-                m_links[known.dialled].dialled = name;
-            }
-            if (!known.links.empty() && now - known.last_sent_at >= m_timing.heartbeat)
-            {
-                known.last_sent_at = now;
-                post(*known.links.rbegin(), encoded_heartbeat);
-            }
-            const bool no_message_since_dial = known.last_received_at < known.dialled_at;
-            const bool dial_timed_out = no_message_since_dial && now - known.dialled_at > known.dial_timeout;
-            const bool receive_timed_out =
-                now - known.last_received_at > m_timing.redial && now - known.dialled_at > m_timing.redial;
-            if (known.dialled != 0 && (dial_timed_out || receive_timed_out))
-            {
-                // The connection may be open although it no longer carries messages.
-                m_endpoint.close(known.dialled);
-                known.links.erase(known.dialled);
-                known.dialled = 0;
-                known.increase_dial_backoff();
-                known.dial_timeout = std::min(known.dial_timeout * 2.0, max_dial_timeout);
+                known.reachable = false;
+                silent.emplace_back(name, known.silent_for(now));
             }
-            if (known.reachable && now - known.last_received_at > m_timing.silence)
+            if (known.silent_for(now) > limit * silences_until_closed)
             {
-                known.reachable = false;
-                silent.emplace_back(name, now - known.last_received_at);
+                close_all(std::exchange(known.links, {}));
             }
         }
     }
@@ -242,6 +278,50 @@
     }
 }
 
+bool peer_links::open_link(link_id id, const hello& greeting)
+{
+    link& opened = m_links[id];
+    opened.from = std::make_shared<const hello>(greeting);
+    const bool was_dialled = !opened.dialled.empty();
+    peer& known = m_peers[greeting.name];
+    known.links.insert(id);
+    std::set<link_id> same_direction;
+    for (const link_id other : known.links)
+    {
+        const auto found = m_links.find(other);
+        if (found != m_links.end() && found->second.dialled.empty() != was_dialled)
+        {
+            same_direction.insert(other);
+        }
+    }
+    const link_id newest = *same_direction.rbegin();
+    same_direction.erase(newest);
+    for (const link_id older : same_direction)
+    {
+        known.links.erase(older);
+    }
+    close_all(same_direction);
+    if (was_dialled)
+    {
+        // A dial that was given up may be the one that is answered.
+        m_peers[opened.dialled].dialled = newest;
+    }
+    return newest == id && !same_direction.empty();
+}
+
+void peer_links::notify(const hello& from, bool reachable)
+{
+    if (reachable)
+    {
+        log(log_level::info, "peer_reachable", {{"peer", from.name}, {"role", from.role}});
+    }
+    else
+    {
+        log(log_level::info, "peer_lost", {{"peer", from.name}});
+    }
+    m_callbacks.reachable(from.name, reachable);
+}
+
 void peer_links::on_received(link_id id, const std::string& bytes)
 {
     auto decoded = decode(bytes);
@@ -252,54 +332,64 @@
         return;
     }
     const auto message = std::make_shared<const link_message>(std::move(*decoded));
+    const auto* greeting = std::get_if<hello>(&*message);
+    if (greeting != nullptr && greeting->protocol_version != link_protocol_version)
+    {
+        log(log_level::error, "protocol_version_refused",
+            {{"peer", greeting->name}, {"version", greeting->protocol_version}});
+        m_endpoint.close(id);
+        return;
+    }
+    const auto* beat = std::get_if<heartbeat>(&*message);
     std::shared_ptr<const hello> from;
-    bool became_reachable = false;
-    bool is_handshake = false;
+    bool was_reachable = false;
+    bool replaces = false;
     bool was_dialled = false;
     {
         const std::scoped_lock lock(m_mutex);
-        link& current_link = m_links[id];
-        if (const auto* greeting = std::get_if<hello>(&*message))
-        {
-            if (greeting->protocol_version != link_protocol_version)
-            {
-                log(log_level::error, "protocol_version_refused",
-                    {{"peer", greeting->name}, {"version", greeting->protocol_version}});
-                m_endpoint.close(id);
-                return;
-            }
-            current_link.from = std::make_shared<const hello>(*greeting);
-            m_peers[greeting->name].links.insert(id);
-            is_handshake = true;
-            was_dialled = !current_link.dialled.empty();
-        }
+        const time_point now = m_clock.now();
+        replaces = greeting != nullptr && open_link(id, *greeting);
+        const link& current_link = m_links[id];
         if (!current_link.from)
         {
             return;
         }
         from = current_link.from;
+        was_dialled = !current_link.dialled.empty();
         peer& known = m_peers[from->name];
-        known.last_received_at = m_clock.now();
+        known.on_message(now);
         known.dial_backoff = initial_dial_backoff;
         known.dial_timeout = initial_dial_timeout;
-        became_reachable = !known.reachable;
-        known.reachable = true;
+        known.silent_redials = greeting == nullptr ? 0 : known.silent_redials;
+        was_reachable = std::exchange(known.reachable, true);
     }
-    if (is_handshake)
+    if (greeting != nullptr)
     {
         log(log_level::info, "link_opened", {{"peer", from->name}, {"link", id}, {"dialled", was_dialled}});
     }
-    if (became_reachable)
+    if (was_reachable && replaces)
     {
-        log(log_level::info, "peer_reachable", {{"peer", from->name}, {"role", from->role}});
-        m_callbacks.reachable(from->name, true);
+        // What was sent on the older link may be lost.
+        notify(*from, false);
     }
-    if (!std::holds_alternative<hello>(*message) && !std::holds_alternative<heartbeat>(*message))
+    if (replaces || !was_reachable)
+    {
+        notify(*from, true);
+    }
+    if (greeting == nullptr && beat == nullptr)
     {
         m_callbacks.received(from, message);
     }
 }
 
+void peer_links::close_all(const std::set<link_id>& links)
+{
+    for (const link_id id : links)
+    {
+        m_endpoint.close(id);
+    }
+}
+
 std::optional<hello> peer_links::identity(const std::string& name) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -36,8 +36,14 @@
 /// name. Opens the links, reopens those that failed, and detects which peers are reachable.
 ///
 /// A peer is reachable while a message from it arrived within the silence limit. A peer that is frozen or cut
-/// off from the network thus becomes unreachable although its connection is still open. Thread-safe; the
-/// handlers are called on the thread of the link endpoint or on the thread that calls @ref tick.
+/// off from the network thus becomes unreachable although its connection is still open.
+///
+/// An open link may stop carrying messages while new links work. A silent link is kept, in case the peer was
+/// only frozen, and a new one is dialled beside it. Once that is open, the old one is closed and the peer is
+/// notified as unreachable and then reachable, since messages may be lost with the old link.
+///
+/// Thread-safe; the handlers are called on the thread of the link endpoint or on the thread that calls
+/// @ref tick.
 class peer_links
 {
   public:
@@ -54,7 +60,10 @@
     };
 
     /// @param self the handshake that this process sends on each link
-    peer_links(hello self, metrics& link_metrics, link_timing timing, handlers callbacks);
+    /// @param dialled_timing the timing for the peers that this process dials
+    /// @param accepted_timing the timing for all other peers
+    peer_links(hello self, metrics& link_metrics, link_timing dialled_timing, link_timing accepted_timing,
+               handlers callbacks);
 
     /// @brief Accepts links at this address.
     /// @return false if the address can't be used; @a why then holds the reason
@@ -101,6 +110,13 @@
     /// A call of @ref tick that is late by this many heartbeat intervals shows that this process was paused.
     static constexpr double max_heartbeats_between_ticks = 1.0;
 
+    /// The time until a silent link is replaced doubles with each new link that carried nothing but a
+    /// handshake, at most this often. The process of the peer then stands still, for example at its disk.
+    static constexpr int max_redial_doublings = 3;
+    /// The links of a peer are closed after this many silence limits without a message; the peer is gone, or
+    /// cut off for long.
+    static constexpr double silences_until_closed = 8.0;
+
     /// Interval between the log lines with the bytes sent so far. One line in ten seconds is negligible
     /// beside the log lines of the requests.
     static constexpr duration log_sent_interval = duration::from_ms(10000);
@@ -123,6 +139,10 @@
         /// Links on which the peer sent its handshake; messages are sent on the newest of them.
         std::set<link_id> links;
         time_point last_received_at{};
+        /// The part of the silence during which this process was paused.
+        duration paused;
+        /// The number of new links in succession that carried nothing but a handshake.
+        int silent_redials = 0;
         time_point last_sent_at{};
         bool reachable = false;
 
@@ -130,6 +150,19 @@
         {
             dial_backoff = std::min(dial_backoff * 2.0, max_dial_backoff);
         }
+
+        /// @return the time for which nothing arrived while this process ran
+        duration silent_for(time_point now) const noexcept
+        {
+            return now - last_received_at - paused;
+        }
+
+        /// @brief Records that a message arrived.
+        void on_message(time_point now) noexcept
+        {
+            last_received_at = now;
+            paused = duration{};
+        }
     };
 
     /// @brief A link that is open or being dialled.
@@ -142,11 +175,25 @@
     };
 
     /// @brief Leaves the time for which this process was paused out of the silence of the peers. Their
-    /// messages wait in the buffers of the links, and closing a link would discard them. The caller holds the
-    /// mutex.
+    /// messages wait in the buffers of the links. The caller holds the mutex.
     void discount_pause(time_point now);
     /// @brief Logs the bytes sent so far per kind of message, if the log interval has passed.
     void log_sent_bytes(time_point now);
+    const link_timing& timing_of(const peer& known) const noexcept;
+    /// @brief Dials the peer if it lacks a dialled link, or gives up a dial or a silent link. The caller
+    /// holds the mutex.
+    void maintain_dialled_link(const std::string& name, peer& known, time_point now);
+    /// @brief Starts a new dial beside the open links. The caller holds the mutex.
+    void redial(peer& known);
+    /// @brief Sends a heartbeat if one is due. The caller holds the mutex.
+    void send_heartbeat(peer& known, time_point now);
+    /// @brief Handles a handshake. Of the links that lead to a peer in the same direction, only the newest is
+    /// kept. The caller holds the mutex.
+    /// @return whether the link replaces an older one
+    bool open_link(link_id id, const hello& greeting);
+    /// @brief Logs whether a peer is reachable, and notifies the owner.
+    void notify(const hello& from, bool reachable);
+    void close_all(const std::set<link_id>& links);
     void on_opened(link_id id);
     void on_closed(link_id id);
     void on_received(link_id id, const std::string& bytes);
@@ -157,7 +204,8 @@
 
     const hello m_self;
     metrics& m_metrics;
-    const link_timing m_timing;
+    const link_timing m_dialled_timing;
+    const link_timing m_accepted_timing;
     handlers m_callbacks;
     monotonic_clock m_clock;
     mutable std::mutex m_mutex;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -175,6 +175,49 @@
     }
 }
 
+void read_bounds(json_reader& reader, distribution::change_bounds& into)
+{
+    read_ms(reader, "contact_ms", into.contact, 1.0, hour_ms);
+    read_ms(reader, "apply_ms", into.apply, 1.0, hour_ms);
+    read_ms(reader, "drain_ms", into.drain, 1.0, hour_ms);
+    read_ms(reader, "acknowledge_ms", into.acknowledge, 1.0, hour_ms);
+}
+
+/// Reads the bounds of changes and the times of links, which follow from the bounds unless they are given.
+void read_link_times(json_reader& reader, distribution::change_bounds& bounds, link_timing& links)
+{
+    read_section(reader, "bounds", false,
+                 [&](json_reader& r)
+                 {
+                     read_bounds(r, bounds);
+                 });
+    const bool is_bounded = bounds.shortest() > duration{};
+    links = is_bounded ? link_timing_within(bounds) : links;
+    const duration longest_detection = links.redial;
+    read_section(reader, "links", false,
+                 [&](json_reader& r)
+                 {
+                     read_links(r, links);
+                 });
+    if (is_bounded && std::max(links.silence, links.redial) > longest_detection)
+    {
+        reader.found().error(errc::key_conflict, reader.at("links"),
+                             "silence_ms and redial_ms must not exceed half of the shortest of /bounds");
+    }
+}
+
+/// Checks that a silent report can be noticed and the update fetched from elsewhere within the bound.
+void check_report_interval(json_reader& reader, const entry_settings& settings)
+{
+    constexpr double reports_per_bound = 3.0;
+    const duration apply = settings.bounds.apply;
+    if (apply > duration{} && settings.report_every * reports_per_bound > apply)
+    {
+        reader.found().error(errc::key_conflict, reader.at("report_every_ms"),
+                             "must not exceed a third of /bounds/apply_ms");
+    }
+}
+
 void read_load(json_reader& reader, load_options& into)
 {
     reader.flag("order_by_priority", into.orders_by_priority);
@@ -360,13 +403,10 @@
                      read_address(r, "routed", settings.routed, false);
                  });
     read_control_of(reader, settings.control);
-    read_section(reader, "links", false,
-                 [&](json_reader& r)
-                 {
-                     read_links(r, settings.links);
-                 });
+    read_link_times(reader, settings.bounds, settings.links);
     read_zones(reader, settings.region_of_zone);
     read_ms(reader, "report_every_ms", settings.report_every, 1.0, hour_ms);
+    check_report_interval(reader, settings);
     read_section(reader, "routing", false,
                  [&](json_reader& r)
                  {
@@ -466,11 +506,7 @@
                      read_address(r, "operators", settings.operators, true);
                  });
     read_replicas_of(reader, settings);
-    read_section(reader, "links", false,
-                 [&](json_reader& r)
-                 {
-                     read_links(r, settings.links);
-                 });
+    read_link_times(reader, settings.bounds, settings.links);
     read_zones(reader, settings.region_of_zone);
     read_ms(reader, "registration_silence_ms", settings.registration_silence, 1.0, hour_ms);
     read_section(reader, "team_limits", false,
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -2,6 +2,7 @@
 
 #include "entry/routed_header_names.hpp"
 #include "http/address.hpp"
+#include "links/link_timing.hpp"
 #include "log.hpp"
 
 #include <flaxtiller/core/findings.hpp>
@@ -39,20 +40,6 @@
     bool operator==(const identity_settings&) const = default;
 };
 
-/// @brief How the links between our processes are watched.
-struct link_timing
-{
-    /// Sent to every peer this often. 50 ms notices a dead owner within a tenth of a usual objective; with
-    /// many instances that don't wait for one another, a longer one is cheaper.
-    duration heartbeat = duration::from_ms(50);
-    /// A peer that was silent for this long can't be reached.
-    duration silence = duration::from_ms(250);
-    /// A link that was silent for this long is made anew.
-    duration redial = duration::from_ms(2000);
-
-    bool operator==(const link_timing&) const = default;
-};
-
 /// @brief The settings of an `entry` process; docs/settings.md describes each key.
 struct entry_settings
 {
@@ -63,6 +50,7 @@
     /// Where routed requests are taken; port 0 for nowhere.
     address routed;
     std::vector<named_address> control;
+    distribution::change_bounds bounds;
     link_timing links;
     /// How often it tells control what it has in force.
     duration report_every = duration::from_ms(250);
@@ -105,6 +93,7 @@
     bool self_forming = false;
     /// Whether this is the very first start: the replicas in @ref replicas make the logs' first voters.
     bool founding = false;
+    distribution::change_bounds bounds;
     link_timing links;
     /// The regions of the availability zones, to refuse orders for one that doesn't exist; empty where any
     /// name may be one.
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -225,7 +225,8 @@
                 "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
                 "internalPortRange": [7380, 7395], "seeds": self.platform.seeds, "bootstrap": bootstrap,
                 "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
-                "bounds": {"graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
+                "bounds": {"contactMs": 4000, "configApplyMs": 3000, "drainMs": 3000, "ackMs": 5000, "graceS": 6,
+                           "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
                            "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 4}}
 
     def start(self, role, bootstrap=False):
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -28,7 +28,7 @@
 struct linked_process
 {
     linked_process(const std::string& name, const std::string& role)
-        : links(identity(name, role), counted, timing,
+        : links(identity(name, role), counted, timing, timing,
                 {[](const auto&, const auto&) {},
                  [this](const std::string&, bool is_reachable)
                  {
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -51,3 +51,57 @@
     CHECK(has_finding_at("/routing/load/unknown"));
     CHECK_FALSE(has_finding_at("/routing/load/order_by_priority"));
 }
+
+// Guards against link timeouts that exceed what a deployment's bounds leave.
+TEST_CASE("a silent link is found within half of the shortest bound", "[settings]")
+{
+    findings found;
+    const auto has_finding_at = [&](const std::string& place)
+    {
+        return std::any_of(found.items().begin(), found.items().end(),
+                           [&](const finding& item)
+                           {
+                               return item.place.find(place) != std::string::npos;
+                           });
+    };
+    const std::string bounds =
+        R"("bounds": {"contact_ms": 4000, "apply_ms": 3000, "drain_ms": 3200, "acknowledge_ms": 5000})";
+
+    SECTION("the times of links follow from the bounds")
+    {
+        const auto entry = parse_entry_settings("{" + bounds + "}", "entry.json", found);
+        CHECK(entry.bounds.shortest() == duration::from_ms(3000));
+        CHECK(entry.links ==
+              link_timing{duration::from_ms(500), duration::from_ms(1500), duration::from_ms(1500)});
+        findings found_in_control;
+        const auto control = parse_control_settings("{" + bounds + "}", "control.json", found_in_control);
+        CHECK(control.links == entry.links);
+        CHECK_FALSE(has_finding_at("/links"));
+        CHECK_FALSE(has_finding_at("/bounds"));
+    }
+    SECTION("times that leave too little of the bounds are refused")
+    {
+        (void)parse_entry_settings("{" + bounds + R"(, "links": {"redial_ms": 1501}})", "entry.json", found);
+        CHECK(has_finding_at("/links"));
+    }
+    SECTION("an interval of reports that leaves too little of the bound is refused")
+    {
+        (void)parse_entry_settings("{" + bounds + R"(, "report_every_ms": 1001})", "entry.json", found);
+        CHECK(has_finding_at("/report_every_ms"));
+    }
+    SECTION("without bounds the times are the defaults")
+    {
+        const auto entry = parse_entry_settings("{}", "entry.json", found);
+        CHECK(entry.links == link_timing{});
+        CHECK(entry.bounds.shortest() == duration{});
+    }
+    SECTION("links between replicas are replaced before the leader loses its role")
+    {
+        quorum::timing elections;
+        elections.heartbeat = duration::from_ms(300);
+        elections.election_min = duration::from_ms(1000);
+        const auto entry = parse_entry_settings("{" + bounds + "}", "entry.json", found);
+        CHECK(link_timing_between_replicas(entry.links, elections) ==
+              link_timing{duration::from_ms(300), duration::from_ms(1000), duration::from_ms(1000)});
+    }
+}
