Links: a link that is silent in one direction is found, by its receiver's word

What callers saw: an entry whose reports no longer arrived served by the older version for ever (20 s and more), since replicas send updates only to instances that report, while their heartbeats still arrived there. Cause: liveness was judged by what arrives alone. Only the entry dials, and it can't notice that what it sends is lost; the replica noticed, and had no way to say so. Fix: a heartbeat says for how long its sender has received nothing; the side that dialled then replaces the link.

--- a/src/links/link_message.cpp
+++ b/src/links/link_message.cpp
@@ -39,13 +39,18 @@
     value.subqueries = subqueries_from_json(j.at("asked"));
 }
 
-static void to_json(nlohmann::json& j, const heartbeat&)
+static void to_json(nlohmann::json& j, const heartbeat& value)
 {
     j = nullptr;
+    if (value.received_nothing_for > duration{})
+    {
+        j = value.received_nothing_for.ms();
+    }
 }
 
-static void from_json(const nlohmann::json&, heartbeat&)
+static void from_json(const nlohmann::json& j, heartbeat& value)
 {
+    value.received_nothing_for = duration::from_ms(j.is_number() ? j.get<double>() : 0.0);
 }
 
 namespace
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/coordinator/peer_message.hpp>
+#include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/distribution/revision_update.hpp>
 #include <flaxtiller/quarantine/crash_record.hpp>
 #include <flaxtiller/quorum/message.hpp>
@@ -41,6 +42,10 @@
 /// interval.
 struct heartbeat
 {
+    /// The time for which the sender has received nothing from the receiver, if that is longer than two
+    /// heartbeat intervals; otherwise zero. A link may carry messages in one direction only, which just the
+    /// other side can notice. Encoded as null if it is zero.
+    duration received_nothing_for;
 };
 
 /// @brief A consensus message of one of the replicated logs.
--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -153,8 +153,9 @@
         known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
         m_links[known.dialled].dialled = name;
     }
-    // Without a dialled link, messages may still arrive on a link that the peer dialled.
-    const bool waits_for_dial = known.last_received_at < known.dialled_at;
+    // Without a dialled link, messages may still arrive on a link that the peer dialled, or on a link that
+    // carries nothing in the other direction.
+    const bool waits_for_dial = known.last_received_at < known.dialled_at || known.is_deaf;
     const bool dial_timed_out = waits_for_dial && now - known.dialled_at > known.dial_timeout;
     const duration limit = timing_of(known).redial * std::exp2(known.silent_redials);
     const bool receive_timed_out = known.silent_for(now) > limit && now - known.dialled_at > limit;
@@ -175,13 +176,20 @@
 
 void peer_links::send_heartbeat(peer& known, time_point now)
 {
-    if (known.links.empty() || now - known.last_sent_at < timing_of(known).heartbeat)
+    const duration interval = timing_of(known).heartbeat;
+    const duration silent_for = known.silent_for(now);
+    // The peer learns only by heartbeats that its messages don't arrive, so that other messages don't replace
+    // them.
+    const bool is_silent = silent_for > interval * heartbeats_until_reported;
+    const time_point last_sent_at = is_silent ? known.last_heartbeat_at : known.last_sent_at;
+    if (known.links.empty() || now - last_sent_at < interval)
     {
         return;
     }
     known.last_sent_at = now;
-    static const encoded_message encoded_heartbeat{link_message(heartbeat{})};
-    post(*known.links.rbegin(), encoded_heartbeat);
+    known.last_heartbeat_at = now;
+    static const encoded_message usual{link_message(heartbeat{})};
+    post(*known.links.rbegin(), is_silent ? encoded_message(link_message(heartbeat{silent_for})) : usual);
 }
 
 void peer_links::tick()
@@ -278,7 +286,7 @@
     }
 }
 
-bool peer_links::open_link(link_id id, const hello& greeting)
+bool peer_links::open_link(link_id id, const hello& greeting, time_point now)
 {
     link& opened = m_links[id];
     opened.from = std::make_shared<const hello>(greeting);
@@ -306,9 +314,23 @@
         // A dial that was given up may be the one that is answered.
         m_peers[opened.dialled].dialled = newest;
     }
+    known.opened_at = now;
+    known.is_deaf = false;
     return newest == id && !same_direction.empty();
 }
 
+void peer_links::on_heartbeat(peer& known, const heartbeat& beat, time_point now)
+{
+    const duration limit = timing_of(known).silence;
+    // Reports from before the newest link was opened may still arrive.
+    const bool was_deaf =
+        std::exchange(known.is_deaf, beat.received_nothing_for > limit && now - known.opened_at > limit);
+    if (known.is_deaf && !was_deaf && known.dialled != 0)
+    {
+        redial(known);
+    }
+}
+
 void peer_links::notify(const hello& from, bool reachable)
 {
     if (reachable)
@@ -343,12 +365,13 @@
     const auto* beat = std::get_if<heartbeat>(&*message);
     std::shared_ptr<const hello> from;
     bool was_reachable = false;
+    bool is_reachable = false;
     bool replaces = false;
     bool was_dialled = false;
     {
         const std::scoped_lock lock(m_mutex);
         const time_point now = m_clock.now();
-        replaces = greeting != nullptr && open_link(id, *greeting);
+        replaces = greeting != nullptr && open_link(id, *greeting, now);
         const link& current_link = m_links[id];
         if (!current_link.from)
         {
@@ -361,18 +384,23 @@
         known.dial_backoff = initial_dial_backoff;
         known.dial_timeout = initial_dial_timeout;
         known.silent_redials = greeting == nullptr ? 0 : known.silent_redials;
-        was_reachable = std::exchange(known.reachable, true);
+        if (beat != nullptr)
+        {
+            on_heartbeat(known, *beat, now);
+        }
+        was_reachable = std::exchange(known.reachable, !known.is_deaf);
+        is_reachable = known.reachable;
     }
     if (greeting != nullptr)
     {
         log(log_level::info, "link_opened", {{"peer", from->name}, {"link", id}, {"dialled", was_dialled}});
     }
-    if (was_reachable && replaces)
+    if (was_reachable && (replaces || !is_reachable))
     {
         // What was sent on the older link may be lost.
         notify(*from, false);
     }
-    if (replaces || !was_reachable)
+    if (is_reachable && (replaces || !was_reachable))
     {
         notify(*from, true);
     }
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -35,8 +35,9 @@
 /// @brief The links of this process to its peers, which are entry instances and control replicas known by
 /// name. Opens the links, reopens those that failed, and detects which peers are reachable.
 ///
-/// A peer is reachable while a message from it arrived within the silence limit. A peer that is frozen or cut
-/// off from the network thus becomes unreachable although its connection is still open.
+/// A peer is reachable while messages pass in both directions: one from it arrived within the silence limit,
+/// and it doesn't report that it receives nothing. A peer that is frozen or cut off from the network thus
+/// becomes unreachable although its connection is still open.
 ///
 /// An open link may stop carrying messages while new links work. A silent link is kept, in case the peer was
 /// only frozen, and a new one is dialled beside it. Once that is open, the old one is closed and the peer is
@@ -116,6 +117,8 @@
     /// The links of a peer are closed after this many silence limits without a message; the peer is gone, or
     /// cut off for long.
     static constexpr double silences_until_closed = 8.0;
+    /// A peer is informed that nothing arrives from it after this many heartbeat intervals.
+    static constexpr double heartbeats_until_reported = 2.0;
 
     /// Interval between the log lines with the bytes sent so far. One line in ten seconds is negligible
     /// beside the log lines of the requests.
@@ -144,6 +147,11 @@
         /// The number of new links in succession that carried nothing but a handshake.
         int silent_redials = 0;
         time_point last_sent_at{};
+        time_point last_heartbeat_at{};
+        /// When the newest link was opened.
+        time_point opened_at{};
+        /// Whether the peer reported that it receives nothing on the open links.
+        bool is_deaf = false;
         bool reachable = false;
 
         void increase_dial_backoff() noexcept
@@ -190,7 +198,10 @@
     /// @brief Handles a handshake. Of the links that lead to a peer in the same direction, only the newest is
     /// kept. The caller holds the mutex.
     /// @return whether the link replaces an older one
-    bool open_link(link_id id, const hello& greeting);
+    bool open_link(link_id id, const hello& greeting, time_point now);
+    /// @brief Handles a heartbeat that reports whether the peer receives anything. The caller holds the
+    /// mutex.
+    void on_heartbeat(peer& known, const heartbeat& beat, time_point now);
     /// @brief Logs whether a peer is reachable, and notifies the owner.
     void notify(const hello& from, bool reachable);
     void close_all(const std::set<link_id>& links);
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -126,6 +126,16 @@
     }
 }
 
+TEST_CASE("a heartbeat reports that nothing arrives", "[link]")
+{
+    const auto received = [](const heartbeat& sent)
+    {
+        return std::get<heartbeat>(decode(encode(sent)).value()).received_nothing_for;
+    };
+    CHECK(received(heartbeat{}) == duration{});
+    CHECK(received(heartbeat{duration::from_ms(1250.5)}) == duration::from_ms(1250.5));
+}
+
 TEST_CASE("large messages are compressed", "[link]")
 {
     registration_update sent;
