Links: a silent link doesn't hide behind repeated pauses of the own process

What callers saw: nothing yet; read in the code while the silent links were traced. A process whose link ticks come late again and again, as on a busy instance, added each pause to the time of the last message, and never found a silent link. Cause: what a pause explains is a message that waits in a buffer, and that has been read by the next pause. Fix: only the first pause since the last message is left out of the silence. Evidence: the new case fails with the former rule (lost 0 == 1), passes now; the case of one long pause, unchanged, passes.

--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -133,7 +133,10 @@
     log(log_level::info, "links_paused", {{"for_ms", span.ms()}});
     for (auto& [name, known] : m_peers)
     {
-        known.paused = std::min(known.paused + span, now - known.last_received_at);
+        if (known.paused == duration{})
+        {
+            known.paused = std::min(span, now - known.last_received_at);
+        }
         known.dialled_at = std::min(known.dialled_at + span, now);
     }
 }
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -183,7 +183,9 @@
     };
 
     /// @brief Leaves the time for which this process was paused out of the silence of the peers. Their
-    /// messages wait in the buffers of the links. The caller holds the mutex.
+    /// messages wait in the buffers of the links. Only the first pause since the last message of a peer
+    /// counts: a message that waited during that pause has been read by the next one. The caller holds the
+    /// mutex.
     void discount_pause(time_point now);
     /// @brief Logs the bytes sent so far per kind of message, if the log interval has passed.
     void log_sent_bytes(time_point now);
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -94,3 +94,31 @@
                          return dialling.lost > 0;
                      }));
 }
+
+// Guards against a silent link that is never found since this process is paused again and again.
+TEST_CASE("a silent peer is found although this process is paused again and again", "[links]")
+{
+    const address at{"127.0.0.1", free_port()};
+    linked_process accepting("b", "control");
+    std::string why;
+    REQUIRE(accepting.links.listen(at, why));
+    accepting.links.start();
+    linked_process dialling("a", "entry");
+    dialling.links.set_peers({{"b", at}});
+    dialling.links.start();
+    REQUIRE(tick_until(dialling,
+                       [&]
+                       {
+                           return dialling.reached == 1 && accepting.reached == 1;
+                       }));
+
+    // `accepting` sends no heartbeats here, and each tick of `dialling` comes later than a heartbeat
+    // interval.
+    constexpr int pauses = 20;
+    for (int i = 0; i < pauses && dialling.lost == 0; ++i)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        dialling.links.tick();
+    }
+    CHECK(dialling.lost == 1);
+}
