Changes: an entry learns of a new leader, a new revision and a lag without waiting for its reports

What callers saw: with the followed leader cut off from the other replicas, an entry served by the older version for 3.2 s after the acknowledgement (3.0 s allowed), long after it counted as in touch again. Cause: a chain of waits, each for the next report: until an old leader counts as lost (2.5 intervals), until the new one answers, until the lag is checked. Their sum, 4.9 s after the cut at worst, was nowhere held against the bound. Fix: a leader confirms its revision to all linked entries when it takes office and at each change; the entry checks for the lag when it is due rather than with its next report; the times of the selector are shares of the bound, at most.

--- a/include/flaxtiller/distribution/control_replica_selector.hpp
+++ b/include/flaxtiller/distribution/control_replica_selector.hpp
@@ -55,6 +55,9 @@
         bool operator==(const candidate&) const = default;
     };
 
+    /// @param apply_bound the time within which a change must be in force; zero if there is no bound
+    explicit control_replica_selector(duration apply_bound = duration{}) noexcept;
+
     /// @brief Processes a replica's report of the revision that it has.
     void on_word(const std::string& replica, std::int64_t revision);
 
@@ -76,6 +79,9 @@
     std::string choose(const std::vector<candidate>& reachable, const std::string& leader, bool serves,
                        time_point now);
 
+    /// @return the time at which @ref choose must be called, even if nothing happens until then
+    time_point next_check(bool serves, time_point now) const;
+
     /// @return the time for which the instance has lacked the current revision; zero if it has it
     duration behind_for(time_point now) const noexcept
     {
@@ -92,8 +98,16 @@
     }
 
   private:
+    duration lag_bound(bool serves) const;
     bool is_lagging(bool serves, time_point now) const;
 
+    /// The share of the bound of changes that the detection of a lagging replica may take, and that the
+    /// transfer from a replica that has the revision may take.
+    static constexpr double max_lag_share = 0.3;
+    static constexpr double max_transfer_share = 0.6;
+
+    duration m_apply_bound;
+
     std::string m_followed;
     std::int64_t m_active_revision = 0;
     std::int64_t m_current_revision = 0;
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -240,18 +240,12 @@
              {"members", node ? node->members().members.size() : 0},
              {"revision", catalog.state().revision()}});
     }
-    if (authoritative && !was_authoritative)
+    const bool is_new_revision = catalog.state().revision() > confirmed_revision;
+    if (authoritative && (!was_authoritative || is_new_revision))
     {
-        const distribution::revision_confirmation confirmed = confirmation(now);
-        std::vector<std::string> receivers;
-        for (const std::string& peer : links.reachable())
-        {
-            if (entries.count(peer) > 0)
-            {
-                receivers.push_back(peer);
-            }
-        }
-        links.send(receivers, confirmed);
+        // Entries learn of a new leader or a new revision without waiting for the answer to a report.
+        confirmed_revision = catalog.state().revision();
+        links.send(linked_entry_names(), confirmation(now));
     }
     was_authoritative = authoritative;
 }
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -155,6 +155,8 @@
     time_point leader_since{};
     const time_point started_at = clock.now();
     bool was_authoritative = false;
+    /// The revision that was last confirmed to all entries.
+    std::int64_t confirmed_revision = 0;
     std::error_code reported_storage_error;
 
     // ------------------------------------------------------------------ state changes and timers
@@ -209,8 +211,9 @@
 
     void track_state_changes();
 
-    /// Sends a confirmation of the revision to the entries when this replica becomes authoritative, as they
-    /// may be waiting for the confirmation of a leader.
+    /// Confirms the revision to all entries when this replica becomes authoritative, as they may be waiting
+    /// for the confirmation of a leader, and when the revision changes: the replica that an entry follows may
+    /// lag behind.
     void confirm_revision_to_entries(time_point now);
 
     bool knows_all_entries(time_point now) const;
--- a/src/distribution/control_replica_selector.cpp
+++ b/src/distribution/control_replica_selector.cpp
@@ -5,6 +5,10 @@
 namespace flaxtiller::distribution
 {
 
+control_replica_selector::control_replica_selector(duration apply_bound) noexcept : m_apply_bound(apply_bound)
+{
+}
+
 void control_replica_selector::on_word(const std::string& replica, std::int64_t revision)
 {
     m_reported_revisions[replica] = revision;
@@ -38,15 +42,27 @@
     return known == m_reported_revisions.end() ? 0 : known->second;
 }
 
+duration control_replica_selector::lag_bound(bool serves) const
+{
+    const bool has_it = reported_revision(m_followed) >= m_current_revision;
+    const duration usual = has_it ? max_transfer_time : serves ? max_lag : max_lag_before_serving;
+    const duration share = m_apply_bound * (has_it ? max_transfer_share : max_lag_share);
+    return m_apply_bound == duration{} ? usual : std::min(usual, share);
+}
+
 bool control_replica_selector::is_lagging(bool serves, time_point now) const
 {
-    if (m_followed.empty() || m_behind_since == time_point::never())
+    return !m_followed.empty() && m_behind_since != time_point::never() &&
+           now - m_behind_since >= lag_bound(serves);
+}
+
+time_point control_replica_selector::next_check(bool serves, time_point now) const
+{
+    if (m_followed.empty())
     {
-        return false;
+        return now + own_zone_wait;
     }
-    const bool has_it = reported_revision(m_followed) >= m_current_revision;
-    const duration bound = has_it ? max_transfer_time : serves ? max_lag : max_lag_before_serving;
-    return now - m_behind_since >= bound;
+    return m_behind_since == time_point::never() ? m_behind_since : m_behind_since + lag_bound(serves);
 }
 
 std::string control_replica_selector::choose(const std::vector<candidate>& reachable,
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -41,7 +41,11 @@
     {
         set_rate_limit_coordinator(from.name, true);
     }
-    leader = from.name;
+    if (leader != from.name)
+    {
+        leader = from.name;
+        leader_reported_at = time_point{};
+    }
     leader_contact_at = now;
     leader_report_interval = std::max(settings.report_every, duration::from_ms(confirmation.report_every_ms));
     subscriber.on_confirmation(confirmation, now);
@@ -53,13 +57,9 @@
     }
     const bool now_behind = control_choice.on_current_revision(confirmation.revision, now);
     update_confirmation_time();
-    if (now_behind && !serves())
+    if (now_behind)
     {
-        after(catch_up_timer, distribution::control_replica_selector::max_lag_before_serving,
-              [this]
-              {
-                  report();
-              });
+        schedule_follow_check();
     }
     if (confirmation.instances != entry_count && confirmation.instances > 0)
     {
@@ -335,6 +335,21 @@
     reports_unanswered = unanswered;
 }
 
+void entry_process::implementation::schedule_follow_check()
+{
+    const time_point now = clock.now();
+    const time_point next = control_choice.next_check(serves(), now);
+    if (next == time_point::never())
+    {
+        return;
+    }
+    after(follow_check_timer, std::max(next - now, duration{}),
+          [this]
+          {
+              report();
+          });
+}
+
 void entry_process::implementation::report()
 {
     const time_point now = clock.now();
@@ -359,14 +374,7 @@
             routed->report_all_crash_records();
         }
     }
-    if (followed.empty())
-    {
-        after(follow_retry_timer, distribution::control_replica_selector::own_zone_wait,
-              [this]
-              {
-                  report();
-              });
-    }
+    schedule_follow_check();
     const bool leader_known =
         reachable.count(leader) > 0 &&
         now - leader_contact_at < leader_report_interval * missed_reports_until_leader_lost;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -62,9 +62,8 @@
 
     explicit implementation(entry_settings wanted)
         : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
-          report_timer(strand), catch_up_timer(strand), follow_retry_timer(strand), pools_timer(strand),
-          crash_resend_timer(strand), drain_timer(strand), routing_update_timer(strand),
-          signals(io, SIGTERM, SIGINT, SIGHUP),
+          report_timer(strand), follow_check_timer(strand), pools_timer(strand), crash_resend_timer(strand),
+          drain_timer(strand), routing_update_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links, settings.links,
@@ -140,10 +139,8 @@
     net::strand<net::io_context::executor_type> strand;
     net::steady_timer link_timer;
     net::steady_timer report_timer;
-    /// Expires when an entry that doesn't serve yet has lacked the current revision for too long.
-    net::steady_timer catch_up_timer;
-    /// Expires when the selection of a control replica is to be repeated, after no replica was near enough.
-    net::steady_timer follow_retry_timer;
+    /// Expires when the selection of a control replica is to be repeated.
+    net::steady_timer follow_check_timer;
     net::steady_timer pools_timer;
     net::steady_timer crash_resend_timer;
     net::steady_timer drain_timer;
@@ -209,7 +206,7 @@
     duration leader_report_interval = duration::from_ms(1000);
     std::int64_t leader_revision = 0;
     /// Selects the control replica from which this entry receives updates.
-    distribution::control_replica_selector control_choice;
+    distribution::control_replica_selector control_choice{settings.bounds.apply};
     /// The times at which the control replicas last answered a report.
     std::map<std::string, time_point> answered_at;
     bool reports_unanswered = false;
@@ -324,6 +321,9 @@
 
     void report();
 
+    /// Schedules a report at the time at which another control replica may have to be followed.
+    void schedule_follow_check();
+
     /// Logs once that the followed replica doesn't answer reports: a link may carry messages one way only.
     void log_unanswered_reports(time_point now);
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -24,9 +24,6 @@
 /// A link is kept open for this long after it was last needed. The owners of shards change whenever backend
 /// servers come and go, and opening a new link costs more than one minute of heartbeats.
 constexpr duration unused_link_lifetime = duration::from_ms(60000);
-/// The time in which a lost link is replaced if its peer answers. Another control replica is followed only
-/// afterwards, since it sends its whole state.
-constexpr duration link_renewal_time = duration::from_ms(300);
 /// Number of entries of each other region to link to. With three links, one entry may fail and another may be
 /// skipped because of back-off.
 constexpr std::size_t links_per_remote_region = 3;
@@ -382,14 +379,6 @@
                   {
                       on_control_replicas_changed();
                   }
-                  if (!up && (name == control_choice.followed() || name == leader))
-                  {
-                      after(follow_retry_timer, link_renewal_time,
-                            [this]
-                            {
-                                report();
-                            });
-                  }
                   if (up && control.knows(name))
                   {
                       // The answer to the report confirms the configuration; without a confirmation, a
--- a/tests/src/unit-control-replica-selector.cpp
+++ b/tests/src/unit-control-replica-selector.cpp
@@ -64,6 +64,26 @@
         CHECK(selector.choose(all, "", true, now + control_replica_selector::lagging_exclusion_time) ==
               "near");
     }
+    // Guards against an instance that checks for a lag only with its next report.
+    SECTION("the check is due when the replica counts as lagging")
+    {
+        selector.on_word("near", 1);
+        CHECK(selector.next_check(true, now) == now + control_replica_selector::max_lag);
+        selector.on_word("near", 2);
+        CHECK(selector.next_check(true, now) == now + control_replica_selector::max_transfer_time);
+        selector.on_activated(2);
+        CHECK(selector.next_check(true, now) == time_point::never());
+    }
+    SECTION("the bound of changes limits the times")
+    {
+        control_replica_selector bounded(duration::from_ms(1000));
+        REQUIRE(bounded.choose(all, "", true, now) == "near");
+        bounded.on_activated(1);
+        bounded.on_current_revision(2, now);
+        CHECK(bounded.next_check(true, now) == now + duration::from_ms(300));
+        bounded.on_word("near", 2);
+        CHECK(bounded.next_check(true, now) == now + duration::from_ms(600));
+    }
     SECTION("a replica that has the revision gets more time to send it")
     {
         selector.on_word("near", 2);
