Links: the time limit of a dial is bounded by what the agreed times leave

Dials to a peer that was cut off were given up only after up to 6 s, so that an instance could be without its replica for longer after the cut than the 4 s after which it counts as in touch. Fix: at most twice the time of a silent link, which is the shortest bound; and a dial in progress is no longer ended by the time of a silent link, which is for open links. Evidence: the new case fails with the former limit (4 dials in 3 s, 5 expected), passes now.

--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -159,16 +159,19 @@
     // Without a dialled link, messages may still arrive on a link that the peer dialled, or on a link that
     // carries nothing in the other direction.
     const bool waits_for_dial = known.last_received_at < known.dialled_at || known.is_deaf;
-    const bool dial_timed_out = waits_for_dial && now - known.dialled_at > known.dial_timeout;
-    const duration limit = timing_of(known).redial * std::exp2(known.silent_redials);
-    const bool receive_timed_out = known.silent_for(now) > limit && now - known.dialled_at > limit;
-    if (known.dialled == 0 || (!dial_timed_out && !receive_timed_out))
+    const duration limit =
+        waits_for_dial ? known.dial_timeout : timing_of(known).redial * std::exp2(known.silent_redials);
+    const duration waited =
+        waits_for_dial ? now - known.dialled_at : std::min(known.silent_for(now), now - known.dialled_at);
+    if (known.dialled == 0 || waited <= limit)
     {
         return;
     }
-    if (dial_timed_out)
+    if (waits_for_dial)
     {
-        known.dial_timeout = std::min(known.dial_timeout * 2.0, max_dial_timeout);
+        const duration longest =
+            std::max(timing_of(known).redial * max_redials_per_dial, initial_dial_timeout);
+        known.dial_timeout = std::min({known.dial_timeout * 2.0, longest, max_dial_timeout});
     }
     else
     {
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -103,10 +103,12 @@
     /// round trips between regions and the start of a process on a busy instance. An instance without power
     /// doesn't refuse the connection, and the operating system repeats its own attempt only after a second.
     static constexpr duration initial_dial_timeout = duration::from_ms(300);
-    /// The time limit of a dial doubles with each dial that is given up, to this maximum. A peer that is only
-    /// slow, for example because many processes dial it at once, is thus dialled less and less often, and its
-    /// link is established in the end.
+    /// The time limit of a dial doubles with each dial that is given up, to this maximum, and to this
+    /// multiple of the time of a silent link: a peer that was cut off is reached within that. A peer that is
+    /// only slow, for example because many processes dial it at once, is thus dialled less and less often,
+    /// and its link is established in the end.
     static constexpr duration max_dial_timeout = duration::from_ms(6000);
+    static constexpr double max_redials_per_dial = 2.0;
 
     /// A call of @ref tick that is late by this many heartbeat intervals shows that this process was paused.
     static constexpr double max_heartbeats_between_ticks = 1.0;
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <thread>
+#include <vector>
 
 using namespace flaxtiller;
 using namespace flaxtiller::shell;
@@ -122,3 +123,38 @@
     }
     CHECK(dialling.lost == 1);
 }
+
+// Guards against dials to a peer that never answers becoming so rare that the peer is reached late once it
+// does.
+TEST_CASE("a peer that doesn't answer is dialled again within twice the time of a silent link", "[links]")
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor unanswering(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<boost::asio::ip::tcp::socket> held;
+    const std::function<void()> accept = [&]
+    {
+        unanswering.async_accept(
+            [&](const boost::system::error_code& failed, boost::asio::ip::tcp::socket connection)
+            {
+                if (!failed)
+                {
+                    held.push_back(std::move(connection));
+                    accept();
+                }
+            });
+    };
+    accept();
+    linked_process dialling("a", "entry");
+    dialling.links.set_peers({{"b", {"127.0.0.1", unanswering.local_endpoint().port()}}});
+    dialling.links.start();
+    constexpr int ticks = 600;
+    for (int i = 0; i < ticks; ++i)
+    {
+        dialling.links.tick();
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        io.poll();
+    }
+    // Each dial takes the initial time limit of 300 ms, which exceeds the time of a silent link, and a pause.
+    constexpr std::size_t min_dials = 5;
+    CHECK(held.size() >= min_dials);
+}
