Registrations: an instance that begins to follow a replica receives the changes that only its followers were told

An entry that left its replica for another could miss that a backend server leaves for up to 10 s (3 s allowed): its digest was one of the last 10 s, which the new replica took for a change in transit, though it had sent that change to its followers alone. Class: what was sent is taken for received. Fix: the first digest of an instance that begins to follow, as the first one on a new link, is answered with the full list if it differs.

--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -82,7 +82,8 @@
         m_changes_due_at = std::min(m_changes_due_at, now);
     }
 
-    /// @brief Handles the registry digest of a peer.
+    /// @brief Handles the registry digest of a peer. An instance that begins to follow, or whose link was
+    /// lost, may lack changes that were sent before, even if its digest is a recent one.
     /// @param own the registry digest of this replica
     /// @return whether the mismatch lasted so long that the peer will be sent the full list
     bool on_digest(const std::string& from, std::uint64_t digest, std::uint64_t own, time_point now);
@@ -115,6 +116,8 @@
     time_point last_change_at() const noexcept;
     receivers sort(const std::set<std::string>& reachable, time_point now) const;
     bool was_recent_digest(std::uint64_t digest, time_point now) const;
+    /// @return whether changes are sent to the instance, which reported its digest lately
+    bool is_follower(const std::string& peer, time_point now) const;
     void send_changes(const receivers& to, bool replica_unreachable, time_point now,
                       std::vector<outgoing>& output);
     void send_to_non_followers(const receivers& to, std::vector<outgoing>& output);
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -49,21 +49,30 @@
                        });
 }
 
+bool registration_publisher::is_follower(const std::string& peer, time_point now) const
+{
+    const auto last_digest = m_followers.find(peer);
+    return last_digest != m_followers.end() &&
+           now - last_digest->second < distribution::publisher::follower_timeout;
+}
+
 bool registration_publisher::on_digest(const std::string& from, std::uint64_t digest, std::uint64_t own,
                                        time_point now)
 {
     const bool replica = m_replicas.count(from) > 0;
+    const bool begins_to_follow = !replica && !is_follower(from, now);
     if (!replica)
     {
         m_followers[from] = now;
     }
     const bool link_was_lost = m_link_lost_at.erase(from) > 0;
-    if (digest == own || (digest != 0 && !link_was_lost && was_recent_digest(digest, now)))
+    const bool may_lack_changes = link_was_lost || (begins_to_follow && digest != 0);
+    if (digest == own || (digest != 0 && !may_lack_changes && was_recent_digest(digest, now)))
     {
         m_mismatch_since.erase(from);
         return false;
     }
-    if (link_was_lost)
+    if (may_lack_changes)
     {
         m_full_list_pending.insert(from);
         return true;
@@ -143,13 +152,11 @@
     receivers sorted;
     for (const std::string& peer : reachable)
     {
-        const auto follows = m_followers.find(peer);
         if (m_replicas.count(peer) > 0)
         {
             sorted.replicas.push_back(peer);
         }
-        else if (follows != m_followers.end() &&
-                 now - follows->second < distribution::publisher::follower_timeout)
+        else if (is_follower(peer, now))
         {
             sorted.followers.push_back(peer);
         }
--- a/tests/src/unit-registration-publisher.cpp
+++ b/tests/src/unit-registration-publisher.cpp
@@ -276,6 +276,29 @@
     CHECK(simulation.full_lists == before + 1);
 }
 
+// Guards against an entry that changes the replica it follows and misses a leaving backend server for
+// seconds.
+TEST_CASE("an instance that begins to follow receives the changes that only followers were told",
+          "[registration]")
+{
+    const std::string entry = "e-0";
+    const std::uint64_t digest_before = 11;
+    const std::uint64_t digest_now = 12;
+    registration_publisher publisher;
+    publisher.set_replicas({"r-0"});
+    publisher.on_changes({report_of(0)}, true, digest_before, at_ms(0));
+    (void)publisher.take({entry, "r-0"}, 1, at_ms(100));
+    publisher.on_changes({report_of(1)}, true, digest_now, at_ms(200));
+    (void)publisher.take({entry, "r-0"}, 2, at_ms(300));
+
+    CHECK(publisher.on_digest(entry, digest_before, digest_now, at_ms(1000)));
+    const auto messages = publisher.take({entry, "r-0"}, 2, at_ms(1000));
+    REQUIRE(messages.size() == 1);
+    CHECK(messages[0] == registration_publisher::outgoing{{entry}, true, {}});
+    // From now on a digest of that time stands for changes in transit.
+    CHECK_FALSE(publisher.on_digest(entry, digest_before, digest_now, at_ms(2000)));
+}
+
 TEST_CASE("the cost of reports and revisions for a leader grows linearly with the number of instances",
           "[distribution]")
 {
