Answers are matched with numbers that no earlier run of the process has used, and with the entry that was asked

Class: an identity (a number) that holds within one run is compared across runs. Fix: the numbers of delegations, of calls of the register and of reports to the rate limit coordinator start at random; an outcome counts only from the entry that was asked. Subqueries of service queries and quorum messages already carry run or term. Evidence: two sections of the new case fail before (taken with the earlier run's number, taken from another entry), pass now.

--- a/include/flaxtiller/routing/caller_admission.hpp
+++ b/include/flaxtiller/routing/caller_admission.hpp
@@ -58,7 +58,9 @@
 {
   public:
     /// @param load the switches; `spreads_returns` applies here
-    explicit caller_admission(const load_options& load = {}) : m_load(load)
+    /// @param first_number the number of the first report to the rate limit coordinator
+    explicit caller_admission(const load_options& load = {}, std::uint64_t first_number = 1)
+        : m_load(load), m_limiter(first_number)
     {
     }
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -472,7 +472,7 @@
     std::set<std::pair<time_point, request_number>> m_timers;
     dispatch::subquery_id m_next_subquery = 1;
     std::unordered_map<dispatch::subquery_id, subquery_owner> m_subquery_owners;
-    delegation_number m_next_delegation = 1;
+    delegation_number m_next_delegation;
     std::unordered_map<delegation_number, request_number> m_delegations;
     routed_attempt_number m_next_attempt = 1;
     std::unordered_map<routed_attempt_number, started> m_started;
--- a/include/flaxtiller/routing/router_options.hpp
+++ b/include/flaxtiller/routing/router_options.hpp
@@ -5,6 +5,7 @@
 #include <flaxtiller/routing/load_options.hpp>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace flaxtiller
 {
@@ -62,6 +63,10 @@
     double warmup_overage = 1.0;
     double warmup_slack = 0.0;
 
+    /// The first number of delegations to other entries and of reports to the rate limit coordinator. A
+    /// process draws it at random: an answer to an earlier run of the process must fit no number of this run.
+    std::uint64_t first_number = 1;
+
     /// The decisions under load that are switched on.
     load_options load{};
 
--- a/include/flaxtiller/teams/rate_limiter.hpp
+++ b/include/flaxtiller/teams/rate_limiter.hpp
@@ -63,6 +63,11 @@
         bool operator==(const decision&) const = default;
     };
 
+    /// @param first_report the number of the first report; greater than 0
+    explicit rate_limiter(std::uint64_t first_report = 1) noexcept : m_next_report(first_report)
+    {
+    }
+
     /// @brief Sets the teams and the number of entries.
     /// @param teams the teams whose state is kept
     /// @param entries the number of instances among which the limit is divided while the coordinator is
@@ -176,7 +181,7 @@
     std::map<std::uint64_t, sent_report> m_sent;
     std::map<std::uint64_t, waiting_request> m_waiting;
     std::vector<decision> m_decisions;
-    std::uint64_t m_next_report = 1;
+    std::uint64_t m_next_report;
     std::uint64_t m_next_ask = 1;
     /// The number of changes of the coordinator.
     std::uint64_t m_coordinators = 0;
--- a/src/entry/register_client.hpp
+++ b/src/entry/register_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "links/peer_links.hpp"
+#include "process/system.hpp"
 
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
@@ -65,7 +66,7 @@
     boost::asio::steady_timer m_timer;
     monotonic_clock m_clock;
     bool m_checking = false;
-    std::uint64_t m_next_number = 1;
+    std::uint64_t m_next_number = first_number_of_run();
     std::size_t m_leader = 0;
     std::map<std::uint64_t, pending_call> m_calls;
 };
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -3,6 +3,7 @@
 #include "http/http_status.hpp"
 #include "http/json_reply.hpp"
 #include "process/log.hpp"
+#include "process/system.hpp"
 #include "waiting_report.hpp"
 
 #include <flaxtiller/dispatch/owner_choice.hpp>
@@ -51,6 +52,13 @@
     return dumped;
 }
 
+/// @return the options with numbers that no earlier run of this process has used
+router_options with_new_numbers(router_options options)
+{
+    options.first_number = first_number_of_run();
+    return options;
+}
+
 } // namespace
 
 routing_frontend::routing_frontend(net::io_context& io, metrics& counted, const router_options& options,
@@ -58,12 +66,13 @@
                                    crash_records_handler crashes, witness_report_handler witnesses)
     : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
       m_send(std::move(send)), m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
-      m_report_to_witnesses(std::move(witnesses)), m_admission(options.load), m_router(options),
-      m_pools(m_strand, counted), m_server(io, limits_of({}),
-                                           [this](const http_request& request, http_server::respond respond)
-                                           {
-                                               on_request(request, std::move(respond));
-                                           })
+      m_report_to_witnesses(std::move(witnesses)), m_admission(options.load, first_number_of_run()),
+      m_router(with_new_numbers(options)), m_pools(m_strand, counted),
+      m_server(io, limits_of({}),
+               [this](const http_request& request, http_server::respond respond)
+               {
+                   on_request(request, std::move(respond));
+               })
 {
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 router::router(router_options options)
-    : m_options(options), m_groups(options.load.balances_owners), m_open_limit(options.max_open_requests),
-      m_returns(options.min_retry_after)
+    : m_options(options), m_groups(options.load.balances_owners), m_next_delegation(options.first_number),
+      m_open_limit(options.max_open_requests), m_returns(options.min_retry_after)
 {
     m_options.scheduling.extra_load_share = m_options.retry_ratio * m_options.retry_share;
     m_options.scheduling.direct = true;
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -342,6 +342,10 @@
                      });
     delegation& sent =
         *std::find_if(delegated_group->delegations.begin(), delegated_group->delegations.end(), has_number);
+    if (sent.peer != peer)
+    {
+        return;
+    }
     sent.has_replied = true;
     sent.is_finished = !outcome.is_progress;
     opened.may_have_run = opened.may_have_run || outcome.attempts > 0;
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -42,6 +42,16 @@
     {
     }
 
+    /// Receives an outcome of @a delegation from any entry, with any number.
+    void receive_outcome(const instance_name& peer, delegation_number number,
+                         const delegate_shards& delegation)
+    {
+        delegate_shards received = delegation;
+        received.peer = peer;
+        received.number = number;
+        receive_final_outcome(received, routed_end::merged);
+    }
+
     void set_view(std::map<std::string, route> routes, int services, int replicas = 2)
     {
         auto placed = std::make_shared<placement>();
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -219,6 +219,45 @@
     CHECK(driver.started.empty());
 }
 
+// Guards against a caller that gets the answer to another request: an entry answers a delegation of an
+// earlier run of this process, or another entry answers.
+TEST_CASE("an outcome counts only for the delegation that it answers", "[router]")
+{
+    const std::vector<entry_peer> peers = {{instance_name("f1"), "far", "far-zone", ""},
+                                           {instance_name("f2"), "far", "far-zone", ""}};
+    router_options options;
+    options.first_number = 1000;
+    router_driver earlier_run(options);
+    earlier_run.peers = peers;
+    earlier_run.set_view({{"all", fan_out_over(4, 0.75)}}, 4);
+    earlier_run.submit("/all/x");
+    REQUIRE(earlier_run.delegations.size() == 1);
+    options.first_number = 2000;
+    router_driver driver(options);
+    driver.peers = peers;
+    driver.set_view({{"all", fan_out_over(4, 0.75)}}, 4);
+    const request_number number = driver.submit("/all/y");
+    REQUIRE(driver.delegations.size() == 1);
+    const delegate_shards& asked = driver.delegations[0];
+
+    SECTION("an outcome with the number of an earlier run is ignored")
+    {
+        driver.receive_outcome(asked.peer, earlier_run.delegations[0].number, asked);
+        CHECK(driver.answers.count(number) == 0);
+    }
+    SECTION("an outcome of an entry that wasn't asked is ignored")
+    {
+        const instance_name other(asked.peer.str() == "f1" ? "f2" : "f1");
+        driver.receive_outcome(other, asked.number, asked);
+        CHECK(driver.answers.count(number) == 0);
+    }
+    SECTION("the outcome of the entry that was asked is the answer")
+    {
+        driver.receive_outcome(asked.peer, asked.number, asked);
+        CHECK(driver.answers.at(number).end == routed_end::merged);
+    }
+}
+
 TEST_CASE("a fan-out whose replicas are all in another region", "[router]")
 {
     router_driver driver;
