Links: what an earlier run of a peer sent is discarded once its next run is linked

Groups that an entry's earlier run had delegated, held back by a cut, ran 5 s later at other entries and reached backend servers for callers that were gone. Cause: messages were attributed to a peer by its name; links of an earlier run stayed open beside those of the present one. Fix: the newest link tells which run is the present one; links of other runs are closed, and what they still carry is dropped and logged. Evidence: the new case, with a link that the receiver had dialled to the earlier run, fails before (2 messages received, 1 expected).

--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -292,6 +292,28 @@
     }
 }
 
+bool peer_links::close_links_of_earlier_runs(peer& known)
+{
+    const std::uint64_t run = run_of(*known.links.rbegin());
+    const auto closed = std::erase_if(known.links,
+                                      [&](link_id id)
+                                      {
+                                          const bool earlier = run_of(id) != run;
+                                          if (earlier)
+                                          {
+                                              m_endpoint.close(id);
+                                          }
+                                          return earlier;
+                                      });
+    return closed > 0;
+}
+
+std::uint64_t peer_links::run_of(link_id id) const
+{
+    const auto found = m_links.find(id);
+    return found == m_links.end() || !found->second.from ? 0 : found->second.from->run;
+}
+
 bool peer_links::open_link(link_id id, const hello& greeting, time_point now)
 {
     link& opened = m_links[id];
@@ -299,6 +321,11 @@
     const bool was_dialled = !opened.dialled.empty();
     peer& known = m_peers[greeting.name];
     known.links.insert(id);
+    const bool is_new_run = close_links_of_earlier_runs(known);
+    if (known.links.count(id) == 0)
+    {
+        return false;
+    }
     std::set<link_id> same_direction;
     for (const link_id other : known.links)
     {
@@ -322,7 +349,7 @@
     }
     known.opened_at = now;
     known.is_deaf = false;
-    return newest == id && !same_direction.empty();
+    return newest == id && (is_new_run || !same_direction.empty());
 }
 
 void peer_links::on_heartbeat(peer& known, const heartbeat& beat, time_point now)
@@ -384,6 +411,12 @@
             return;
         }
         from = current_link.from;
+        const auto sender = m_peers.find(from->name);
+        if (!sender->second.links.empty() && run_of(*sender->second.links.rbegin()) != from->run)
+        {
+            log(log_level::info, "message_of_earlier_run", {{"peer", from->name}, {"link", id}});
+            return;
+        }
         was_dialled = !current_link.dialled.empty();
         peer& known = m_peers[from->name];
         known.on_message(now);
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -203,6 +203,13 @@
     /// kept. The caller holds the mutex.
     /// @return whether the link replaces an older one
     bool open_link(link_id id, const hello& greeting, time_point now);
+    /// @brief Closes the links to earlier runs of the peer's process. What they still carry was sent before
+    /// the newest link was opened, possibly long before, and is discarded. The caller holds the mutex.
+    /// @return whether there were such links
+    bool close_links_of_earlier_runs(peer& known);
+    /// @return the run that the peer's handshake on the link named; 0 without a handshake. The caller holds
+    /// the mutex.
+    std::uint64_t run_of(link_id id) const;
     /// @brief Handles a heartbeat that reports whether the peer receives anything. The caller holds the
     /// mutex.
     void on_heartbeat(peer& known, const heartbeat& beat, time_point now);
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -28,9 +28,12 @@
 /// A process with links, and how often its peers became reachable and unreachable.
 struct linked_process
 {
-    linked_process(const std::string& name, const std::string& role)
-        : links(identity(name, role), counted, timing, timing,
-                {[](const auto&, const auto&) {},
+    linked_process(const std::string& name, const std::string& role, std::uint64_t run = 1)
+        : links(identity(name, role, run), counted, timing, timing,
+                {[this](const std::shared_ptr<const hello>& from, const auto&)
+                 {
+                     ++(from->run == 1 ? received : received_of_later_run);
+                 },
                  [this](const std::string&, bool is_reachable)
                  {
                      ++(is_reachable ? reached : lost);
@@ -38,9 +41,10 @@
     {
     }
 
-    static hello identity(const std::string& name, const std::string& role)
+    static hello identity(const std::string& name, const std::string& role, std::uint64_t run)
     {
         hello self;
+        self.run = run;
         self.name = name;
         self.role = role;
         return self;
@@ -49,6 +53,9 @@
     metrics counted;
     std::atomic<int> reached{0};
     std::atomic<int> lost{0};
+    /// The messages received from peers in their first runs, and in later ones.
+    std::atomic<int> received{0};
+    std::atomic<int> received_of_later_run{0};
     peer_links links;
 };
 
@@ -158,3 +165,47 @@
     constexpr std::size_t min_dials = 5;
     CHECK(held.size() >= min_dials);
 }
+
+// Guards against a process that acts on what an earlier run of its peer sent, and answers the present run.
+TEST_CASE("messages of an earlier run of a peer are discarded once a later run is linked", "[links]")
+{
+    const address at_a{"127.0.0.1", free_port()};
+    const address at_b{"127.0.0.1", free_port()};
+    std::string why;
+    linked_process earlier("a", "entry", 1);
+    REQUIRE(earlier.links.listen(at_a, why));
+    earlier.links.start();
+    linked_process receiver("b", "entry");
+    REQUIRE(receiver.links.listen(at_b, why));
+    receiver.links.set_peers({{"a", at_a}});
+    receiver.links.start();
+    REQUIRE(tick_until(receiver,
+                       [&]
+                       {
+                           return earlier.reached == 1 && receiver.reached == 1;
+                       }));
+    earlier.links.send("b", registration_digest{1});
+    REQUIRE(tick_until(receiver,
+                       [&]
+                       {
+                           return receiver.received == 1;
+                       }));
+
+    linked_process later("a", "entry", 2);
+    later.links.set_peers({{"b", at_b}});
+    later.links.start();
+    REQUIRE(tick_until(later,
+                       [&]
+                       {
+                           return later.reached == 1;
+                       }));
+    later.links.send("b", registration_digest{2});
+    REQUIRE(tick_until(later,
+                       [&]
+                       {
+                           return receiver.received_of_later_run == 1;
+                       }));
+    earlier.links.send("b", registration_digest{3});
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(receiver.received == 1);
+}
