--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace flaxtiller::shell
@@ -133,69 +132,32 @@
     log(log_level::info, "links_paused", {{"for_ms", span.ms()}});
     for (auto& [name, known] : m_peers)
     {
-        if (known.paused == duration{})
-        {
-            known.paused = std::min(span, now - known.last_received_at);
-        }
-        known.dialled_at = std::min(known.dialled_at + span, now);
+        known.on_pause(span, now);
     }
 }
 
-void peer_links::redial(peer& known)
-{
-    known.dialled = 0;
-    known.increase_dial_backoff();
-}
-
 void peer_links::maintain_dialled_link(const std::string& name, peer& known, time_point now)
 {
-    if (known.wanted && known.dialled == 0 && now >= known.next_dial_at)
+    if (known.is_dial_due(now))
     {
-        known.next_dial_at = now + known.dial_backoff;
-        known.dialled_at = now;
-        known.dialled = m_endpoint.connect(known.at.ip, known.at.port);
+        known.on_dial(m_endpoint.connect(known.at.ip, known.at.port), now);
         m_links[known.dialled].dialled = name;
     }
-    // Without a dialled link, messages may still arrive on a link that the peer dialled, or on a link that
-    // carries nothing in the other direction.
-    const bool waits_for_dial = known.last_received_at < known.dialled_at || known.is_deaf;
-    const duration limit =
-        waits_for_dial ? known.dial_timeout : timing_of(known).redial * std::exp2(known.silent_redials);
-    const duration waited =
-        waits_for_dial ? now - known.dialled_at : std::min(known.silent_for(now), now - known.dialled_at);
-    if (known.dialled == 0 || waited <= limit)
-    {
-        return;
-    }
-    if (waits_for_dial)
-    {
-        const duration longest =
-            std::max(timing_of(known).redial * max_redials_per_dial, initial_dial_timeout);
-        known.dial_timeout = std::min({known.dial_timeout * 2.0, longest, max_dial_timeout});
-    }
-    else
-    {
-        known.silent_redials = std::min(known.silent_redials + 1, max_redial_doublings);
-    }
-    redial(known);
+    known.give_up_silent_link(timing_of(known), now);
 }
 
 void peer_links::send_heartbeat(peer& known, time_point now)
 {
-    const duration interval = timing_of(known).heartbeat;
-    const duration silent_for = known.silent_for(now);
-    // The peer learns only by heartbeats that its messages don't arrive, so that other messages don't replace
-    // them.
-    const bool is_silent = silent_for > interval * heartbeats_until_reported;
-    const time_point last_sent_at = is_silent ? known.last_heartbeat_at : known.last_sent_at;
-    if (known.links.empty() || now - last_sent_at < interval)
+    if (!known.is_heartbeat_due(timing_of(known), now))
     {
         return;
     }
     known.last_sent_at = now;
     known.last_heartbeat_at = now;
     static const encoded_message usual{link_message(heartbeat{})};
-    post(*known.links.rbegin(), is_silent ? encoded_message(link_message(heartbeat{silent_for})) : usual);
+    const bool reports = known.is_silence_to_report(timing_of(known), now);
+    post(*known.links.rbegin(),
+         reports ? encoded_message(link_message(heartbeat{known.silent_for(now)})) : usual);
 }
 
 void peer_links::tick()
@@ -246,9 +208,8 @@
     peer& known = found->second;
     if (known.dialled == id)
     {
-        known.dialled = 0;
         known.next_dial_at = m_clock.now() + known.dial_backoff;
-        known.increase_dial_backoff();
+        known.redial();
     }
     if (known.links.erase(id) == 0 || !known.links.empty() || !known.reachable)
     {
@@ -352,18 +313,6 @@
     return newest == id && (is_new_run || !same_direction.empty());
 }
 
-void peer_links::on_heartbeat(peer& known, const heartbeat& beat, time_point now)
-{
-    const duration limit = timing_of(known).silence;
-    // Reports from before the newest link was opened may still arrive.
-    const bool was_deaf =
-        std::exchange(known.is_deaf, beat.received_nothing_for > limit && now - known.opened_at > limit);
-    if (known.is_deaf && !was_deaf && known.dialled != 0)
-    {
-        redial(known);
-    }
-}
-
 void peer_links::notify(const hello& from, bool reachable)
 {
     if (reachable)
@@ -377,6 +326,41 @@
     m_callbacks.reachable(from.name, reachable);
 }
 
+std::optional<peer_links::arrival> peer_links::record_arrival(link_id id, const hello* greeting,
+                                                              const heartbeat* beat)
+{
+    const std::scoped_lock lock(m_mutex);
+    const time_point now = m_clock.now();
+    arrival recorded;
+    recorded.replaces = greeting != nullptr && open_link(id, *greeting, now);
+    const link& current_link = m_links[id];
+    if (!current_link.from)
+    {
+        return std::nullopt;
+    }
+    recorded.from = current_link.from;
+    peer& known = m_peers[recorded.from->name];
+    if (known.links.count(id) == 0)
+    {
+        // The owner was notified that the messages of this link, which is being closed, are lost.
+        log(log_level::debug, "message_after_close", {{"peer", recorded.from->name}, {"link", id}});
+        return std::nullopt;
+    }
+    known.on_message(greeting != nullptr, now);
+    if (greeting != nullptr)
+    {
+        log(log_level::info, "link_opened",
+            {{"peer", greeting->name}, {"link", id}, {"dialled", !current_link.dialled.empty()}});
+    }
+    if (beat != nullptr)
+    {
+        known.on_reported_silence(beat->received_nothing_for, timing_of(known), now);
+    }
+    recorded.was_reachable = std::exchange(known.reachable, !known.is_deaf);
+    recorded.is_reachable = known.reachable;
+    return recorded;
+}
+
 void peer_links::on_received(link_id id, const std::string& bytes)
 {
     auto decoded = decode(bytes);
@@ -388,6 +372,7 @@
     }
     const auto message = std::make_shared<const link_message>(std::move(*decoded));
     const auto* greeting = std::get_if<hello>(&*message);
+    const auto* beat = std::get_if<heartbeat>(&*message);
     if (greeting != nullptr && greeting->protocol_version != link_protocol_version)
     {
         log(log_level::error, "protocol_version_refused",
@@ -395,57 +380,23 @@
         m_endpoint.close(id);
         return;
     }
-    const auto* beat = std::get_if<heartbeat>(&*message);
-    std::shared_ptr<const hello> from;
-    bool was_reachable = false;
-    bool is_reachable = false;
-    bool replaces = false;
-    bool was_dialled = false;
+    const auto recorded = record_arrival(id, greeting, beat);
+    if (!recorded)
     {
-        const std::scoped_lock lock(m_mutex);
-        const time_point now = m_clock.now();
-        replaces = greeting != nullptr && open_link(id, *greeting, now);
-        const link& current_link = m_links[id];
-        if (!current_link.from)
-        {
-            return;
-        }
-        from = current_link.from;
-        const auto sender = m_peers.find(from->name);
-        if (!sender->second.links.empty() && run_of(*sender->second.links.rbegin()) != from->run)
-        {
-            log(log_level::info, "message_of_earlier_run", {{"peer", from->name}, {"link", id}});
-            return;
-        }
-        was_dialled = !current_link.dialled.empty();
-        peer& known = m_peers[from->name];
-        known.on_message(now);
-        known.dial_backoff = initial_dial_backoff;
-        known.dial_timeout = initial_dial_timeout;
-        known.silent_redials = greeting == nullptr ? 0 : known.silent_redials;
-        if (beat != nullptr)
-        {
-            on_heartbeat(known, *beat, now);
-        }
-        was_reachable = std::exchange(known.reachable, !known.is_deaf);
-        is_reachable = known.reachable;
-    }
-    if (greeting != nullptr)
-    {
-        log(log_level::info, "link_opened", {{"peer", from->name}, {"link", id}, {"dialled", was_dialled}});
+        return;
     }
-    if (was_reachable && (replaces || !is_reachable))
+    if (recorded->was_reachable && (recorded->replaces || !recorded->is_reachable))
     {
         // What was sent on the older link may be lost.
-        notify(*from, false);
+        notify(*recorded->from, false);
     }
-    if (is_reachable && (replaces || !was_reachable))
+    if (recorded->is_reachable && (recorded->replaces || !recorded->was_reachable))
     {
-        notify(*from, true);
+        notify(*recorded->from, true);
     }
     if (greeting == nullptr && beat == nullptr)
     {
-        m_callbacks.received(from, message);
+        m_callbacks.received(recorded->from, message);
     }
 }
 
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -2,6 +2,7 @@
 
 #include "link_endpoint.hpp"
 #include "link_message.hpp"
+#include "linked_peer.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
 
@@ -94,87 +95,18 @@
 
   private:
     using link_id = link_endpoint::link_id;
-
-    /// The wait between two dials starts with this, since a peer that starts at the same moment accepts links
-    /// within this time. It doubles with each failed dial up to the maximum.
-    static constexpr duration initial_dial_backoff = duration::from_ms(20);
-    static constexpr duration max_dial_backoff = duration::from_ms(200);
-    /// A dial on which no message arrives for this long is given up and repeated. The time covers several
-    /// round trips between regions and the start of a process on a busy instance. An instance without power
-    /// doesn't refuse the connection, and the operating system repeats its own attempt only after a second.
-    static constexpr duration initial_dial_timeout = duration::from_ms(300);
-    /// The time limit of a dial doubles with each dial that is given up, to this maximum, and to this
-    /// multiple of the time of a silent link: a peer that was cut off is reached within that. A peer that is
-    /// only slow, for example because many processes dial it at once, is thus dialled less and less often,
-    /// and its link is established in the end.
-    static constexpr duration max_dial_timeout = duration::from_ms(6000);
-    static constexpr double max_redials_per_dial = 2.0;
+    using peer = linked_peer;
 
     /// A call of @ref tick that is late by this many heartbeat intervals shows that this process was paused.
     static constexpr double max_heartbeats_between_ticks = 1.0;
 
-    /// The time until a silent link is replaced doubles with each new link that carried nothing but a
-    /// handshake, at most this often. The process of the peer then stands still, for example at its disk.
-    static constexpr int max_redial_doublings = 3;
     /// The links of a peer are closed after this many silence limits without a message; the peer is gone, or
     /// cut off for long.
     static constexpr double silences_until_closed = 8.0;
-    /// A peer is informed that nothing arrives from it after this many heartbeat intervals.
-    static constexpr double heartbeats_until_reported = 2.0;
-
     /// Interval between the log lines with the bytes sent so far. One line in ten seconds is negligible
     /// beside the log lines of the requests.
     static constexpr duration log_sent_interval = duration::from_ms(10000);
 
-    /// @brief What is known of a peer, and the state of the dials to it.
-    struct peer
-    {
-        address at;
-        /// Whether this process dials the peer and keeps a link to it.
-        bool wanted = false;
-        /// The link that this process dialled, open or not; 0 if there is none.
-        link_id dialled = 0;
-        /// Earliest time of the next dial.
-        time_point next_dial_at{};
-        time_point dialled_at{};
-        /// Wait until the next dial.
-        duration dial_backoff = initial_dial_backoff;
-        /// Time within which a message from the peer must arrive after a dial.
-        duration dial_timeout = initial_dial_timeout;
-        /// Links on which the peer sent its handshake; messages are sent on the newest of them.
-        std::set<link_id> links;
-        time_point last_received_at{};
-        /// The part of the silence during which this process was paused.
-        duration paused;
-        /// The number of new links in succession that carried nothing but a handshake.
-        int silent_redials = 0;
-        time_point last_sent_at{};
-        time_point last_heartbeat_at{};
-        /// When the newest link was opened.
-        time_point opened_at{};
-        /// Whether the peer reported that it receives nothing on the open links.
-        bool is_deaf = false;
-        bool reachable = false;
-
-        void increase_dial_backoff() noexcept
-        {
-            dial_backoff = std::min(dial_backoff * 2.0, max_dial_backoff);
-        }
-
-        /// @return the time for which nothing arrived while this process ran
-        duration silent_for(time_point now) const noexcept
-        {
-            return now - last_received_at - paused;
-        }
-
-        /// @brief Records that a message arrived.
-        void on_message(time_point now) noexcept
-        {
-            last_received_at = now;
-            paused = duration{};
-        }
-    };
-
     /// @brief A link that is open or being dialled.
     struct link
     {
@@ -184,6 +116,21 @@
         std::shared_ptr<const hello> from;
     };
 
+    /// @brief A message that arrived, and what it shows of its sender.
+    struct arrival
+    {
+        std::shared_ptr<const hello> from;
+        bool was_reachable = false;
+        bool is_reachable = false;
+        /// Whether the message is the handshake of a link that replaces an older one.
+        bool replaces = false;
+    };
+
+    /// @brief Records the arrival of a message, and opens the link if the message is a handshake.
+    /// @param greeting the handshake; null for another message
+    /// @param beat the heartbeat; null for another message
+    /// @return nothing if the message is to be discarded
+    std::optional<arrival> record_arrival(link_id id, const hello* greeting, const heartbeat* beat);
     /// @brief Leaves the time for which this process was paused out of the silence of the peers. Their
     /// messages wait in the buffers of the links. Only the first pause since the last message of a peer
     /// counts: a message that waited during that pause has been read by the next one. The caller holds the
@@ -195,8 +142,6 @@
     /// @brief Dials the peer if it lacks a dialled link, or gives up a dial or a silent link. The caller
     /// holds the mutex.
     void maintain_dialled_link(const std::string& name, peer& known, time_point now);
-    /// @brief Starts a new dial beside the open links. The caller holds the mutex.
-    void redial(peer& known);
     /// @brief Sends a heartbeat if one is due. The caller holds the mutex.
     void send_heartbeat(peer& known, time_point now);
     /// @brief Handles a handshake. Of the links that lead to a peer in the same direction, only the newest is
@@ -210,9 +155,6 @@
     /// @return the run that the peer's handshake on the link named; 0 without a handshake. The caller holds
     /// the mutex.
     std::uint64_t run_of(link_id id) const;
-    /// @brief Handles a heartbeat that reports whether the peer receives anything. The caller holds the
-    /// mutex.
-    void on_heartbeat(peer& known, const heartbeat& beat, time_point now);
     /// @brief Logs whether a peer is reachable, and notifies the owner.
     void notify(const hello& from, bool reachable);
     void close_all(const std::set<link_id>& links);
