Router: a fan-out isn't refused as not run after a delegation was given up without its outcome

What callers saw: a 503, which promises that nothing ran, while another entry ran the request. Cause: on_entry_disconnected ended delegations without noting that their outcome is unknown; so did a group that is run locally after a silent entry. The new case fails before (refused, failed expected), passes now.

--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -172,6 +172,8 @@
     failed_group.is_finished = true;
     for (const delegation& sent : failed_group.delegations)
     {
+        // The outcome of a silent entry is ignored from now on, but it may run the shards.
+        opened.may_have_run = opened.may_have_run || !sent.is_finished;
         m_delegations.erase(sent.number);
     }
     const std::vector<std::size_t> wanted_parts = failed_group.parts;
@@ -245,6 +247,7 @@
                     // ignored.
                     sent.is_finished = true;
                     m_delegations.erase(sent.number);
+                    opened.may_have_run = true;
                 }
             }
             if (!delegated_group.is_finished && !delegated_group.is_awaited())
--- a/tests/src/unit-owner-reports.cpp
+++ b/tests/src/unit-owner-reports.cpp
@@ -261,3 +261,16 @@
         CHECK(choice.delays().size() <= 2 * sent.size());
     }
 }
+
+// Guards against the promise that a request hasn't run, though an owner whose link was lost may have run it.
+TEST_CASE("a fan-out isn't refused after the link to its only owner was lost", "[router]")
+{
+    const owned_fan_out fan_out(1, 1, 1);
+    owner_router_driver asker(fan_out.view_of("b0"), load_options{});
+    const auto sent = asker.delegations_of_request(start);
+    REQUIRE(sent.size() == 1);
+    asker.tested().on_entry_disconnected(sent[0].peer, start);
+    const auto answers = asker.succeed({}, start);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].outcome.end == routed_end::failed);
+}
