--- a/tests/faults/changes_in_time.py
+++ b/tests/faults/changes_in_time.py
@@ -52,6 +52,10 @@
             time.sleep(0.01)
         self.fail("revision %d isn't in force at %s after %g s" % (self.revision, entry, patience))
 
+    def await_in_force(self):
+        for entry in self.cluster.entry_names:
+            self.in_force_at(entry)
+
     def check_change(self, disturbed_at):
         sent_at = time.monotonic()
         acknowledged_at = self.change()
--- a/tests/faults/test_cut_off_replica.py
+++ b/tests/faults/test_cut_off_replica.py
@@ -17,10 +17,6 @@
 
 
 class CutOffReplicaTest(ChangesInTime):
-    def await_in_force(self):
-        for entry in self.cluster.entry_names:
-            self.in_force_at(entry)
-
     def make_leader(self, name):
         def leads():
             leader = self.cluster.leader()
--- a/tests/faults/test_silent_links.py
+++ b/tests/faults/test_silent_links.py
@@ -18,8 +18,7 @@
         """A change at the moment at which the links fall silent, at several moments within a report interval."""
         for phase in phases:
             self.change()
-            for entry in self.cluster.entry_names:
-                self.in_force_at(entry)
+            self.await_in_force()
             time.sleep(CONTACT_S + phase)
             silent_at = time.monotonic()
             self.cluster.silence(sources, how)
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -71,24 +71,30 @@
     return condition();
 }
 
-} // namespace
-
-// Guards against a process that, after a pause, closes its links and discards the messages that wait in them.
-TEST_CASE("the time for which a process was paused isn't counted as silence of its peers", "[links]")
+/// Lets a process accept links, and another one dial it by the name given.
+void link(linked_process& dialling, linked_process& accepting, const std::string& accepting_name)
 {
     const address at{"127.0.0.1", free_port()};
-    linked_process accepting("b", "control");
     std::string why;
     REQUIRE(accepting.links.listen(at, why));
     accepting.links.start();
-    linked_process dialling("a", "entry");
-    dialling.links.set_peers({{"b", at}});
+    dialling.links.set_peers({{accepting_name, at}});
     dialling.links.start();
     REQUIRE(tick_until(dialling,
                        [&]
                        {
                            return dialling.reached == 1 && accepting.reached == 1;
                        }));
+}
+
+} // namespace
+
+// Guards against a process that, after a pause, closes its links and discards the messages that wait in them.
+TEST_CASE("the time for which a process was paused isn't counted as silence of its peers", "[links]")
+{
+    linked_process accepting("b", "control");
+    linked_process dialling("a", "entry");
+    link(dialling, accepting, "b");
 
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     dialling.links.tick();
@@ -106,19 +112,9 @@
 // Guards against a silent link that is never found since this process is paused again and again.
 TEST_CASE("a silent peer is found although this process is paused again and again", "[links]")
 {
-    const address at{"127.0.0.1", free_port()};
     linked_process accepting("b", "control");
-    std::string why;
-    REQUIRE(accepting.links.listen(at, why));
-    accepting.links.start();
     linked_process dialling("a", "entry");
-    dialling.links.set_peers({{"b", at}});
-    dialling.links.start();
-    REQUIRE(tick_until(dialling,
-                       [&]
-                       {
-                           return dialling.reached == 1 && accepting.reached == 1;
-                       }));
+    link(dialling, accepting, "b");
 
     // `accepting` sends no heartbeats here, and each tick of `dialling` comes later than a heartbeat
     // interval.
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -9,6 +9,20 @@
 using namespace flaxtiller;
 using namespace flaxtiller::shell;
 
+namespace
+{
+
+bool has_finding_at(const findings& found, const std::string& place)
+{
+    return std::any_of(found.items().begin(), found.items().end(),
+                       [&](const finding& item)
+                       {
+                           return item.place.find(place) != std::string::npos;
+                       });
+}
+
+} // namespace
+
 TEST_CASE("availability zones in an entry's settings", "[settings]")
 {
     const auto finding_at = [](int zones, const std::string& place)
@@ -20,11 +34,7 @@
         }
         findings found;
         (void)parse_entry_settings(document.dump(), "entry.json", found);
-        return std::any_of(found.items().begin(), found.items().end(),
-                           [&](const finding& item)
-                           {
-                               return item.place.find(place) != std::string::npos;
-                           });
+        return has_finding_at(found, place);
     };
     CHECK_FALSE(finding_at(64, "availability_zones"));
     // Replicas in a zone that no plan knows would never be asked.
@@ -39,31 +49,15 @@
         "entry.json", found);
     CHECK(settings.routing.load.orders_by_priority);
     CHECK_FALSE(settings.routing.load.limits_admission);
-    const auto has_finding_at = [&](const std::string& place)
-    {
-        return std::any_of(found.items().begin(), found.items().end(),
-                           [&](const finding& item)
-                           {
-                               return item.place.find(place) != std::string::npos;
-                           });
-    };
-    CHECK(has_finding_at("/routing/load/balance_owners"));
-    CHECK(has_finding_at("/routing/load/unknown"));
-    CHECK_FALSE(has_finding_at("/routing/load/order_by_priority"));
+    CHECK(has_finding_at(found, "/routing/load/balance_owners"));
+    CHECK(has_finding_at(found, "/routing/load/unknown"));
+    CHECK_FALSE(has_finding_at(found, "/routing/load/order_by_priority"));
 }
 
 // Guards against link timeouts that exceed what a deployment's bounds leave.
 TEST_CASE("a silent link is found within half of the shortest bound", "[settings]")
 {
     findings found;
-    const auto has_finding_at = [&](const std::string& place)
-    {
-        return std::any_of(found.items().begin(), found.items().end(),
-                           [&](const finding& item)
-                           {
-                               return item.place.find(place) != std::string::npos;
-                           });
-    };
     const std::string bounds =
         R"("bounds": {"contact_ms": 4000, "apply_ms": 3000, "drain_ms": 3200, "acknowledge_ms": 5000})";
 
@@ -76,18 +70,18 @@
         findings found_in_control;
         const auto control = parse_control_settings("{" + bounds + "}", "control.json", found_in_control);
         CHECK(control.links == entry.links);
-        CHECK_FALSE(has_finding_at("/links"));
-        CHECK_FALSE(has_finding_at("/bounds"));
+        CHECK_FALSE(has_finding_at(found, "/links"));
+        CHECK_FALSE(has_finding_at(found, "/bounds"));
     }
     SECTION("times that leave too little of the bounds are refused")
     {
         (void)parse_entry_settings("{" + bounds + R"(, "links": {"redial_ms": 1501}})", "entry.json", found);
-        CHECK(has_finding_at("/links"));
+        CHECK(has_finding_at(found, "/links"));
     }
     SECTION("an interval of reports that leaves too little of the bound is refused")
     {
         (void)parse_entry_settings("{" + bounds + R"(, "report_every_ms": 1001})", "entry.json", found);
-        CHECK(has_finding_at("/report_every_ms"));
+        CHECK(has_finding_at(found, "/report_every_ms"));
     }
     SECTION("without bounds the times are the defaults")
     {
