--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -305,11 +305,15 @@
 # ---------------------------------------------------------------------------------------------------------------------
 
 class Backend:
-    """A sound backend: it runs what names its id, answers 421 to what names another, and pings a control address."""
+    """A sound backend: it runs what names its id, answers 421 to what names another, queues a few requests and rejects
+    what is beyond them, ends at the deadline, tells its load, and pings a control address."""
 
-    def __init__(self, rig, service, zone, address, slots=2, work_s=0.005, records=0):
+    def __init__(self, rig, service, zone, address, slots=2, work_s=0.005, records=0, queue=12):
         self.rig, self.service, self.zone, self.address = rig, service, zone, address
-        self.slots, self.work_s, self.records = slots, work_s, records
+        self.slots, self.work_s, self.records, self.queue = slots, work_s, records, queue
+        # How many times as long its work takes.
+        self.slowness = 1.0
+        self.running, self.waiting = 0, 0
         self.id = "i-%08x" % random.getrandbits(32)
         self.sequence, self.state, self.pings = 0, "ready", True
         self.free = asyncio.Semaphore(slots)
@@ -341,18 +345,40 @@
         if headers.get("x-expect-instance", self.id) != self.id:
             self.write(writer, "421 Misdirected Request", request, None, b"", not_run=True)
             return
-        async with self.free:
+        if self.running >= self.slots and self.waiting >= self.queue:
+            self.write(writer, "503 Service Unavailable", request, None, b"", not_run=True)
+            return
+        ends = time.monotonic() + float(headers.get("x-deadline-ms", "3600000")) / 1000.0
+        self.waiting += 1
+        try:
+            await self.free.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            self.running += 1
+            left = ends - time.monotonic()
+            if left <= 0:
+                self.write(writer, "503 Service Unavailable", request, None, b"", not_run=True)
+                return
             self.runs.append((self.rig.record.now(), request))
             self.rig.record.add("run", backend=self.id, service=self.service, request=request,
                                 path=first.split()[1])
-            await asyncio.sleep(self.work_s)
+            work = self.work_s * self.slowness
+            await asyncio.sleep(min(work, left))
+        finally:
+            self.running -= 1
+            self.free.release()
+        if work > left:
+            self.write(writer, "504 Gateway Timeout", request, stamp, b"")
+            return
         draw = random.Random(stamp)
         records = [bytes(draw.getrandbits(8) for _ in range(16)) for _ in range(self.records)]
         self.parts[stamp] = (request, records)
         self.write(writer, "200 OK", request, stamp, b"".join(records))
 
     def write(self, writer, status, request, stamp, body, not_run=False):
-        lines = ["HTTP/1.1 " + status, "X-Request-Id: " + request, "Content-Length: %d" % len(body)]
+        lines = ["HTTP/1.1 " + status, "X-Request-Id: " + request, "Content-Length: %d" % len(body),
+                 "X-Server-Load: %d,%d,%d" % (self.running, self.waiting, self.slots)]
         if stamp:
             lines.append("X-Server-Stamp: " + stamp)
         if not_run:
