--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "flaxtiller")
@@ -160,10 +161,6 @@
             if name in self.running:
                 self.running[name].wait()
 
-    def ended(self):
-        """The processes that ended by themselves."""
-        return [role for role, process in self.running.items() if process.poll() is not None]
-
 
 class Rig:
     """Three machines with disks, one in each zone, and more machines without."""
@@ -422,4 +419,8 @@
     except CannotRun as reason:
         print("could not run:", reason)
         sys.exit(COULD_NOT_RUN)
+    except Exception:
+        # Whatever else goes wrong in the case itself says nothing about the rule.
+        traceback.print_exc()
+        sys.exit(COULD_NOT_RUN)
     sys.exit(verdict)
