Delegations: the message to the other entry is made by the decisions, not by the shell

The fields of a delegated request were copied in the shell and again in a test that plays several routers. A field added to one of the two would be missing in the other, so that the test would play another message than the one that is sent. delegated_request() serves both; the driver of the router's tests can receive what it makes, and its backend servers may answer with several records.

--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -4,6 +4,8 @@
 
 #include "process/log.hpp"
 
+#include <flaxtiller/routing/delegated_request.hpp>
+
 #include <boost/asio/dispatch.hpp>
 
 #include <utility>
@@ -196,16 +198,7 @@
              {"share", action.shift->second_share},
              {"first", action.shards.front()}});
     }
-    routed_ask delegated{action.number, *action.sent};
-    delegated.request.patience = action.patience;
-    delegated.request.delegated_list = action.list;
-    delegated.request.delegated_shards = action.shards;
-    delegated.request.designated = action.designated;
-    delegated.request.answer_within = action.answer_within;
-    delegated.request.progress_within = action.progress_within;
-    delegated.request.is_repeated_delegation = action.again;
-    delegated.request.delegated_regions = action.regions;
-    m_send(action.peer.str(), delegated);
+    m_send(action.peer.str(), routed_ask{action.number, delegated_request(action)});
 }
 
 void routing_frontend::execute(const abandon_delegation& action)
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flaxtiller/routing/delegated_request.hpp>
 #include <flaxtiller/routing/router.hpp>
 #include <flaxtiller/routing/top_records.hpp>
 
@@ -195,7 +196,7 @@
             answer = std::make_shared<backend_answer>();
             answer->status = http_status;
             answer->signature = "by-" + ended.server.str();
-            answer->body = std::string(record_bytes, service.back());
+            answer->body = records_of(service);
         }
         attempt_result result;
         result.status = status;
@@ -204,6 +205,35 @@
         process_actions();
     }
 
+    /// @return the body of an answer of the service: its records in rising order
+    std::string records_of(const std::string& service) const
+    {
+        std::string body;
+        for (int i = 0; i < records_per_answer; ++i)
+        {
+            std::string record(record_bytes, service.back());
+            record.back() = i == 0 ? record.back() : static_cast<char>('a' + i);
+            body += record;
+        }
+        return body;
+    }
+
+    /// Receives a delegation of another entry.
+    request_number receive_delegation(const delegate_shards& delegation)
+    {
+        m_router.arrive(++m_number, std::make_shared<const routed_request>(delegated_request(delegation)),
+                        now);
+        process_actions();
+        return m_number;
+    }
+
+    /// Receives what the entry that was asked answered to a delegation.
+    void receive_answer(const delegate_shards& delegation, const routed_outcome& outcome)
+    {
+        m_router.on_delegation_outcome(delegation.peer, delegation.number, outcome, now);
+        process_actions();
+    }
+
     /// Lets the backend server of the oldest attempt on @a service crash.
     void crash_server(const std::string& service)
     {
@@ -276,6 +306,8 @@
 
     std::string region = "near";
     int near_services = 0;
+    /// The number of records in each answer of a backend server.
+    int records_per_answer = 1;
     /// The backend servers that a delegating entry designates.
     std::vector<std::string> designated;
     /// The availability zone of each service's last replica, if different from the other replicas.
--- a/tests/src/unit-allowed-regions.cpp
+++ b/tests/src/unit-allowed-regions.cpp
@@ -1,4 +1,5 @@
 #include <flaxtiller/core/json_reader.hpp>
+#include <flaxtiller/routing/delegated_request.hpp>
 #include <flaxtiller/routing/router.hpp>
 
 #include <catch2/catch.hpp>
@@ -432,15 +433,7 @@
         {
             return;
         }
-        auto delegated = std::make_shared<routed_request>(*action.sent);
-        delegated->patience = action.patience;
-        delegated->delegated_list = action.list;
-        delegated->delegated_shards = action.shards;
-        delegated->designated = action.designated;
-        delegated->answer_within = action.answer_within;
-        delegated->progress_within = action.progress_within;
-        delegated->is_repeated_delegation = action.again;
-        delegated->delegated_regions = action.regions;
+        const auto delegated = std::make_shared<const routed_request>(delegated_request(action));
         send(duration::from_ms(random_int(1, 20)),
              [this, at, to = action.peer, number = action.number, delegated]
              {
