Delegations: records are cut by the revision of the entry that took the request

Cause: a delegation carried the path of the request. The entry that ran the group looked the route up again in its own revision, compared only the list of shards, and cut the group to the number of records of the route that it found. The taking entry merged 50 records, and the lists were equal: so neither the merge at the taking entry nor mixed lists.

So an answer is cut once, by one revision, whichever revisions the others hold; a fix of how a path finds its route wouldn't reach a change in place. The element of the message is optional: an older build ignores it and goes by its own route, as before; without it, this build hands over all records, which is right whatever number the older one keeps. The answer line states top_records, which the logs lacked to tell a change in place.

--- a/include/flaxtiller/routing/routed_outcome.hpp
+++ b/include/flaxtiller/routing/routed_outcome.hpp
@@ -58,6 +58,8 @@
     std::string route;
     /// The configuration revision that the request was routed with.
     std::int64_t revision = 0;
+    /// The number of records that a merged answer holds at most; set for the log.
+    int top_records = 0;
     /// The number of attempts on backend servers.
     int attempts = 0;
     /// The entries to which shards were delegated and whose results are in the answer.
--- a/include/flaxtiller/routing/routed_request.hpp
+++ b/include/flaxtiller/routing/routed_request.hpp
@@ -4,9 +4,11 @@
 #include <flaxtiller/core/identifier.hpp>
 #include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/routing/backend_answer.hpp>
+#include <flaxtiller/routing/execution_rules.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,9 @@
     bool is_repeated_delegation = false;
     /// The regions that the delegating entry's route allows. The route of this entry applies as well.
     region_set delegated_regions;
+    /// The rules of the delegating entry's route, which apply in place of those of this entry's route. Not
+    /// set by processes of older builds.
+    std::optional<execution_rules> delegated_rules;
 
     bool operator==(const routed_request&) const = default;
 
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -265,6 +265,7 @@
         std::uint64_t list = 0;
         std::shared_ptr<const routed_request> request;
         std::shared_ptr<const route> matched_route;
+        execution_rules rules;
         /// The regions in which the request may run; null for any.
         std::shared_ptr<const region_set> regions;
         time_point arrived_at;
@@ -359,6 +360,7 @@
     void spread_return(routed_outcome& refusal, const route& matched_route, const routed_request& request,
                        time_point now);
     void spread_last_refusal(const route& matched_route, const routed_request& request, time_point now);
+    static execution_rules rules_for(const route& matched_route, const routed_request& request);
     static std::shared_ptr<const region_set> regions_of(const route& matched_route,
                                                         const routed_request& request);
     std::shared_ptr<const route> route_for(const team_name& name, std::shared_ptr<const route> matched_route);
--- a/include/flaxtiller/routing/router_action.hpp
+++ b/include/flaxtiller/routing/router_action.hpp
@@ -4,6 +4,7 @@
 #include <flaxtiller/core/region_set.hpp>
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
+#include <flaxtiller/routing/execution_rules.hpp>
 #include <flaxtiller/routing/owner_shift.hpp>
 #include <flaxtiller/routing/routed_outcome.hpp>
 #include <flaxtiller/routing/routed_request.hpp>
@@ -82,6 +83,8 @@
     std::optional<owner_shift> shift{};
     /// The regions in which the request may run; the peer is in one of them.
     region_set regions;
+    /// The rules by which this instance merges the answer.
+    execution_rules rules;
     std::shared_ptr<const routed_request> sent;
 };
 
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -394,6 +394,7 @@
          {"end", name_of(outcome.end)},
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"parts", outcome.signatures.size()},
+         {"top_records", outcome.top_records},
          {"missing", outcome.missing},
          {"missing_services", joined(outcome.missing_services)},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
--- a/src/routing/delegated_request.cpp
+++ b/src/routing/delegated_request.cpp
@@ -14,6 +14,7 @@
     delegated.progress_within = delegation.progress_within;
     delegated.is_repeated_delegation = delegation.again;
     delegated.delegated_regions = delegation.regions;
+    delegated.delegated_rules = delegation.rules;
     return delegated;
 }
 
--- a/src/routing/routed_json.cpp
+++ b/src/routing/routed_json.cpp
@@ -31,6 +31,11 @@
                                value.patience.us(), value.delegated_list, value.delegated_shards,
                                value.designated, value.answer_within.us(), value.progress_within.us(),
                                value.is_repeated_delegation, value.delegated_regions, value.team});
+    // The last element is optional. An older process ignores it.
+    if (value.delegated_rules)
+    {
+        j.push_back(*value.delegated_rules);
+    }
 }
 
 void from_json(const nlohmann::json& j, routed_request& value)
@@ -55,6 +60,10 @@
     value.is_repeated_delegation = next().get<bool>();
     value.delegated_regions = next().get<region_set>();
     value.team = next().get<team_name>();
+    if (at < j.size())
+    {
+        value.delegated_rules = next().get<execution_rules>();
+    }
 }
 
 void to_json(nlohmann::json& j, const routed_outcome& value)
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -133,6 +133,19 @@
     return has_own ? *sender->priority : matched_route.priority;
 }
 
+/// @return the rules of the entry that took the request
+execution_rules router::rules_for(const route& matched_route, const routed_request& request)
+{
+    execution_rules rules = request.delegated_rules.value_or(rules_of(matched_route));
+    if (request.is_delegated() && !request.delegated_rules)
+    {
+        // An older process delegated the request. It leaves out records by its own rules, which aren't known
+        // here.
+        rules.top_records = execution_rules::all_records;
+    }
+    return rules;
+}
+
 /// @return the regions that are allowed by this entry's route and by the delegating entry's route, which may
 /// be of different revisions
 std::shared_ptr<const region_set> router::regions_of(const route& matched_route,
@@ -236,6 +249,7 @@
     opened.fingerprint = std::move(fingerprint);
     opened.held = quarantine_state == crash_ledger::quarantine_state::suspect;
     opened.matched_route = matched_route;
+    opened.rules = rules_for(*opened.matched_route, *request);
     opened.regions = regions;
     opened.list = list;
     opened.revision = m_view.placed->revision;
--- a/src/routing/router_answers.cpp
+++ b/src/routing/router_answers.cpp
@@ -114,7 +114,7 @@
     // Computed from the received signatures, not from the lists of missing shards that other entries sent:
     // the count must match the parts in the answer.
     result.missing = static_cast<int>(opened.parts.size() - succeeded_parts(opened));
-    result.merged = top_records(bodies, static_cast<std::size_t>(opened.matched_route->top_records));
+    result.merged = top_records(bodies, static_cast<std::size_t>(opened.rules.top_records));
     return result;
 }
 
@@ -232,6 +232,7 @@
 {
     outcome.route = opened.matched_route->name;
     outcome.revision = opened.revision;
+    outcome.top_records = opened.matched_route->fans_out() ? opened.rules.top_records : 0;
     outcome.attempts = opened.attempts;
     outcome.missing_shards = missing_shards(opened);
 }
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -46,6 +46,7 @@
     sent.progress_within = sent.answer_within * m_options.progress_share;
     sent.again = again;
     sent.regions = opened.matched_route->allowed_regions;
+    sent.rules = opened.rules;
     sent.sent = opened.request;
     const auto listed = m_peers.find(peer);
     const bool first = target_group.delegations.empty();
@@ -290,8 +291,8 @@
 {
     routed_outcome& sum = from.outcome;
     sum.signatures.insert(sum.signatures.end(), outcome.signatures.begin(), outcome.signatures.end());
-    sum.merged = top_records({sum.merged, outcome.merged},
-                             static_cast<std::size_t>(opened.matched_route->top_records));
+    sum.merged =
+        top_records({sum.merged, outcome.merged}, static_cast<std::size_t>(opened.rules.top_records));
     sum.missing_shards = outcome.missing_shards;
     if (sum.signatures.size() < delegated_group.outcome.signatures.size())
     {
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -221,8 +221,12 @@
     /// Receives a delegation of another entry.
     request_number receive_delegation(const delegate_shards& delegation)
     {
-        m_router.arrive(++m_number, std::make_shared<const routed_request>(delegated_request(delegation)),
-                        now);
+        return receive_request(delegated_request(delegation));
+    }
+
+    request_number receive_request(const routed_request& request)
+    {
+        m_router.arrive(++m_number, std::make_shared<const routed_request>(request), now);
         process_actions();
         return m_number;
     }
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -25,6 +25,8 @@
 
 /// The length of an outcome's array without the optional elements, as older processes write and read it.
 constexpr std::size_t outcome_elements_without_delay = 9;
+/// The length of a request's array without the optional elements, as older processes write and read it.
+constexpr std::size_t request_elements_without_rules = 15;
 
 TEST_CASE("messages of routed requests are unchanged by encoding and decoding", "[link]")
 {
@@ -45,6 +47,7 @@
         asked.request.progress_within = duration::from_ms(0.25);
         asked.request.is_repeated_delegation = true;
         asked.request.answer_within = duration::from_ms(0.5);
+        asked.request.delegated_rules = execution_rules{50};
         const routed_ask decoded_message = encode_and_decode(asked);
         CHECK(decoded_message.number == 7);
         CHECK(decoded_message.request == asked.request);
@@ -86,6 +89,20 @@
         CHECK(decoded_message.crashes.empty());
         CHECK(decoded_message.took == returned.outcome.took);
     }
+    SECTION("the rules of a delegated request are optional, so that processes of both builds understand each "
+            "other")
+    {
+        routed_request asked;
+        asked.delegated_list = 1;
+        const nlohmann::json older = asked;
+        CHECK(older.size() == request_elements_without_rules);
+        CHECK_FALSE(older.get<routed_request>().delegated_rules);
+        asked.delegated_rules = execution_rules{7};
+        nlohmann::json newer = asked;
+        CHECK(newer.get<routed_request>() == asked);
+        newer.erase(request_elements_without_rules);
+        CHECK(newer == older);
+    }
     SECTION("the end of a delegation")
     {
         CHECK(encode_and_decode(routed_abandon{9}).number == 9);
