Delegations: attempts, repetition and time-out are those of the entry that took the request

While a revision spreads, a request could reach more backend servers than its entry's route allows, a request that its entry's route doesn't allow to repeat could be repeated, and shards could be given up before the time that the caller has.

execution_rules carries the first two as well. The time-out needs no element: the delegating entry states the time that is left, and the running entry no longer shortens it by its own route's time-out.

--- a/include/flaxtiller/routing/execution_rules.hpp
+++ b/include/flaxtiller/routing/execution_rules.hpp
@@ -21,6 +21,10 @@
 
     /// See route::top_records.
     int top_records = all_records;
+    /// See route::most_attempts.
+    int most_attempts = 1;
+    /// See route::repeatable.
+    bool repeatable = false;
 
     bool operator==(const execution_rules&) const = default;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -354,8 +354,8 @@
     const int ordinal = ++opened.parts[owner.part].attempts;
     m_actions.emplace_back(
         start_routed_attempt{number, owner.request, action.server, m_service_schedulers.at(at).service,
-                             opened.matched_route->fans_out(), ordinal, opened.matched_route->repeatable,
-                             on_trial, opened.deadline, opened.request});
+                             opened.matched_route->fans_out(), ordinal, opened.rules.repeatable, on_trial,
+                             opened.deadline, opened.request});
 }
 
 void router::apply(scheduler_index at, const dispatch::cancel_attempt& action)
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -255,7 +255,8 @@
     opened.revision = m_view.placed->revision;
     opened.arrived_at = now;
     const duration patience = std::max(request->patience - m_options.response_margin, duration{});
-    opened.deadline = now + std::min(patience, matched_route->timeout);
+    // A delegating entry has subtracted what its own route's time-out takes off.
+    opened.deadline = now + (request->is_delegated() ? patience : std::min(patience, matched_route->timeout));
     opened.answer_at = std::min(now + time_to_answer(*matched_route, *request), opened.deadline);
     opened.objective_at = std::min(now + time_to_objective(*matched_route, *request), opened.deadline);
     opened.waits_within_objective =
--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -111,7 +111,7 @@
                            const auto placed = m_view.placed->services.find(item.service);
                            return placed == m_view.placed->services.end() ||
                                   static_cast<int>(placed->second->shards.at(0).size()) <=
-                                      opened.matched_route->most_attempts;
+                                      opened.rules.most_attempts;
                        });
 }
 
@@ -402,8 +402,8 @@
     dispatch::subquery new_subquery;
     new_subquery.id = submitted.subquery;
     new_subquery.deadline = opened.deadline;
-    new_subquery.repeatable = opened.matched_route->repeatable;
-    new_subquery.most_attempts = opened.matched_route->most_attempts;
+    new_subquery.repeatable = opened.rules.repeatable;
+    new_subquery.most_attempts = opened.rules.most_attempts;
     new_subquery.again = again;
     new_subquery.designated = submitted.designated;
     new_subquery.regions = opened.regions;
--- a/tests/src/unit-delegation-revisions.cpp
+++ b/tests/src/unit-delegation-revisions.cpp
@@ -151,3 +151,42 @@
         CHECK(asker.answers.at(number).merged == entries.greatest(many_records));
     }
 }
+
+TEST_CASE("shards are run within the limits of the route that the entry knows which took the request",
+          "[router]")
+{
+    two_entries entries;
+    router_driver& asker = entries.asker;
+    router_driver& runner = entries.runner;
+
+    SECTION("on no more backend servers, though the runner's revision allows more")
+    {
+        route once = route_with(many_records);
+        once.most_attempts = 1;
+        asker.set_view({{"all", once}}, services, 1);
+        asker.submit("/all/x");
+        runner.receive_delegation(asker.delegations.at(0));
+        runner.end_attempt("s0", attempt_status::cut, 0);
+        CHECK(runner.running("s0") == 0);
+    }
+    SECTION("once, though the runner's revision allows to repeat them")
+    {
+        route once = route_with(many_records);
+        once.repeatable = false;
+        asker.set_view({{"all", once}}, services);
+        asker.submit("/all/x");
+        runner.receive_delegation(asker.delegations.at(0));
+        runner.end_attempt("s0", attempt_status::cut, 0);
+        CHECK(runner.running("s0") == 0);
+    }
+    SECTION("for as long, though the runner's revision has a shorter time-out")
+    {
+        route shorter = route_with(many_records);
+        shorter.timeout = duration::from_ms(50);
+        runner.set_view({{"all", shorter}}, services);
+        asker.submit("/all/x");
+        const request_number delegated = runner.receive_delegation(asker.delegations.at(0));
+        runner.advance(100);
+        CHECK(runner.answers.count(delegated) == 0);
+    }
+}
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -47,7 +47,7 @@
         asked.request.progress_within = duration::from_ms(0.25);
         asked.request.is_repeated_delegation = true;
         asked.request.answer_within = duration::from_ms(0.5);
-        asked.request.delegated_rules = execution_rules{50};
+        asked.request.delegated_rules = execution_rules{50, 2, true};
         const routed_ask decoded_message = encode_and_decode(asked);
         CHECK(decoded_message.number == 7);
         CHECK(decoded_message.request == asked.request);
@@ -97,7 +97,7 @@
         const nlohmann::json older = asked;
         CHECK(older.size() == request_elements_without_rules);
         CHECK_FALSE(older.get<routed_request>().delegated_rules);
-        asked.delegated_rules = execution_rules{7};
+        asked.delegated_rules = execution_rules{7, 3, true};
         nlohmann::json newer = asked;
         CHECK(newer.get<routed_request>() == asked);
         newer.erase(request_elements_without_rules);
