Delegations: a fan-out that may not be repeated isn't given to a second entry after the first may have run it

Found by asking which fields of a route a delegation goes by: after the entry that was asked fell silent, or its link broke, the group was given to another entry or run here, whatever the route says of repetition. A request of a fan-out with repeatable=false could run twice.

Such a group now stays with the entry that was asked; without its outcome the shards are missing and the request counts as one that may have run. A group that was refused as not run is still given to another entry.

--- a/src/routing/router_delegation.cpp
+++ b/src/routing/router_delegation.cpp
@@ -196,7 +196,7 @@
         return false;
     }
     constexpr std::size_t max_delegations = 2;
-    if (again && failed_group.delegations.size() >= max_delegations)
+    if (again && (!opened.rules.repeatable || failed_group.delegations.size() >= max_delegations))
     {
         return false;
     }
--- a/tests/src/unit-delegation-revisions.cpp
+++ b/tests/src/unit-delegation-revisions.cpp
@@ -179,6 +179,17 @@
         runner.end_attempt("s0", attempt_status::cut, 0);
         CHECK(runner.running("s0") == 0);
     }
+    SECTION("once, though the entry that was asked for them is lost")
+    {
+        route once = route_with(many_records);
+        once.repeatable = false;
+        asker.set_view({{"all", once}}, services);
+        const request_number number = asker.submit("/all/x");
+        asker.disconnect_entry(asker.delegations.at(0).peer);
+        CHECK(asker.started.empty());
+        CHECK(asker.delegations.size() == 1);
+        CHECK(asker.answers.at(number).end == routed_end::failed);
+    }
     SECTION("for as long, though the runner's revision has a shorter time-out")
     {
         route shorter = route_with(many_records);
