Queries: a subquery isn't sent for a shard of another number of shards

While a revision changes the number of shards of a service, an owner that has it already sent shard 1 of 3 to the backend servers of shard 1 of 6, which answer, as X-Shards states the owner's number; the caller got an answer that claims to be complete and is made of two divisions of the index. The same at one entry, for subqueries that waited, or were tried again, when the revision took effect.

A subquery states the number of shards that its position refers to. The attempt is not sent if the service has another number now, and the subquery ends at once as not run, wrong_version: the shard is stated as missing. The key is optional; an older build ignores it, and without it an owner goes by its own revision, as before.

--- a/include/flaxtiller/coordinator/peer_message.hpp
+++ b/include/flaxtiller/coordinator/peer_message.hpp
@@ -17,6 +17,9 @@
 {
     std::uint64_t number = 0;
     int shard = 0;
+    /// The number of shards of the service in the delegating instance's revision; 0 from processes of older
+    /// builds. A shard's position means another part of the index if the number differs.
+    int shards = 0;
     index_version version;
     /// The time until the deadline when the message was sent. An absolute time would be useless, since the
     /// clocks of different instances aren't comparable.
--- a/include/flaxtiller/coordinator/service_coordinator.hpp
+++ b/include/flaxtiller/coordinator/service_coordinator.hpp
@@ -68,6 +68,8 @@
         std::shared_ptr<const std::string> body;
         query_execution execution;
         time_point deadline;
+        /// The number of shards of the service by which the query was split.
+        int shards = 0;
         /// Whether the query waits for the register to grant it or to record its outcome.
         bool awaits_register = false;
         bool recorded = false;
@@ -82,6 +84,8 @@
         std::uint64_t number = 0;
         bool repeatable = true;
         std::shared_ptr<const std::string> body;
+        /// The number of shards that the position of the shard refers to; 0 if it isn't known.
+        int shards = 0;
     };
 
     struct delegated_part
@@ -113,6 +117,8 @@
     void refuse(const query_arrived& event, errc error, duration retry_after);
     std::vector<int> shards_of(const query_request& request) const;
     bool shards_known(const query_request& request) const;
+    int shard_count() const;
+    bool is_of_other_shards(dispatch::subquery_id id) const;
     duration longest_wait(const std::vector<int>& shards, time_point now) const;
     void run(query_id id, open_query& query, time_point now);
     void send_parts(query_id id, open_query& query, time_point now);
--- a/src/coordinator/peer_message.cpp
+++ b/src/coordinator/peer_message.cpp
@@ -61,6 +61,7 @@
         }
         j["subqueries"].push_back({{"number", item.number},
                                    {"shard", item.shard},
+                                   {"shards", item.shards},
                                    {"version", item.version},
                                    {"left", item.time_left},
                                    {"repeatable", item.repeatable},
@@ -82,6 +83,8 @@
         peer_subquery subquery;
         subquery.number = item.at("number");
         subquery.shard = item.at("shard");
+        // Absent from messages of older processes.
+        subquery.shards = item.value("shards", 0);
         subquery.version = item.at("version").get<index_version>();
         subquery.time_left = item.at("left").get<duration>();
         subquery.repeatable = item.at("repeatable");
--- a/src/coordinator/service_coordinator_queries.cpp
+++ b/src/coordinator/service_coordinator_queries.cpp
@@ -40,6 +40,17 @@
     return all;
 }
 
+/// @return the number of shards of the service in the current revision; 0 if it isn't declared
+int service_coordinator::shard_count() const
+{
+    if (!m_placed)
+    {
+        return 0;
+    }
+    const auto found = m_placed->services.find(m_service);
+    return found == m_placed->services.end() ? 0 : static_cast<int>(found->second->shards.size());
+}
+
 bool service_coordinator::shards_known(const query_request& request) const
 {
     const auto count = static_cast<int>(m_placed->services.at(m_service)->shards.size());
@@ -101,7 +112,8 @@
     query_execution execution(shards, m_placed->revision, serial << part_number_bits);
     const time_point deadline = now + event.request.deadline;
     auto body = std::make_shared<const std::string>(event.request.body);
-    open_query new_query{event.request, std::move(body), std::move(execution), deadline, false, false};
+    open_query new_query{event.request, std::move(body), std::move(execution), deadline, shard_count(), false,
+                         false};
     auto& query = m_queries.emplace(event.query, std::move(new_query)).first->second;
     m_deadlines.emplace(deadline, event.query);
     if (query.request.repeatable)
@@ -136,14 +148,15 @@
     const instance_name owner = owner_of(part.shard);
     if (owner == m_self)
     {
-        route_local({id, {}, part.number, query.request.repeatable, query.body}, part, deadline, now);
+        route_local({id, {}, part.number, query.request.repeatable, query.body, query.shards}, part, deadline,
+                    now);
         return;
     }
     m_delegated.emplace(part.number, delegated_part{id, owner, part});
     delegate_to_peer& batch = m_delegations[owner];
     batch.peer = owner;
-    batch.subqueries.push_back(
-        {part.number, part.shard, part.version, deadline - now, query.request.repeatable, query.body});
+    batch.subqueries.push_back({part.number, part.shard, query.shards, part.version, deadline - now,
+                                query.request.repeatable, query.body});
 }
 
 void service_coordinator::route_local(const subquery_origin& from, const query_execution::part& part,
--- a/src/coordinator/service_coordinator_results.cpp
+++ b/src/coordinator/service_coordinator_results.cpp
@@ -12,6 +12,15 @@
     m_scheduler.on_result(event.attempt, event.result, now);
 }
 
+/// @return whether the subquery names its shard by its position among another number of shards than that of
+/// the current revision
+bool service_coordinator::is_of_other_shards(dispatch::subquery_id id) const
+{
+    const auto from = m_subquery_origins.find(id);
+    return from != m_subquery_origins.end() && from->second.shards != 0 &&
+           from->second.shards != shard_count();
+}
+
 void service_coordinator::collect_scheduler_actions(time_point now)
 {
     for (auto actions = m_scheduler.take_actions(); !actions.empty(); actions = m_scheduler.take_actions())
@@ -20,6 +29,14 @@
         {
             if (auto* start = std::get_if<dispatch::start_attempt>(&item))
             {
+                if (is_of_other_shards(start->subquery))
+                {
+                    dispatch::attempt_result not_sent;
+                    not_sent.status = dispatch::attempt_status::wrong_version;
+                    m_scheduler.on_result(start->attempt, not_sent, now);
+                    (void)m_scheduler.refuse_waiting(start->subquery, missing_reason::wrong_version, now);
+                    continue;
+                }
                 m_actions.emplace_back(std::move(*start));
                 continue;
             }
@@ -56,8 +73,8 @@
     {
         const time_point deadline = now + delegated.time_left - m_options.round_trip_reserve;
         const query_execution::part part{delegated.number, delegated.shard, delegated.version};
-        route_local({0, event.peer, delegated.number, delegated.repeatable, delegated.body}, part, deadline,
-                    now);
+        route_local({0, event.peer, delegated.number, delegated.repeatable, delegated.body, delegated.shards},
+                    part, deadline, now);
     }
 }
 
--- a/tests/src/unit-coordinator.cpp
+++ b/tests/src/unit-coordinator.cpp
@@ -15,11 +15,11 @@
 
 const service_name dispatch_service("dispatch");
 
-std::shared_ptr<const placement> two_instances()
+std::shared_ptr<const placement> two_instances(int shards = 2)
 {
     auto placed = std::make_shared<placement>();
     placed->revision = 3;
-    placed->services.emplace(dispatch_service, test::make_service(2, 2));
+    placed->services.emplace(dispatch_service, test::make_service(shards, 2));
     for (const char* name : {"e1", "e2"})
     {
         instance item;
@@ -173,6 +173,61 @@
     }
 }
 
+TEST_CASE("an answer isn't made from shards of another number of shards", "[coordinator]")
+{
+    const placement_changed divided_anew{two_instances(4)};
+
+    SECTION("at an owner that has a newer revision")
+    {
+        driver owner(owner_name());
+        driver other(non_owner_name());
+        other.feed(peer_reachable{instance_name(owner_name()), true});
+        other.send_query(1);
+        const auto delegations = other.take<delegate_to_peer>();
+        REQUIRE(delegations.size() == 1);
+        owner.feed(divided_anew);
+        owner.feed(peer_delegated{instance_name(non_owner_name()), delegations[0].subqueries});
+        CHECK(owner.take<dispatch::start_attempt>().empty());
+        for (const auto& batch : owner.take<send_results_to_peer>())
+        {
+            other.feed(peer_answered{instance_name(owner_name()), batch.results});
+        }
+        const auto answers = other.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].answer.missing.size() == 2);
+        CHECK(answers[0].answer.outcome == outcome::not_run);
+    }
+    SECTION("when a shard is tried again after a newer revision took effect")
+    {
+        driver owner(owner_name());
+        owner.send_query(1);
+        const auto attempts = owner.take<dispatch::start_attempt>();
+        REQUIRE(attempts.size() == 2);
+        owner.feed(divided_anew);
+        for (const dispatch::start_attempt& started : attempts)
+        {
+            dispatch::attempt_result refused;
+            refused.status = dispatch::attempt_status::leaving;
+            owner.feed(attempt_ended{started.attempt, refused});
+        }
+        CHECK(owner.take<dispatch::start_attempt>().empty());
+        const auto answers = owner.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].answer.missing.size() == 2);
+    }
+    SECTION("but an owner goes by its own revision for an older build, which doesn't state the number")
+    {
+        driver owner(owner_name());
+        peer_subquery older;
+        older.number = 1;
+        older.time_left = duration::from_ms(500);
+        nlohmann::json message = subqueries_to_json({older});
+        message["subqueries"][0].erase("shards");
+        owner.feed(peer_delegated{instance_name(non_owner_name()), subqueries_from_json(message)});
+        CHECK(owner.take<dispatch::start_attempt>().size() == 1);
+    }
+}
+
 TEST_CASE("an instance that resumes after a long suspension doesn't act on expired queries", "[coordinator]")
 {
     driver owner(owner_name());
