Registrations: what is gone or lost is forgotten on every process

registry::expire removed what had been gone or lost for a minute, but only the leader among the control replicas called it. The other replicas and all entries kept each id that ever deregistered or was lost, and sent them in their full lists: memory and messages that grow with each release of backend servers until the process ends. Found by reading, when asking what bounds the memory of a deregistration.

Marking as lost (a decision of the leader) and forgetting are two functions now; each replica and each entry forgets by itself, looking through its registry once in 5 s. The test guards the second; before, no function that a process other than the leader called removed anything.

--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -27,7 +27,8 @@
 
 /// @brief The backend servers that register themselves, as known to one process. Deterministic.
 ///
-/// The registry is soft state: if all copies are lost, heartbeats fill it again.
+/// What is present is soft state: if all copies are lost, heartbeats fill the registry again. What is gone
+/// isn't, since a backend server that deregistered says nothing more; see @ref restore.
 ///
 /// Processes exchange only changes (@ref take_changes, @ref merge). For an unchanged backend server they
 /// exchange heartbeat receipts (@ref take_heartbeat_receipts, @ref on_heartbeat_receipts). Of two reports
@@ -43,6 +44,9 @@
     /// restore it.
     static constexpr duration gone_retention = duration::from_ms(60000);
 
+    /// The interval at which @ref forget looks through the registry.
+    static constexpr duration forget_interval = duration::from_ms(5000);
+
     /// @brief Handles a heartbeat that a backend server sent to this process.
     /// @return whether the registration changed
     bool on_heartbeat(const registration& report, time_point now);
@@ -82,11 +86,16 @@
     /// @brief Handles receipts of heartbeats that another process received.
     void on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts, time_point now);
 
-    /// @brief Marks backend servers lost that sent no heartbeat for @a silence, and removes those that are
-    /// gone or lost for longer than @ref gone_retention.
+    /// @brief Marks backend servers lost that sent no heartbeat for @a silence.
     /// @return whether any registration changed
     bool expire(duration silence, time_point now);
 
+    /// @brief Removes backend servers that are gone for longer than @ref gone_retention, and those that are
+    /// lost and sent no heartbeat for longer than that and @a silence.
+    /// @return the ids that were removed
+    /// @complexity O(n) once in @ref forget_interval, else O(1)
+    std::vector<backend_server_name> forget(duration silence, time_point now);
+
     /// @return the changes since the last call, for other processes
     std::vector<registration> take_changes();
 
@@ -134,6 +143,7 @@
 
     std::map<backend_server_name, registered_server> m_servers;
     std::vector<registration> m_changes;
+    time_point m_forget_at{};
     std::uint64_t m_digest = 0;
     std::size_t m_unconfirmed_count = 0;
 };
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -206,6 +206,9 @@
     {
         publish_changes(true, now);
     }
+    // On every replica: the others neither learn what the leader forgets, nor would they forget it with a
+    // leader that changes.
+    (void)m_registry.forget(m_silence, now);
 }
 
 } // namespace flaxtiller::shell
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -386,6 +386,7 @@
     // An entry that doesn't serve callers yet needs the confirmation of the leader, and reports every time.
     const bool leader_waits =
         serves() && now - leader_reported_at < leader_report_interval - settings.report_every * 0.5;
+    (void)registered.forget({}, now);
     const registration_digest known{registered.digest()};
     for (const named_address& replica : control.addresses())
     {
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -224,22 +224,35 @@
 
 bool registry::expire(duration silence, time_point now)
 {
-    const bool changed = mark_lost_if(
+    return mark_lost_if(
         [&](const backend_server_name&, const registered_server& item)
         {
             return item.report.is_present() && now - item.last_heartbeat_at > silence;
         });
+}
+
+std::vector<backend_server_name> registry::forget(duration silence, time_point now)
+{
+    std::vector<backend_server_name> forgotten;
+    if (now < m_forget_at)
+    {
+        return forgotten;
+    }
+    m_forget_at = now + forget_interval;
     std::erase_if(m_servers,
                   [&](const auto& entry)
                   {
                       const registered_server& item = entry.second;
-                      const bool gone = item.report.state == registration_state::gone &&
-                                        now - item.gone_at > gone_retention;
+                      const bool gone = is_gone(item.report) && now - item.gone_at > gone_retention;
                       const bool lost = item.report.state == registration_state::lost &&
                                         now - item.last_heartbeat_at > silence + gone_retention;
+                      if (gone || lost)
+                      {
+                          forgotten.push_back(entry.first);
+                      }
                       return gone || lost;
                   });
-    return changed;
+    return forgotten;
 }
 
 std::vector<registration> registry::take_changes()
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -105,6 +105,19 @@
         CHECK(known.on_heartbeat(report_of("a", 9), now));
         CHECK(known.present().size() == 2);
     }
+    SECTION("what is gone or lost doesn't take up memory for ever, also on a process that doesn't lead")
+    {
+        known.on_heartbeat(report_of("b", 1), now);
+        known.on_leave(backend_server_name("a"), 0, now);
+        known.merge(report_of("b", 2, registration_state::lost), now);
+        CHECK(known.forget(lost_after, now + registry::gone_retention).empty());
+        CHECK(known.size() == 2);
+        now = now + registry::gone_retention + registry::forget_interval;
+        CHECK(known.forget(lost_after, now) == std::vector{backend_server_name("a")});
+        now = now + lost_after;
+        CHECK(known.forget(lost_after, now) == std::vector{backend_server_name("b")});
+        CHECK(known.empty());
+    }
     SECTION("two processes agree after they exchanged their lists")
     {
         registry other;
