Registrations: a confirmed deregistration outlasts the end of all control replicas

Cause: a deregistration was kept like what heartbeats fill again, in memory with a file as a hint. Besides, the confirmation waited neither for the write nor for another replica, so that a kill within milliseconds, or a lost disk, left nothing; and a replacement of the file left out what was gone.

Now a replica confirms a deregistration once a majority of the voters of the replicated logs has it on disk: it sends it to them with a number, and each answers when its file is synced. Whichever minority of replicas ends or loses its disk, one that knows the deregistration is in each majority that comes back, and it tells the others with the list of each new link, or at once when they report the backend server as present.

The lines deregistration, deregistrations_restored and deregistrations_resent tell what was confirmed, by whom, and what came back.

--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -4,6 +4,7 @@
 #include <flaxtiller/registration/registration.hpp>
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -65,10 +66,11 @@
     /// @return whether any registration changed
     bool mark_unlisted_lost(const std::vector<registration>& all, time_point now);
 
-    /// @brief Adds the registrations that a previous run of this process stored, except for ids that are
-    /// known already. They stay unconfirmed until another report or receipt arrives;
-    /// @ref mark_unconfirmed_lost marks those lost that are never confirmed.
-    /// @return the number of added registrations
+    /// @brief Adds the registrations that a previous run of this process stored. Those of present backend
+    /// servers are left out if the id is known already. They stay unconfirmed until another report or receipt
+    /// arrives; @ref mark_unconfirmed_lost marks those lost that are never confirmed. What is gone is
+    /// remembered for @ref gone_retention from now on, since the time that has passed isn't known.
+    /// @return the number of added backend servers that are present
     std::size_t restore(const std::vector<registration>& restored, time_point now);
 
     /// @brief Marks those restored backend servers lost that were not confirmed within @a age.
@@ -110,6 +112,13 @@
     /// @complexity O(1), since each instance sends the digest every second
     std::uint64_t digest() const noexcept;
 
+    /// @return the registration under this id, or nothing if it is unknown
+    std::optional<registration> find(const backend_server_name& id) const;
+
+    /// @return the registrations of those reported backend servers that are known to be gone; a process that
+    /// reports them as present has missed their deregistration
+    std::vector<registration> gone_among(const std::vector<registration>& reported) const;
+
     /// @return the backend servers that are neither gone nor lost
     std::vector<registration> present() const;
 
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -87,8 +87,17 @@
                   quorum::replica_name(settings.replica.name), settings.timing),
           registers(files, settings.data_folder + "/" + register_log,
                     quorum::replica_name(settings.replica.name), settings.timing),
-          registrations(links, settings.data_folder + "/registrations", settings.registration_silence,
-                        clock.now()),
+          registrations(
+              links, settings.replica.name, settings.data_folder + "/registrations",
+              [this]
+              {
+                  net::post(strand,
+                            [this]
+                            {
+                                registrations.on_saved(clock.now());
+                            });
+              },
+              settings.registration_silence, clock.now()),
           crash_records(links, settings.data_folder + "/crash_records"),
           rate_limits(settings.limit_tolerance), membership(settings.keeper),
           operators(io, http_limits_of(settings),
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -106,7 +106,7 @@
     }
     else if (const auto* receipts = std::get_if<registration_heard>(&message))
     {
-        registrations.on_heartbeat_receipts(*receipts, now);
+        registrations.on_heartbeat_receipts(from.name, *receipts, now);
     }
     else if (const auto* digest = std::get_if<registration_digest>(&message))
     {
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -28,7 +28,7 @@
     findings errors;
     self.open_machine(self.catalog, catalog_log, errors);
     self.open_machine(self.registers, register_log, errors);
-    self.registrations.load();
+    self.registrations.load(self.clock.now());
     self.crash_records.load(self.clock.now());
     return errors;
 }
@@ -136,9 +136,13 @@
     m_implementation->registrations.on_heartbeat(report, m_implementation->clock.now());
 }
 
-void control_process::deregister(const backend_server_name& id, std::int64_t born_ms)
+void control_process::deregister(const backend_server_name& id, std::int64_t born_ms,
+                                 std::function<void(bool)> done)
 {
-    m_implementation->registrations.on_leave(id, born_ms, m_implementation->clock.now());
+    implementation& self = *m_implementation;
+    const quorum::replica* node = self.catalog.node();
+    self.registrations.on_leave(id, born_ms, node == nullptr ? quorum::member_set{} : node->members(),
+                                std::move(done), self.clock.now());
 }
 
 } // namespace flaxtiller::shell
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -68,7 +68,9 @@
 
     /// @brief Handles the deregistration of a backend server.
     /// @param born_ms the start time of the run that ends; 0 for the known run
-    void deregister(const backend_server_name& id, std::int64_t born_ms);
+    /// @param done called with whether the deregistration is confirmed: it is remembered whichever minority
+    /// of the replicas ends or loses its data, and also if all of them end
+    void deregister(const backend_server_name& id, std::int64_t born_ms, std::function<void(bool)> done);
 
   private:
     struct implementation;
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -1,6 +1,9 @@
 #include "registration_distributor.hpp"
 
 #include "process/log.hpp"
+#include "process/system.hpp"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -27,9 +30,31 @@
 
 } // namespace
 
-void registration_distributor::load()
+registration_distributor::registration_distributor(peer_links& links, std::string self,
+                                                   const std::string& path,
+                                                   registration_file::saved_function on_saved,
+                                                   duration silence, time_point now)
+    : m_links(links), m_self(std::move(self)), m_confirmations(m_self, draw64()),
+      m_file(path, std::move(on_saved)), m_silence(silence), m_started_at(now),
+      m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
+{
+}
+
+void registration_distributor::load(time_point now)
 {
-    m_saved = m_file.load();
+    m_saved = m_file.load(unix_ms());
+    const auto first_gone = std::partition(m_saved.begin(), m_saved.end(),
+                                           [](const registration& item)
+                                           {
+                                               return item.is_present();
+                                           });
+    const std::vector<registration> gone(first_gone, m_saved.end());
+    m_saved.erase(first_gone, m_saved.end());
+    // Before any heartbeat or list of another process, which may lack the deregistrations. The others get
+    // them with the list that each new link brings.
+    (void)m_registry.restore(gone, now);
+    (void)m_registry.take_changes();
+    log(log_level::info, "deregistrations_restored", {{"items", gone.size()}});
 }
 
 void registration_distributor::restore(time_point now)
@@ -61,12 +86,90 @@
     }
 }
 
-void registration_distributor::on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now)
+void registration_distributor::on_leave(const backend_server_name& id, std::int64_t born_ms,
+                                        const quorum::member_set& members, confirmation done, time_point now)
 {
     if (m_registry.on_leave(id, born_ms, now))
     {
         publish_changes(true, now);
     }
+    const deregistration_number number = m_confirmations.begin(id, members, now);
+    m_unconfirmed.emplace(number, std::move(done));
+    m_save_requests.push_back({m_self, number, m_file.append({}, unix_ms())});
+    std::vector<std::string> others;
+    for (const auto& [name, item] : members.members)
+    {
+        if (item.voter && name.str() != m_self)
+        {
+            others.push_back(name.str());
+        }
+    }
+    const auto known = m_registry.find(id);
+    if (known && !others.empty())
+    {
+        m_links.send(others, registration_update{false, {*known}, false, number});
+    }
+    on_saved(now);
+}
+
+void registration_distributor::on_saved(time_point now)
+{
+    const std::uint64_t saved = m_file.saved();
+    std::map<std::string, registration_heard> answers;
+    std::erase_if(m_save_requests,
+                  [&](const save_request& item)
+                  {
+                      if (item.queued > saved)
+                      {
+                          return false;
+                      }
+                      if (item.from == m_self)
+                      {
+                          m_confirmations.on_saved(item.number, m_self);
+                      }
+                      else
+                      {
+                          answers[item.from].saved.push_back(item.number);
+                      }
+                      return true;
+                  });
+    for (const auto& [to, answer] : answers)
+    {
+        m_links.send(to, answer);
+    }
+    decide_confirmations(now);
+}
+
+void registration_distributor::decide_confirmations(time_point now)
+{
+    if (m_confirmations.empty())
+    {
+        return;
+    }
+    for (const auto& decided : m_confirmations.take_decisions(m_links.reachable(), now))
+    {
+        log(decided.is_confirmed ? log_level::info : log_level::warning, "deregistration",
+            {{"backend_server", decided.id.str()},
+             {"confirmed", decided.is_confirmed},
+             {"saved_by", fmt::format("{}", fmt::join(decided.saved_by, ","))},
+             {"after_ms", decided.took.ms()}});
+        const auto found = m_unconfirmed.find(decided.number);
+        const confirmation done = std::move(found->second);
+        m_unconfirmed.erase(found);
+        done(decided.is_confirmed);
+    }
+}
+
+/// Another replica that reports a backend server as present, which deregistered, has missed that.
+void registration_distributor::correct_sender(const std::string& from,
+                                              const std::vector<registration>& received)
+{
+    const std::vector<registration> missed = m_registry.gone_among(received);
+    if (!missed.empty())
+    {
+        log(log_level::info, "deregistrations_resent", {{"to", from}, {"items", missed.size()}});
+        m_links.send(from, registration_update{false, missed, false, std::nullopt});
+    }
 }
 
 void registration_distributor::on_update(const std::string& from, const registration_update& update,
@@ -86,11 +189,23 @@
         log(log_level::debug, "registrations_merged", {{"from", from}, {"items", update.items.size()}});
         publish_changes(false, now);
     }
+    correct_sender(from, update.items);
+    if (update.confirm)
+    {
+        m_save_requests.push_back({from, *update.confirm, m_file.append({}, unix_ms())});
+        on_saved(now);
+    }
 }
 
-void registration_distributor::on_heartbeat_receipts(const registration_heard& receipts, time_point now)
+void registration_distributor::on_heartbeat_receipts(const std::string& from,
+                                                     const registration_heard& receipts, time_point now)
 {
     m_registry.on_heartbeat_receipts(receipts.items, now);
+    for (const deregistration_number number : receipts.saved)
+    {
+        m_confirmations.on_saved(number, from);
+    }
+    decide_confirmations(now);
 }
 
 bool registration_distributor::is_settled(time_point now) const
@@ -119,12 +234,18 @@
 void registration_distributor::on_lost(const std::string& peer, time_point now)
 {
     m_publisher.on_lost(peer, now);
+    std::erase_if(m_save_requests,
+                  [&](const save_request& item)
+                  {
+                      return item.from == peer;
+                  });
+    decide_confirmations(now);
 }
 
 void registration_distributor::publish_changes(bool received_here, time_point now)
 {
     const std::vector<registration> changes = m_registry.take_changes();
-    m_file.append(changes);
+    m_file.append(changes, unix_ms());
     log_changes(changes, now);
     m_publisher.on_changes(changes, received_here, m_registry.digest(), now);
     send_due(now);
@@ -180,6 +301,7 @@
     {
         restore(now);
     }
+    decide_confirmations(now);
     if (m_registry.mark_unconfirmed_lost(m_silence * unconfirmed_silence_fraction, now))
     {
         publish_changes(true, now);
@@ -208,7 +330,7 @@
     }
     // On every replica: the others neither learn what the leader forgets, nor would they forget it with a
     // leader that changes.
-    (void)m_registry.forget(m_silence, now);
+    m_file.forget(m_registry.forget(m_silence, now));
 }
 
 } // namespace flaxtiller::shell
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -4,11 +4,16 @@
 #include "registration_file.hpp"
 
 #include <flaxtiller/core/token_bucket.hpp>
+#include <flaxtiller/registration/deregistration_confirmations.hpp>
 #include <flaxtiller/registration/registration_publisher.hpp>
 #include <flaxtiller/registration/registry.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace flaxtiller::shell
 {
@@ -22,25 +27,37 @@
 class registration_distributor
 {
   public:
+    /// Called with whether a deregistration is confirmed.
+    using confirmation = std::function<void(bool)>;
+
+    /// @param self the name of this replica
     /// @param path the file that keeps the registrations for the next start of this process
+    /// @param on_saved called by another thread when registrations were saved; @ref on_saved must follow
     /// @param silence time without a heartbeat after which a backend server counts as lost
-    registration_distributor(peer_links& links, const std::string& path, duration silence, time_point now)
-        : m_links(links), m_file(path), m_silence(silence), m_started_at(now),
-          m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
-    {
-    }
+    registration_distributor(peer_links& links, std::string self, const std::string& path,
+                             registration_file::saved_function on_saved, duration silence, time_point now);
 
-    /// @brief Reads the registrations that a previous run of this process saved. They are restored a moment
-    /// later, unless a replica that didn't restart sends its registrations before.
-    void load();
+    /// @brief Reads the registrations that a previous run of this process saved. Those of present backend
+    /// servers are restored a moment later, unless a replica that didn't restart sends its registrations
+    /// before; what is gone is remembered at once.
+    void load(time_point now);
 
-    /// @brief Handles a heartbeat of a backend server, or its notice that it leaves, sent to this replica.
+    /// @brief Handles a heartbeat of a backend server that was sent to this replica.
     void on_heartbeat(const registration& received, time_point now);
-    void on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now);
+
+    /// @brief Handles the notice of a backend server, sent to this replica, that it leaves. It takes effect
+    /// at once, whether or not it is confirmed.
+    /// @param members the members of the replicated log, a majority of which must save the notice
+    /// @param done called once it is known whether the notice is confirmed
+    void on_leave(const backend_server_name& id, std::int64_t born_ms, const quorum::member_set& members,
+                  confirmation done, time_point now);
+
+    /// @brief Handles that queued registrations were saved to the file.
+    void on_saved(time_point now);
 
     /// @brief Handles registrations, or heartbeats received elsewhere, that another control replica sent.
     void on_update(const std::string& from, const registration_update& update, time_point now);
-    void on_heartbeat_receipts(const registration_heard& receipts, time_point now);
+    void on_heartbeat_receipts(const std::string& from, const registration_heard& receipts, time_point now);
 
     /// @brief Handles the digest of another process's registrations. If it differs from the own digest for
     /// some time, all registrations are sent to this process.
@@ -78,8 +95,24 @@
     bool is_settled(time_point now) const;
     void apply_settled_list(const registration_update& update, time_point now);
     void restore(time_point now);
+    void correct_sender(const std::string& from, const std::vector<registration>& received);
+    void decide_confirmations(time_point now);
+
+    /// A request of another replica to be told when registrations are on disk.
+    struct save_request
+    {
+        std::string from;
+        deregistration_number number = 0;
+        /// The number of queued changes that must be on disk.
+        std::uint64_t queued = 0;
+    };
 
     peer_links& m_links;
+    const std::string m_self;
+    deregistration_confirmations m_confirmations;
+    std::map<deregistration_number, confirmation> m_unconfirmed;
+    /// The requests of other replicas, and of this one, in the order of the queued changes.
+    std::vector<save_request> m_save_requests;
     registration_file m_file;
     /// The registrations saved by a previous run, until they are restored or discarded.
     std::vector<registration> m_saved;
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -7,6 +7,7 @@
 #include <flaxtiller/quorum/message.hpp>
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
+#include <flaxtiller/registration/deregistration_confirmations.hpp>
 #include <flaxtiller/registration/registry.hpp>
 #include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/router_action.hpp>
@@ -112,12 +113,18 @@
     /// True if the sender has received registrations for long enough to know every backend server, whether or
     /// not @ref items is the full list.
     bool settled = false;
+    /// Asks the receiver, a control replica, to answer with @ref registration_heard::saved once it has saved
+    /// @ref items. Older processes don't know the key, and don't answer.
+    std::optional<deregistration_number> confirm{};
 };
 
 /// @brief Backend servers from which the sender recently received a heartbeat directly.
 struct registration_heard
 {
     std::vector<heartbeat_receipt> items;
+    /// The numbers of those requests of the receiver, see @ref registration_update::confirm, whose
+    /// registrations the sender has saved.
+    std::vector<deregistration_number> saved{};
 };
 
 /// @brief The hash of the registrations that the sender knows. A receiver whose own hash stays different for
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -145,6 +145,11 @@
     std::size_t restored_count = 0;
     for (const registration& report : restored)
     {
+        if (is_gone(report))
+        {
+            (void)merge(report, now);
+            continue;
+        }
         if (!report.is_present() || m_servers.count(report.id) > 0)
         {
             continue;
@@ -291,6 +296,27 @@
     return m_digest;
 }
 
+std::optional<registration> registry::find(const backend_server_name& id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? std::nullopt : std::optional(found->second.report);
+}
+
+std::vector<registration> registry::gone_among(const std::vector<registration>& reported) const
+{
+    std::vector<registration> missed;
+    for (const registration& report : reported)
+    {
+        const auto found = m_servers.find(report.id);
+        if (report.is_present() && found != m_servers.end() && is_gone(found->second.report) &&
+            found->second.report.born_ms == report.born_ms)
+        {
+            missed.push_back(found->second.report);
+        }
+    }
+    return missed;
+}
+
 std::vector<registration> registry::present() const
 {
     std::vector<registration> items;
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -98,7 +98,7 @@
         # The headers of each request that arrived, by its id.
         self.headers = {}
         self.id = "i-%s-%d" % (service, time.monotonic_ns())
-        self.state, self.sequence, self.alive = "ready", 0, True
+        self.state, self.sequence, self.alive, self.beats = "ready", 0, True, True
         self.born, self.warmup_ms = int(time.time() * 1000), 0
         self.delay_s, self.served, self.expected_others = 0.0, [], 0
         backend = self
@@ -183,7 +183,8 @@
 
     def beat(self):
         while self.alive:
-            self.say("heartbeat")
+            if self.beats:
+                self.say("heartbeat")
             time.sleep(HEARTBEAT_S)
 
     def say(self, what):
@@ -288,7 +289,8 @@
 
     def kill_all(self):
         """All machines lose power at the same moment."""
-        processes = [process for machine in self.machines for process in machine.processes.values()]
+        processes = [machine.processes[role] for machine in self.machines for role in machine.processes
+                     if machine.running(role)]
         for process in processes:
             process.signal(signal.SIGKILL)
         for process in processes:
@@ -297,7 +299,8 @@
     def start_again(self):
         for machine in self.machines:
             for role in machine.processes:
-                machine.start(role)
+                if not machine.running(role):
+                    machine.start(role)
 
     def core(self):
         return [machine for machine in self.machines if machine.in_core and machine.running("control")]
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -25,6 +25,9 @@
 
 /// The length of an outcome's array without the optional elements, as older processes write and read it.
 constexpr std::size_t outcome_elements_without_delay = 9;
+/// The numbers of keys that older processes write and read.
+constexpr std::size_t update_keys_without_request = 3;
+constexpr std::size_t heard_keys_without_answer = 1;
 /// The length of a request's array without the optional elements, as older processes write and read it.
 constexpr std::size_t request_elements_without_rules = 15;
 
@@ -133,6 +136,24 @@
               heartbeat_receipt{sent_registration.id, 5, 7});
         CHECK(encode_and_decode(registration_digest{~std::uint64_t{0}}).digest == ~std::uint64_t{0});
     }
+    SECTION(
+        "requests to save registrations are optional, so that replicas of both builds understand each other")
+    {
+        const auto keys_of = [](const link_message& message)
+        {
+            return nlohmann::json::from_cbor(encode(message)).at("v").size();
+        };
+        registration_update update;
+        CHECK_FALSE(encode_and_decode(update).confirm);
+        CHECK(keys_of(update) == update_keys_without_request);
+        update.confirm = ~std::uint64_t{0};
+        CHECK(encode_and_decode(update).confirm == update.confirm);
+        CHECK(keys_of(update) == update_keys_without_request + 1);
+        registration_heard heard;
+        CHECK(keys_of(heard) == heard_keys_without_answer);
+        heard.saved = {5, 7};
+        CHECK(encode_and_decode(heard).saved == heard.saved);
+    }
     SECTION("processes")
     {
         CHECK(encode_and_decode(control_members{{"a:1", "b:2"}}).names.size() == 2);
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -85,6 +85,43 @@
             CHECK(current.present().empty());
         }
     }
+    SECTION("a late heartbeat doesn't bring back, after a restart, what deregistered before")
+    {
+        known.on_leave(backend_server_name("a"), 0, now);
+        registry restarted;
+        CHECK(restarted.restore(known.all(now), now) == 0);
+        CHECK_FALSE(restarted.has_unconfirmed());
+        CHECK_FALSE(restarted.on_heartbeat(report_of("a", 9), now));
+        CHECK(restarted.present().empty());
+        CHECK(restarted.gone_among({report_of("a", 9)}).size() == 1);
+        SECTION("nor does the list of a process that missed the deregistration")
+        {
+            CHECK_FALSE(restarted.merge(report_of("a", 9), now));
+            CHECK_FALSE(restarted.mark_unconfirmed_lost({report_of("a", 9)}));
+            CHECK(restarted.present().empty());
+        }
+        SECTION("for as long after the restart as without one")
+        {
+            now = now + registry::gone_retention;
+            CHECK(restarted.forget(lost_after, now).empty());
+            CHECK_FALSE(restarted.on_heartbeat(report_of("a", 10), now));
+        }
+        SECTION("but a later run under the id registers")
+        {
+            registration later = report_of("a", 1);
+            later.born_ms = 200;
+            CHECK(restarted.gone_among({later}).empty());
+            CHECK(restarted.on_heartbeat(later, now));
+            CHECK(restarted.present().size() == 1);
+        }
+    }
+    SECTION("what was lost, not deregistered, comes back after a restart")
+    {
+        registry restarted;
+        restarted.restore({report_of("a", 5, registration_state::lost)}, now);
+        CHECK(restarted.on_heartbeat(report_of("a", 4), now));
+        CHECK(restarted.present().size() == 1);
+    }
     SECTION("a deregistration is final, also if it arrives before the first heartbeat")
     {
         CHECK(known.on_leave(backend_server_name("a"), 0, now));
