Router: a request that ends while its attempts are being started takes no slot for good

Cause: the parts of a fan-out are submitted to one scheduler each, and the schedulers' actions are collected one after the other. A part that gives up at once may end the request at the first scheduler; the attempts that the others had decided to start then had no owner any more, and unordered_map::at threw out of router::apply. Two things were left behind: the attempt's slot, which the scheduler holds until it hears of the attempt's end, and the actions after it in the list, among them starts and ends of other requests. Slots of that kind never come back. The same order of events is possible where a request is released after a trial, and where its priority changes.

The attempt isn't sent, and the scheduler is told so (scheduler::on_not_sent): its slot is free for what waits, and nothing is learned of the backend server. All three places collect through the same function. The owner of shards of POST /query uses it as well.

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -70,6 +70,10 @@
     /// @brief Processes the result of an attempt.
     void on_result(attempt_id attempt, const attempt_result& result, time_point now);
 
+    /// @brief Handles that an attempt was not sent, since its subquery is no longer needed or can't be run as
+    /// it was planned. The attempt's slot is free again, and nothing is learned of the backend server.
+    void on_not_sent(attempt_id id, time_point now);
+
     /// @brief Removes a subquery whose result is no longer needed, and cancels its running attempts.
     void abandon(subquery_id id, time_point now);
 
--- a/src/coordinator/service_coordinator_results.cpp
+++ b/src/coordinator/service_coordinator_results.cpp
@@ -31,9 +31,7 @@
             {
                 if (is_of_other_shards(start->subquery))
                 {
-                    dispatch::attempt_result not_sent;
-                    not_sent.status = dispatch::attempt_status::wrong_version;
-                    m_scheduler.on_result(start->attempt, not_sent, now);
+                    m_scheduler.on_not_sent(start->attempt, now);
                     (void)m_scheduler.refuse_waiting(start->subquery, missing_reason::wrong_version, now);
                     continue;
                 }
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -65,6 +65,13 @@
     run_queues_at(ended.server, now);
 }
 
+void scheduler::on_not_sent(attempt_id id, time_point now)
+{
+    attempt_result not_sent;
+    not_sent.status = attempt_status::wrong_version;
+    on_result(id, not_sent, now);
+}
+
 void scheduler::observe(server_state& server, const attempt& ended, const attempt_result& result,
                         time_point now)
 {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -343,8 +343,15 @@
 
 void router::apply(scheduler_index at, const dispatch::start_attempt& action, time_point now)
 {
+    const auto known = m_subquery_owners.find(action.subquery);
+    if (known == m_subquery_owners.end())
+    {
+        // The request ended by what another scheduler decided before this attempt was sent.
+        m_service_schedulers.at(at).scheduler.on_not_sent(action.attempt, now);
+        return;
+    }
     const routed_attempt_number number = m_next_attempt++;
-    const subquery_owner& owner = m_subquery_owners.at(action.subquery);
+    const subquery_owner& owner = known->second;
     open_request& opened = m_open.at(owner.request);
     const bool on_trial = m_trial && m_trial->subquery == action.subquery;
     m_started.emplace(number, started{at, action.attempt, action.subquery, owner.request, opened.request,
--- a/tests/src/unit-router.cpp
+++ b/tests/src/unit-router.cpp
@@ -595,6 +595,41 @@
     CHECK(driver.answers.empty());
 }
 
+TEST_CASE("a request that ends while its attempts are being started takes no slot for good", "[router]")
+{
+    router_driver driver;
+    route other = single(true);
+    other.name = "other";
+    other.path_prefix = "/other/";
+    other.targets = {{service_name("s1"), 1}};
+    constexpr int slots_of_service = 4;
+    constexpr double usual_ms = 50.0;
+    driver.set_view({{"all", fan_out_over(4, 1.0)}, {"one", single(true)}, {"other", other}}, 4);
+    for (int i = 0; i < slots_of_service; ++i)
+    {
+        driver.submit("/one/x");
+    }
+    driver.advance(usual_ms);
+    for (int i = 0; i < slots_of_service; ++i)
+    {
+        driver.end_attempt("s0", attempt_status::answered);
+    }
+    constexpr int waiting = 40;
+    for (int i = 0; i < waiting; ++i)
+    {
+        driver.submit("/one/x");
+    }
+    // One shard gives up at once, as its queue is too long, and the request needs all of them.
+    const request_number refused = driver.submit("/all/x", usual_ms);
+    CHECK(driver.answers.at(refused).end == routed_end::refused);
+    CHECK(driver.running("s1") == 0);
+    for (int i = 0; i < slots_of_service; ++i)
+    {
+        driver.submit("/other/x");
+    }
+    CHECK(driver.running("s1") == slots_of_service);
+}
+
 TEST_CASE("a new view configures only the schedulers of changed services", "[router]")
 {
     for (const int services : {30, 300, 3300})
