Registrations: what a previous run wrote counts as saved only once it is synced

A process that was killed may leave lines that are in the machine's memory and not on its disk. After its start they count as one change that is not saved yet, so that a deregistration that is sent again is confirmed only after a write of this run. Registrations that are lost no longer count in deregistrations_restored.

--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -42,14 +42,12 @@
 
 void registration_distributor::load(time_point now)
 {
-    m_saved = m_file.load(unix_ms());
-    const auto first_gone = std::partition(m_saved.begin(), m_saved.end(),
-                                           [](const registration& item)
-                                           {
-                                               return item.is_present();
-                                           });
-    const std::vector<registration> gone(first_gone, m_saved.end());
-    m_saved.erase(first_gone, m_saved.end());
+    std::vector<registration> gone;
+    for (registration& item : m_file.load(unix_ms()))
+    {
+        std::vector<registration>& kept = item.state == registration_state::gone ? gone : m_saved;
+        kept.push_back(std::move(item));
+    }
     // Before any heartbeat or list of another process, which may lack the deregistrations. The others get
     // them with the list that each new link brings.
     (void)m_registry.restore(gone, now);
--- a/src/control/registration_file.cpp
+++ b/src/control/registration_file.cpp
@@ -74,6 +74,8 @@
                   });
     // Makes the first append replace the file.
     m_last_write_failed = true;
+    // What was read may never have been synced. It counts as one change that is not on disk yet.
+    m_queued_count = m_valid.empty() ? 0 : 1;
     std::vector<registration> items;
     for (const auto& [id, loaded] : m_valid)
     {
--- a/tests/src/unit-registration-file.cpp
+++ b/tests/src/unit-registration-file.cpp
@@ -144,6 +144,19 @@
         CHECK(again.load(now_ms).size() == 1);
     }
 
+    SECTION("what a previous run wrote counts as saved only once this run has synced it")
+    {
+        registration_file file(path);
+        REQUIRE(file.load(now_ms).size() == 3);
+        CHECK(file.saved() == 0);
+        const std::uint64_t queued = file.append({}, now_ms);
+        CHECK(queued > 0);
+        file.flush();
+        CHECK(file.saved() == queued);
+        registration_file again(path);
+        CHECK(again.load(now_ms).size() == 3);
+    }
+
     SECTION("truncated and malformed lines are skipped, and the next change replaces the file")
     {
         std::ofstream(path, std::ios::app) << "{\"id\": \"d\"}\n[1, 2\n{\"id\": \"e\", \"serv";
