--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -19,6 +19,8 @@
 
 RECORD_BYTES = 16
 HEARTBEAT_S = 0.3
+# The loopback addresses of the machines; runs side by side need one each.
+NETWORK = os.environ.get("FLAXTILLER_NETWORK", "127.0.1")
 SLOW_S = 0.4
 
 
@@ -212,7 +214,7 @@
     def __init__(self, platform, number, core):
         self.platform, self.number, self.in_core = platform, number, core
         self.zone = sorted(platform.zones)[(number - 1) % len(platform.zones)]
-        self.ip = "127.0.1.%d" % number
+        self.ip = NETWORK + ".%d" % number
         self.front, self.readiness, self.control = (self.ip + ":%d" % port for port in (8104, 8108, 8106))
         self.folder = os.path.join(platform.folder, "disk-%d" % number)
         self.processes = {}
@@ -264,7 +266,7 @@
     def __init__(self, entries=2, zones=1):
         self.zones = {"zone-%d" % (i + 1): "region-%d" % (i + 1) for i in range(zones)}
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-platform-")
-        self.seeds = ["127.0.1.%d:8106" % number for number in (1, 2, 3)]
+        self.seeds = [NETWORK + ".%d:8106" % number for number in (1, 2, 3)]
         self.machines = [Machine(self, number, number <= 3) for number in range(1, 4 + max(0, entries - 3))]
         self.entries = entries
         self.backends = []
@@ -307,7 +309,7 @@
 
     def add_backend(self, service, zone="zone-1"):
         self._next += 1
-        backend = Backend(self, service, "127.0.1.%d:%d" % (100 + self._next // 100, 9000 + self._next), zone)
+        backend = Backend(self, service, "%s.%d:%d" % (NETWORK, 100 + self._next // 100, 9000 + self._next), zone)
         self.backends.append(backend)
         return backend
 
