--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -3,8 +3,6 @@
 #include "process/log.hpp"
 #include "process/system.hpp"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -34,8 +32,8 @@
                                                    const std::string& path,
                                                    registration_file::saved_function on_saved,
                                                    duration silence, time_point now)
-    : m_links(links), m_self(std::move(self)), m_confirmations(m_self, draw64()),
-      m_file(path, std::move(on_saved)), m_silence(silence), m_started_at(now),
+    : m_links(links), m_file(path, std::move(on_saved)), m_confirmer(links, m_file, std::move(self)),
+      m_silence(silence), m_started_at(now),
       m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
 {
 }
@@ -85,77 +83,19 @@
 }
 
 void registration_distributor::on_leave(const backend_server_name& id, std::int64_t born_ms,
-                                        const quorum::member_set& members, confirmation done, time_point now)
+                                        const quorum::member_set& members,
+                                        deregistration_confirmer::confirmation done, time_point now)
 {
     if (m_registry.on_leave(id, born_ms, now))
     {
         publish_changes(true, now);
     }
-    const deregistration_number number = m_confirmations.begin(id, members, now);
-    m_unconfirmed.emplace(number, std::move(done));
-    m_save_requests.push_back({m_self, number, m_file.append({}, unix_ms())});
-    std::vector<std::string> others;
-    for (const auto& [name, item] : members.members)
-    {
-        if (item.voter && name.str() != m_self)
-        {
-            others.push_back(name.str());
-        }
-    }
-    const auto known = m_registry.find(id);
-    if (known && !others.empty())
-    {
-        m_links.send(others, registration_update{false, {*known}, false, number});
-    }
-    on_saved(now);
+    m_confirmer.begin(*m_registry.find(id), members, std::move(done), now);
 }
 
 void registration_distributor::on_saved(time_point now)
 {
-    const std::uint64_t saved = m_file.saved();
-    std::map<std::string, registration_heard> answers;
-    std::erase_if(m_save_requests,
-                  [&](const save_request& item)
-                  {
-                      if (item.queued > saved)
-                      {
-                          return false;
-                      }
-                      if (item.from == m_self)
-                      {
-                          m_confirmations.on_saved(item.number, m_self);
-                      }
-                      else
-                      {
-                          answers[item.from].saved.push_back(item.number);
-                      }
-                      return true;
-                  });
-    for (const auto& [to, answer] : answers)
-    {
-        m_links.send(to, answer);
-    }
-    decide_confirmations(now);
-}
-
-void registration_distributor::decide_confirmations(time_point now)
-{
-    if (m_confirmations.empty())
-    {
-        return;
-    }
-    for (const auto& decided : m_confirmations.take_decisions(m_links.reachable(), now))
-    {
-        log(decided.is_confirmed ? log_level::info : log_level::warning, "deregistration",
-            {{"backend_server", decided.id.str()},
-             {"confirmed", decided.is_confirmed},
-             {"saved_by", fmt::format("{}", fmt::join(decided.saved_by, ","))},
-             {"after_ms", decided.took.ms()}});
-        const auto found = m_unconfirmed.find(decided.number);
-        const confirmation done = std::move(found->second);
-        m_unconfirmed.erase(found);
-        done(decided.is_confirmed);
-    }
+    m_confirmer.on_saved(now);
 }
 
 /// Another replica that reports a backend server as present, which deregistered, has missed that.
@@ -190,8 +130,7 @@
     correct_sender(from, update.items);
     if (update.confirm)
     {
-        m_save_requests.push_back({from, *update.confirm, m_file.append({}, unix_ms())});
-        on_saved(now);
+        m_confirmer.on_request(from, *update.confirm, now);
     }
 }
 
@@ -199,11 +138,7 @@
                                                      const registration_heard& receipts, time_point now)
 {
     m_registry.on_heartbeat_receipts(receipts.items, now);
-    for (const deregistration_number number : receipts.saved)
-    {
-        m_confirmations.on_saved(number, from);
-    }
-    decide_confirmations(now);
+    m_confirmer.on_saved_elsewhere(from, receipts.saved, now);
 }
 
 bool registration_distributor::is_settled(time_point now) const
@@ -232,12 +167,7 @@
 void registration_distributor::on_lost(const std::string& peer, time_point now)
 {
     m_publisher.on_lost(peer, now);
-    std::erase_if(m_save_requests,
-                  [&](const save_request& item)
-                  {
-                      return item.from == peer;
-                  });
-    decide_confirmations(now);
+    m_confirmer.on_lost(peer, now);
 }
 
 void registration_distributor::publish_changes(bool received_here, time_point now)
@@ -299,7 +229,7 @@
     {
         restore(now);
     }
-    decide_confirmations(now);
+    m_confirmer.tick(now);
     if (m_registry.mark_unconfirmed_lost(m_silence * unconfirmed_silence_fraction, now))
     {
         publish_changes(true, now);
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -1,16 +1,13 @@
 #pragma once
 
+#include "deregistration_confirmer.hpp"
 #include "links/peer_links.hpp"
 #include "registration_file.hpp"
 
 #include <flaxtiller/core/token_bucket.hpp>
-#include <flaxtiller/registration/deregistration_confirmations.hpp>
 #include <flaxtiller/registration/registration_publisher.hpp>
 #include <flaxtiller/registration/registry.hpp>
 
-#include <cstdint>
-#include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,9 +24,6 @@
 class registration_distributor
 {
   public:
-    /// Called with whether a deregistration is confirmed.
-    using confirmation = std::function<void(bool)>;
-
     /// @param self the name of this replica
     /// @param path the file that keeps the registrations for the next start of this process
     /// @param on_saved called by another thread when registrations were saved; @ref on_saved must follow
@@ -50,7 +44,7 @@
     /// @param members the members of the replicated log, a majority of which must save the notice
     /// @param done called once it is known whether the notice is confirmed
     void on_leave(const backend_server_name& id, std::int64_t born_ms, const quorum::member_set& members,
-                  confirmation done, time_point now);
+                  deregistration_confirmer::confirmation done, time_point now);
 
     /// @brief Handles that queued registrations were saved to the file.
     void on_saved(time_point now);
@@ -96,24 +90,10 @@
     void apply_settled_list(const registration_update& update, time_point now);
     void restore(time_point now);
     void correct_sender(const std::string& from, const std::vector<registration>& received);
-    void decide_confirmations(time_point now);
-
-    /// A request of another replica to be told when registrations are on disk.
-    struct save_request
-    {
-        std::string from;
-        deregistration_number number = 0;
-        /// The number of queued changes that must be on disk.
-        std::uint64_t queued = 0;
-    };
 
     peer_links& m_links;
-    const std::string m_self;
-    deregistration_confirmations m_confirmations;
-    std::map<deregistration_number, confirmation> m_unconfirmed;
-    /// The requests of other replicas, and of this one, in the order of the queued changes.
-    std::vector<save_request> m_save_requests;
     registration_file m_file;
+    deregistration_confirmer m_confirmer;
     /// The registrations saved by a previous run, until they are restored or discarded.
     std::vector<registration> m_saved;
     duration m_silence;
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -163,6 +163,7 @@
     void execute(const send_partial_outcome& action);
     void execute(const publish_crash_records& action);
     void execute(const report_quarantine_state& action);
+    void report_crash_records(std::vector<crash_record> records) const;
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void on_time();
     void schedule_timer();
--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -124,11 +124,7 @@
     net::dispatch(m_strand,
                   [this]
                   {
-                      crash_news known{m_router.crashes().all(1, m_clock.now())};
-                      if (!known.items.empty())
-                      {
-                          m_report_crash_records(known);
-                      }
+                      report_crash_records(m_router.crashes().all(1, m_clock.now()));
                   });
 }
 
@@ -137,14 +133,18 @@
     net::dispatch(m_strand,
                   [this]
                   {
-                      crash_news recent{m_router.crashes().recent(m_clock.now())};
-                      if (!recent.items.empty())
-                      {
-                          m_report_crash_records(recent);
-                      }
+                      report_crash_records(m_router.crashes().recent(m_clock.now()));
                   });
 }
 
+void routing_frontend::report_crash_records(std::vector<crash_record> records) const
+{
+    if (!records.empty())
+    {
+        m_report_crash_records(crash_news{std::move(records)});
+    }
+}
+
 void routing_frontend::set_rate_limit_coordinator(std::string name, bool contacted_now, bool was_witness)
 {
     net::dispatch(
