--- a/src/control/deregistration_confirmer.hpp
+++ b/src/control/deregistration_confirmer.hpp
@@ -36,8 +36,8 @@
     void begin(const registration& known, const quorum::member_set& members, confirmation done,
                time_point now);
 
-    /// @brief Handles the request of another replica to be told when what it sent is saved here. That was
-    /// queued for the file.
+    /// @brief Handles that a replica asks for an acknowledgement once its deregistration, which was queued
+    /// for the file, is synced to the disk of this replica.
     void on_request(const std::string& from, deregistration_number number, time_point now);
 
     /// @brief Handles that queued registrations were saved to the file.
@@ -54,7 +54,7 @@
     void tick(time_point now);
 
   private:
-    /// A request to be told when registrations are on disk, of another replica or of this one.
+    /// A replica, this one or another, that awaits the acknowledgement of a sync to disk.
     struct save_request
     {
         std::string from;
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -189,11 +189,15 @@
                 self.say("heartbeat")
             time.sleep(HEARTBEAT_S)
 
-    def say(self, what):
+    def next_body(self):
+        """The body of the next heartbeat or deregistration."""
         self.sequence += 1
-        body = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "capacity": 4,
+        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "capacity": 4,
                 "state": self.state, "warmupRemainingMs": self.warmup_ms, "sequence": self.sequence,
                 "born": self.born}
+
+    def say(self, what):
+        body = self.next_body()
         for machine in self.platform.core():
             path = "/api/instances/%s/%s" % (self.id, what)
             if call(machine.control, "POST", path, body, timeout=1.0)[0] == 200:
--- a/tests/faults/test_deregistration.py
+++ b/tests/faults/test_deregistration.py
@@ -25,10 +25,7 @@
         backend.beats = False
         # A heartbeat that is under way is over by then.
         time.sleep(0.5)
-        backend.sequence += 2
-        self.late = {"service": backend.service, "address": backend.address, "zone": backend.zone, "version": "v1",
-                     "capacity": 4, "state": "ready", "warmupRemainingMs": 0, "sequence": backend.sequence - 1,
-                     "born": backend.born}
+        self.late = backend.next_body()
 
     def call(self, machine, what, body):
         return call(machine.control, "POST", "/api/instances/%s/%s" % (self.backend.id, what), body, timeout=ANSWER_S)[0]
--- a/tests/src/unit-coordinator.cpp
+++ b/tests/src/unit-coordinator.cpp
@@ -115,6 +115,22 @@
     return owner_name() == "e1" ? "e2" : "e1";
 }
 
+/// @return what an instance delegates to the owner of the shards for a new query
+std::vector<delegate_to_peer> delegate_query(driver& other)
+{
+    other.feed(peer_reachable{instance_name(owner_name()), true});
+    other.send_query(1);
+    return other.take<delegate_to_peer>();
+}
+
+void receive_results(driver& other, const std::vector<send_results_to_peer>& results)
+{
+    for (const send_results_to_peer& batch : results)
+    {
+        other.feed(peer_answered{instance_name(owner_name()), batch.results});
+    }
+}
+
 } // namespace
 
 TEST_CASE("the owner of the shards executes a query without delegation", "[coordinator]")
@@ -134,9 +150,7 @@
 {
     driver owner(owner_name());
     driver other(non_owner_name());
-    other.feed(peer_reachable{instance_name(owner_name()), true});
-    other.send_query(1);
-    const auto delegations = other.take<delegate_to_peer>();
+    const auto delegations = delegate_query(other);
     REQUIRE(delegations.size() == 1);
     REQUIRE(delegations[0].subqueries.size() == 2);
     owner.feed(peer_delegated{instance_name(non_owner_name()), delegations[0].subqueries});
@@ -145,10 +159,7 @@
 
     SECTION("the instance merges the returned results")
     {
-        for (const auto& batch : results)
-        {
-            other.feed(peer_answered{instance_name(owner_name()), batch.results});
-        }
+        receive_results(other, results);
         const auto answers = other.take<answer_caller>();
         REQUIRE(answers.size() == 1);
         CHECK(answers[0].answer.is_complete());
@@ -159,10 +170,7 @@
         other.feed(peer_reachable{instance_name(owner_name()), false});
         const auto attempts = other.take<dispatch::start_attempt>();
         CHECK(attempts.size() == 2);
-        for (const auto& batch : results)
-        {
-            other.feed(peer_answered{instance_name(owner_name()), batch.results});
-        }
+        receive_results(other, results);
         CHECK(other.take<answer_caller>().empty());
     }
 
@@ -181,17 +189,12 @@
     {
         driver owner(owner_name());
         driver other(non_owner_name());
-        other.feed(peer_reachable{instance_name(owner_name()), true});
-        other.send_query(1);
-        const auto delegations = other.take<delegate_to_peer>();
+        const auto delegations = delegate_query(other);
         REQUIRE(delegations.size() == 1);
         owner.feed(divided_anew);
         owner.feed(peer_delegated{instance_name(non_owner_name()), delegations[0].subqueries});
         CHECK(owner.take<dispatch::start_attempt>().empty());
-        for (const auto& batch : owner.take<send_results_to_peer>())
-        {
-            other.feed(peer_answered{instance_name(owner_name()), batch.results});
-        }
+        receive_results(other, owner.take<send_results_to_peer>());
         const auto answers = other.take<answer_caller>();
         REQUIRE(answers.size() == 1);
         CHECK(answers[0].answer.missing.size() == 2);
