--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -232,6 +232,7 @@
                 "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
                 "internalPortRange": [7380, 7395], "seeds": self.platform.seeds, "bootstrap": bootstrap,
                 "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
+                "faultTolerance": {"machines": (self.platform.core_size - 1) // 2, "zones": 0, "regions": 0},
                 "bounds": {"contactMs": 4000, "configApplyMs": 3000, "drainMs": 3000, "ackMs": 5000, "graceS": 6,
                            "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
                            "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 4}}
@@ -264,23 +265,21 @@
 
 
 class Platform:
-    """Machines with an entry each, the first three of them the core, one after the other in @a zones availability zones,
+    """Machines with an entry each, the first of them the core, one after the other in @a zones availability zones,
     each a region of its own."""
 
-    def __init__(self, entries=2, zones=1):
+    def __init__(self, entries=2, zones=1, core=3):
         self.zones = {"zone-%d" % (i + 1): "region-%d" % (i + 1) for i in range(zones)}
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-platform-")
         self.seeds = [NETWORK + ".%d:8106" % number for number in (1, 2, 3)]
-        self.machines = [Machine(self, number, number <= 3) for number in range(1, 4 + max(0, entries - 3))]
+        self.core_size = core
+        self.machines = [Machine(self, number, number <= core) for number in range(1, 1 + max(core, entries))]
         self.entries = entries
         self.backends = []
         self._next = 0
 
     def __enter__(self):
-        for machine in self.machines:
-            for role in machine.processes:
-                if role == "control" or machine.number <= self.entries:
-                    machine.start(role, bootstrap=True)
+        self.start_again(bootstrap=True)
         return self
 
     def __exit__(self, *_):
@@ -302,11 +301,12 @@
         for process in processes:
             process.handle.wait(30)
 
-    def start_again(self):
+    def start_again(self, bootstrap=False):
         for machine in self.machines:
             for role in machine.processes:
-                if not machine.running(role):
-                    machine.start(role)
+                wanted = role == "control" or machine.number <= self.entries
+                if wanted and not machine.running(role):
+                    machine.start(role, bootstrap)
 
     def core(self):
         return [machine for machine in self.machines if machine.in_core and machine.running("control")]
