Control: says why a log has no leader, and how many replicas vote

After earlier_lease_over a replica without a leader said nothing, so that a lost majority, a refused vote and a missing log looked alike. Now: a line leaderless each two seconds while no leader is known, with voters, majority and who granted or refused; the number of voters in members_mended; voters, learners and silent members in /metrics.

--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/core/error.hpp>
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/quorum/election_status.hpp>
 #include <flaxtiller/quorum/output.hpp>
 #include <flaxtiller/quorum/persisted_state.hpp>
 #include <flaxtiller/quorum/previous_lease_check.hpp>
@@ -104,6 +105,8 @@
     const replica_name& leader() const noexcept;
     const replicated_log& log() const noexcept;
     const member_set& members() const noexcept;
+    /// @return what keeps this replica from being elected, as far as it can tell
+    election_status election() const;
     /// @return the replication progress of the other members; empty unless this replica is the leader
     const std::map<replica_name, progress>& others() const noexcept;
     /// @return the incarnations that sent a message but are not members, by name: replicas that were replaced
@@ -162,6 +165,7 @@
     log_index m_emitted = 0;
 
     std::set<replica_name> m_votes;
+    std::set<replica_name> m_refusals;
     std::map<replica_name, progress> m_progress;
     std::map<replica_name, incarnation_id> m_non_members;
 
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -155,8 +155,8 @@
             {{"after_ms", (clock.now() - started_at).ms()}, {"leader", node->leader().str()}});
     }
     waits_for_previous_lease = node != nullptr && node->awaits_previous_lease_end();
-    const bool leaderless = node != nullptr && node->leader().empty();
-    leaderless_since = leaderless ? std::min(leaderless_since, clock.now()) : time_point::never();
+    catalog_leaderless.update(node, clock.now());
+    register_leaderless.update(registers.node(), clock.now());
     const bool leads = node != nullptr && node->is_ready_leader();
     if (leads != was_leader)
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -4,6 +4,7 @@
 
 #include "crash_record_distributor.hpp"
 #include "http/http_server.hpp"
+#include "leaderless_report.hpp"
 #include "links/peer_links.hpp"
 #include "process/log.hpp"
 #include "process/suspension_watch.hpp"
@@ -137,7 +138,8 @@
         bool operator==(const rate_limit_role&) const = default;
     };
     rate_limit_role last_rate_limit_role;
-    time_point leaderless_since = time_point::never();
+    leaderless_report catalog_leaderless{catalog_log};
+    leaderless_report register_leaderless{register_log};
     time_point next_limit_share_at{};
     quorum::membership_planner membership;
     http_server operators;
@@ -210,6 +212,7 @@
                  {"change", is_addition ? "add_learner" : "remove"},
                  {"replica", requested->name.str()},
                  {"incarnation", requested->incarnation},
+                 {"voters", node->members().voters()},
                  {"term", node->term()}});
         }
     }
@@ -378,6 +381,8 @@
 
     nlohmann::json dump();
 
+    nlohmann::json metrics_dump();
+
     /// @return the incarnation of an initial member, which all initial members can compute. A folder that is
     /// created later gets a random incarnation, so that a wiped initial member isn't taken for the original
     /// one.
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -142,7 +142,7 @@
 
 bool control_process::implementation::substitutes_for_rate_limit_coordinator(time_point now)
 {
-    return is_self_forming() && now - leaderless_since >= substitute_after &&
+    return is_self_forming() && now - catalog_leaderless.since() >= substitute_after &&
            *replica_names().begin() == settings.replica.name &&
            publisher.reporting_since(now - substitute_report_age) > 0;
 }
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -43,7 +43,7 @@
     }
     else if (request.target == "/metrics")
     {
-        respond(json_reply(http_ok, counted.dump()));
+        respond(json_reply(http_ok, metrics_dump()));
     }
     else
     {
@@ -349,7 +349,15 @@
                         {"catalog", dump_of(catalog, clock.now())},
                         {"register", dump_of(registers, clock.now())},
                         {"crash_records", crash_records.known().all(1, clock.now())},
-                        {"metrics", counted.dump()}};
+                        {"metrics", metrics_dump()}};
+    return j;
+}
+
+nlohmann::json control_process::implementation::metrics_dump()
+{
+    nlohmann::json j = counted.dump();
+    j["quorum"] = {{catalog_log, quorum_metrics(catalog, clock.now())},
+                   {register_log, quorum_metrics(registers, clock.now())}};
     return j;
 }
 
--- a/src/process/machine_dump.hpp
+++ b/src/process/machine_dump.hpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 namespace flaxtiller::shell
 {
 
@@ -43,6 +46,31 @@
     return members;
 }
 
+/// @return how many members of a replicated machine vote and learn, and how many of them its leader has not
+/// heard for longer than an election takes; only the leader knows the latter
+template <typename Machine>
+nlohmann::json quorum_metrics(Machine& machine, time_point now)
+{
+    constexpr duration silent_after = duration::from_ms(2000);
+    const quorum::replica* node = machine.node();
+    if (node == nullptr)
+    {
+        return {{"storage_failing", true}};
+    }
+    const auto silent = std::count_if(node->others().begin(), node->others().end(),
+                                      [&](const auto& other)
+                                      {
+                                          return now - other.second.last_contact >= silent_after;
+                                      });
+    const std::size_t voters = node->members().voters();
+    return {{"leads", node->role() == quorum::role::leader},
+            {"knows_leader", !node->leader().empty()},
+            {"term", node->term()},
+            {"voters", voters},
+            {"learners", node->members().members.size() - voters},
+            {"silent_members", silent}};
+}
+
 /// @return the state of a replicated machine
 template <typename Machine>
 nlohmann::json dump_of(Machine& machine, time_point now)
--- a/src/quorum/replica_election.cpp
+++ b/src/quorum/replica_election.cpp
@@ -89,10 +89,24 @@
     m_role = role::follower;
     m_leader = leader;
     m_votes.clear();
+    m_refusals.clear();
     m_progress.clear();
     reset_election_deadline(now);
 }
 
+election_status replica::election() const
+{
+    election_status status;
+    status.voters = m_log.members().voters();
+    status.majority = m_log.members().majority();
+    status.is_voter = m_log.members().is_voter(m_name, m_incarnation);
+    status.lacks_committed_entries = m_log.last_index() < m_hard.known_commit;
+    status.awaits_previous_lease_end = awaits_previous_lease_end();
+    status.granted = m_votes;
+    status.refused = m_refusals;
+    return status;
+}
+
 void replica::start_election(bool pre_vote, time_point now)
 {
     reset_election_deadline(now);
@@ -102,15 +116,15 @@
         // are still in transit.
         m_election_deadline = now + m_timing.leadership_query_interval + early_election_delay();
     }
-    const bool may_lead = m_log.members().is_voter(m_name, m_incarnation);
-    const bool lacks_committed_entries = m_log.last_index() < m_hard.known_commit;
-    if (!may_lead || lacks_committed_entries)
+    const election_status status = election();
+    if (!status.is_voter || status.lacks_committed_entries)
     {
         return;
     }
     m_role = pre_vote ? role::pre_candidate : role::candidate;
     m_leader = {};
     m_votes.clear();
+    m_refusals.clear();
     if (!pre_vote)
     {
         ++m_hard.term;
@@ -208,8 +222,13 @@
 {
     const bool expected = body.pre_vote ? m_role == role::pre_candidate : m_role == role::candidate;
     const bool same_round = body.pre_vote || received.term == m_hard.term;
-    if (!expected || !same_round || !body.granted)
+    if (!expected || !same_round)
+    {
+        return;
+    }
+    if (!body.granted)
     {
+        m_refusals.insert(received.from);
         return;
     }
     if (m_log.members().is_voter(received.from, received.from_incarnation))
