Membership: a silent voter stays while the voters left wouldn't outlast the tolerated losses

Cause: the planner judged a removal by who can be reached, never by how many disks may be lost at once; the platform states that number, and nothing read it. Removed voters keep their disks, and their entries count for nothing: of six voters, five are the least that outlast two lost disks, and it went down to four or three. Evidence: leaderless voters=4 majority=3 granted by two, while two removed replicas with intact disks were refused. Why it works: a majority of 2f + 1 voters is f + 1, so each committed entry and a majority outlast any f disks. A newcomer is added first, the silent voter removed after it; at no time are there fewer.

--- a/include/flaxtiller/quorum/membership_planner.hpp
+++ b/include/flaxtiller/quorum/membership_planner.hpp
@@ -3,6 +3,7 @@
 #include <flaxtiller/core/time_point.hpp>
 #include <flaxtiller/quorum/member_set.hpp>
 #include <flaxtiller/quorum/progress.hpp>
+#include <flaxtiller/quorum/tolerated_losses.hpp>
 
 #include <map>
 #include <optional>
@@ -39,20 +40,31 @@
 
 /// @brief Plans the changes by which a leader repairs its member set. Deterministic and stateless.
 ///
-/// A new replica is added as a learner. A replica that lost its disk is added again as a learner under its
-/// new incarnation. A silent voter is removed once a new replica is available to replace it.
-///
-/// Without a replacement a silent voter remains a member, since it may return. The exception is an even
-/// number of voters: the set then tolerates as many failures without the silent voter.
+/// A silent replica may return with its disk, and what was committed may be on few other disks. Its entries
+/// only count while it is a voter. Therefore:
+/// - A silent voter is removed only if the other voters outlast the losses that must be tolerated. A new
+/// replica
+///   is added and promoted first.
+/// - Only an even number of voters is reduced. The set then tolerates as many failures without the silent
+/// voter;
+///   an odd number would tolerate one less.
+/// - A replica that lost its disk is added again as a learner under its new incarnation at once: the
+///   incarnation that voted no longer exists.
+/// - A new replica waits while a voter is silent that is not lost yet, unless voters are missing: as one more
+/// voter,
+///   it would raise the majority while fewer voters can be reached.
 class membership_planner
 {
   public:
     struct options
     {
-        /// A voter that was silent for this long may be replaced. A restart takes less time.
+        /// A voter that was silent for this long counts as lost. A restart takes less time.
         duration lost_after = duration::from_ms(3000);
+        /// A voter that was silent for this long may be lost. Its heartbeats come more often.
+        duration doubtful_after = duration::from_ms(1000);
         /// Older announcements are ignored.
         duration max_announcement_age = duration::from_ms(2000);
+        tolerated_losses tolerated;
 
         bool operator==(const options&) const = default;
     };
@@ -61,24 +73,40 @@
     {
     }
 
-    /// @param self the name of the leader
-    /// @param members the leader's current member set
-    /// @param others the replication progress of the other members
-    /// @param announced the last announcement of each reachable replica, by name
-    /// @param now the current time
+    /// @brief The state of a member set as its leader knows it.
+    struct view
+    {
+        /// The name of the leader.
+        const replica_name& self;
+        /// The leader's current member set.
+        const member_set& members;
+        /// The replication progress of the other members.
+        const std::map<replica_name, progress>& others;
+        /// The last announcement of each reachable replica, by name.
+        const std::map<replica_name, announcement>& announced;
+        /// The places of the replicas, as far as they are known.
+        const std::map<replica_name, replica_place>& places;
+    };
+
     /// @return the next change to propose, or nothing
-    std::optional<member_change> next(const replica_name& self, const member_set& members,
-                                      const std::map<replica_name, progress>& others,
-                                      const std::map<replica_name, announcement>& announced,
-                                      time_point now) const;
+    std::optional<member_change> next(const view& current, time_point now) const;
 
   private:
-    bool is_silent(const replica_name& name, const std::map<replica_name, progress>& others,
-                   time_point now) const;
-    /// @return a silent voter without which the remaining voters still have a reachable majority, or nothing
-    std::optional<replica_name> replaceable(const replica_name& self, const member_set& members,
-                                            const std::map<replica_name, progress>& others,
-                                            time_point now) const;
+    /// @return whether the member is another one from which nothing was received for at least @a length
+    static bool is_silent(const view& current, const replica_name& name, duration length, time_point now);
+    /// @return the replica that lost its disk and must become a learner, or nothing
+    std::optional<member_change> returned_without_disk(const view& current, time_point now) const;
+    /// @return a silent voter that the set does better without, or nothing
+    std::optional<member_change> removable_voter(const view& current, time_point now) const;
+    /// @return a replica that is not a member yet, or nothing
+    std::optional<member_change> new_replica(const view& current, time_point now) const;
+    /// @return a silent learner to remove, or nothing
+    std::optional<member_change> removable_learner(const view& current, time_point now) const;
+
+    bool is_current(const announcement& latest, time_point now) const noexcept
+    {
+        return now - latest.last_contact <= m_options.max_announcement_age;
+    }
 
     options m_options;
 };
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -11,6 +11,9 @@
 
 constexpr duration tick_interval = duration::from_ms(10);
 constexpr duration notice_interval = duration::from_ms(1000);
+/// Of two changes that depend on each other, the second one follows the commitment of the first within this
+/// time.
+constexpr duration membership_check_interval = duration::from_ms(100);
 constexpr duration entry_count_interval = duration::from_ms(100);
 /// Each tick visits all links. The interval is much shorter than the first pause between two connection
 /// attempts.
@@ -267,6 +270,7 @@
     if (identity && identity->role == "control")
     {
         registrations.on_reachable(name, clock.now());
+        replica_places[quorum::replica_name(name)] = {identity->zone, identity->region};
     }
     if (is_self_forming())
     {
@@ -305,6 +309,10 @@
         next_notice_at = now + notice_interval;
         send_notice(catalog, catalog_log);
         send_notice(registers, register_log);
+    }
+    if (now >= next_membership_check_at)
+    {
+        next_membership_check_at = now + membership_check_interval;
         maintain_membership(catalog, catalog_log, now);
         maintain_membership(registers, register_log, now);
     }
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -145,8 +145,13 @@
     http_server operators;
     std::unique_ptr<http_server> gateway;
     time_point next_notice_at{};
+    time_point next_membership_check_at{};
     /// The announcements of the reachable replicas about their log folders, by log and name.
     std::map<std::string, std::map<quorum::replica_name, quorum::announcement>> announced;
+    /// The places of this replica and of all others that ever had a link to this process.
+    std::map<quorum::replica_name, quorum::replica_place> replica_places{
+        {quorum::replica_name(settings.replica.name),
+         {settings.replica.availability_zone, settings.replica.region}}};
     /// The entries by name, and the list of all entries that was last sent to each of them.
     std::map<std::string, entry_peer> entries;
     std::map<std::string, std::shared_ptr<const std::vector<entry_peer>>> sent_entry_lists;
@@ -195,8 +200,8 @@
         {
             return;
         }
-        const auto requested =
-            membership.next(node->name(), node->members(), node->others(), announced[log_name], now);
+        const auto requested = membership.next(
+            {node->name(), node->members(), node->others(), announced[log_name], replica_places}, now);
         if (!requested)
         {
             return;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -465,6 +465,14 @@
     reader.number("slack", into.slack, 0.0, most_slack);
 }
 
+void read_tolerated_losses(json_reader& reader, quorum::tolerated_losses& into)
+{
+    constexpr std::size_t most = 100;
+    reader.number("replicas", into.replicas, std::size_t{0}, most);
+    reader.number("availability_zones", into.zones, std::size_t{0}, most);
+    reader.number("regions", into.regions, std::size_t{0}, most);
+}
+
 void read_replicas_of(json_reader& reader, control_settings& into)
 {
     if (!reader.has("membership"))
@@ -480,6 +488,11 @@
                      read_seeds(r, into.replicas);
                      r.flag("founding", into.founding);
                      read_ms(r, "lost_after_ms", into.keeper.lost_after, 1.0, hour_ms);
+                     read_section(r, "tolerated_losses", false,
+                                  [&](json_reader& losses)
+                                  {
+                                      read_tolerated_losses(losses, into.keeper.tolerated);
+                                  });
                  });
 }
 
--- a/src/quorum/membership_planner.cpp
+++ b/src/quorum/membership_planner.cpp
@@ -5,88 +5,118 @@
 namespace flaxtiller::quorum
 {
 
-bool membership_planner::is_silent(const replica_name& name, const std::map<replica_name, progress>& others,
-                                   time_point now) const
+bool membership_planner::is_silent(const view& current, const replica_name& name, duration length,
+                                   time_point now)
 {
-    const auto found = others.find(name);
-    return found == others.end() || now - found->second.last_contact >= m_options.lost_after;
+    if (name == current.self)
+    {
+        return false;
+    }
+    const auto found = current.others.find(name);
+    return found == current.others.end() || now - found->second.last_contact >= length;
 }
 
-std::optional<replica_name> membership_planner::replaceable(const replica_name& self,
-                                                            const member_set& members,
-                                                            const std::map<replica_name, progress>& others,
-                                                            time_point now) const
+std::optional<member_change> membership_planner::returned_without_disk(const view& current,
+                                                                       time_point now) const
 {
-    for (const auto& [name, item] : members.members)
+    for (const auto& [name, latest] : current.announced)
     {
-        if (!item.voter || name == self || !is_silent(name, others, now))
+        const auto known = current.members.members.find(name);
+        const bool is_other_member = name != current.self && known != current.members.members.end();
+        if (is_other_member && is_current(latest, now) && known->second.incarnation != latest.incarnation)
+        {
+            return member_change{member_change::kind::add, name, latest.incarnation};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<member_change> membership_planner::removable_voter(const view& current, time_point now) const
+{
+    if (current.members.voters() % 2 != 0)
+    {
+        return std::nullopt;
+    }
+    for (const auto& [name, item] : current.members.members)
+    {
+        if (!item.voter || !is_silent(current, name, m_options.lost_after, now))
         {
             continue;
         }
-        member_set remaining_members = members;
-        remaining_members.members.erase(name);
-        const bool majority_reachable = remaining_members.majority_of(
+        member_set remaining = current.members;
+        remaining.members.erase(name);
+        const bool majority_reachable = remaining.majority_of(
             [&](const member& other)
             {
-                return other.name == self || !is_silent(other.name, others, now);
+                return !is_silent(current, other.name, m_options.lost_after, now);
             });
-        if (majority_reachable)
+        if (majority_reachable && m_options.tolerated.are_outlasted_by(remaining, current.places))
         {
-            return name;
+            return member_change{member_change::kind::remove, name, 0};
         }
     }
     return std::nullopt;
 }
 
-std::optional<member_change> membership_planner::next(const replica_name& self, const member_set& members,
-                                                      const std::map<replica_name, progress>& others,
-                                                      const std::map<replica_name, announcement>& announced,
-                                                      time_point now) const
+std::optional<member_change> membership_planner::new_replica(const view& current, time_point now) const
 {
-    std::optional<member_change> new_replica;
-    for (const auto& [name, latest] : announced)
-    {
-        if (name == self || now - latest.last_contact > m_options.max_announcement_age)
-        {
-            continue;
-        }
-        const auto known = members.members.find(name);
-        if (known == members.members.end())
+    const auto& members = current.members.members;
+    const bool is_learning = std::any_of(
+        members.begin(), members.end(),
+        [&](const auto& item)
         {
-            new_replica = member_change{member_change::kind::add, name, latest.incarnation};
-        }
-        else if (known->second.incarnation != latest.incarnation)
+            return !item.second.voter && !is_silent(current, item.first, m_options.lost_after, now);
+        });
+    const bool is_doubtful =
+        std::any_of(members.begin(), members.end(),
+                    [&](const auto& item)
+                    {
+                        return item.second.voter &&
+                               is_silent(current, item.first, m_options.doubtful_after, now) &&
+                               !is_silent(current, item.first, m_options.lost_after, now);
+                    });
+    const bool voters_missing = current.members.voters() < m_options.tolerated.least_voters();
+    if (is_learning || (is_doubtful && !voters_missing))
+    {
+        return std::nullopt;
+    }
+    for (const auto& [name, latest] : current.announced)
+    {
+        if (name != current.self && is_current(latest, now) && members.count(name) == 0)
         {
-            // The replica lost its disk: the incarnation in the member set no longer exists.
             return member_change{member_change::kind::add, name, latest.incarnation};
         }
     }
-    std::optional<replica_name> silent_learner;
-    bool learner_reachable = false;
-    for (const auto& [name, item] : members.members)
-    {
-        const bool silent = name != self && is_silent(name, others, now);
-        learner_reachable = learner_reachable || (!item.voter && !silent);
-        silent_learner = !item.voter && silent ? std::optional(name) : silent_learner;
-    }
-    // An even number of voters tolerates no more failures than the next lower odd number.
-    const bool has_spare_voter = members.voters() > 2 && members.voters() % 2 == 0;
-    if (new_replica || learner_reachable || has_spare_voter)
+    return std::nullopt;
+}
+
+std::optional<member_change> membership_planner::removable_learner(const view& current, time_point now) const
+{
+    for (const auto& [name, item] : current.members.members)
     {
-        if (const auto replaced = replaceable(self, members, others, now))
+        if (!item.voter && is_silent(current, name, m_options.lost_after, now))
         {
-            return member_change{member_change::kind::remove, *replaced, 0};
+            return member_change{member_change::kind::remove, name, 0};
         }
     }
-    if (new_replica && !learner_reachable)
+    return std::nullopt;
+}
+
+std::optional<member_change> membership_planner::next(const view& current, time_point now) const
+{
+    if (const auto change = returned_without_disk(current, now))
+    {
+        return change;
+    }
+    if (const auto change = removable_voter(current, now))
     {
-        return new_replica;
+        return change;
     }
-    if (silent_learner)
+    if (const auto change = new_replica(current, now))
     {
-        return member_change{member_change::kind::remove, *silent_learner, 0};
+        return change;
     }
-    return std::nullopt;
+    return removable_learner(current, now);
 }
 
 } // namespace flaxtiller::quorum
