--- a/include/flaxtiller/quorum/membership_planner.hpp
+++ b/include/flaxtiller/quorum/membership_planner.hpp
@@ -45,9 +45,6 @@
 /// - A silent voter is removed only if the other voters outlast the losses that must be tolerated. A new
 /// replica
 ///   is added and promoted first.
-/// - Only an even number of voters is reduced. The set then tolerates as many failures without the silent
-/// voter;
-///   an odd number would tolerate one less.
 /// - A replica that lost its disk is added again as a learner under its new incarnation at once: the
 ///   incarnation that voted no longer exists.
 /// - A new replica waits while a voter is silent that is not lost yet, unless voters are missing: as one more
--- a/src/quorum/membership_planner.cpp
+++ b/src/quorum/membership_planner.cpp
@@ -33,10 +33,6 @@
 
 std::optional<member_change> membership_planner::removable_voter(const view& current, time_point now) const
 {
-    if (current.members.voters() % 2 != 0)
-    {
-        return std::nullopt;
-    }
     for (const auto& [name, item] : current.members.members)
     {
         if (!item.voter || !is_silent(current, name, m_options.lost_after, now))
