Control: a replica announces its logs as soon as a link to another replica is up

Up to a second passed between the return of a replica and the announcement by which the leader recognises a lost disk or a removed voter; a set that must be repaired within seconds needs it at once.

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -253,6 +253,18 @@
     was_authoritative = authoritative;
 }
 
+void control_process::implementation::send_notices(const std::vector<std::string>& receivers)
+{
+    if (const quorum::replica* node = catalog.node())
+    {
+        links.send(receivers, incarnation_notice{catalog_log, node->incarnation()});
+    }
+    if (const quorum::replica* node = registers.node())
+    {
+        links.send(receivers, incarnation_notice{register_log, node->incarnation()});
+    }
+}
+
 void control_process::implementation::on_reachable(const std::string& name, bool up)
 {
     sent_entry_lists.erase(name);
@@ -270,6 +282,7 @@
     if (identity && identity->role == "control")
     {
         registrations.on_reachable(name, clock.now());
+        send_notices({name});
         replica_places[quorum::replica_name(name)] = {identity->zone, identity->region};
     }
     if (is_self_forming())
@@ -307,8 +320,9 @@
     if (now >= next_notice_at)
     {
         next_notice_at = now + notice_interval;
-        send_notice(catalog, catalog_log);
-        send_notice(registers, register_log);
+        std::set<std::string> others = replica_names();
+        others.erase(settings.replica.name);
+        send_notices({others.begin(), others.end()});
     }
     if (now >= next_membership_check_at)
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -247,19 +247,8 @@
 
     distribution::revision_confirmation confirmation(time_point now);
 
-    template <typename Machine>
-    void send_notice(Machine& machine, const char* log_name)
-    {
-        const quorum::replica* node = machine.node();
-        if (node == nullptr)
-        {
-            return;
-        }
-        std::set<std::string> others = replica_names();
-        others.erase(settings.replica.name);
-        links.send(std::vector<std::string>(others.begin(), others.end()),
-                   incarnation_notice{log_name, node->incarnation()});
-    }
+    /// Announces the incarnations of both logs of this replica.
+    void send_notices(const std::vector<std::string>& receivers);
 
     void on_reachable(const std::string& name, bool up);
 
