Elections: a vote depends on the candidate's log alone, not on the voter's list of incarnations

Cause: a voter that missed how a candidate's lost disk was replaced knows the candidate by its old incarnation, took its request for that of a replaced replica and didn't answer. If the candidate alone has the newest entry, it refuses all others, and nobody is elected. Class: a newer fact judged by an older member set. Why it works: a replica that was replaced lacks the entry that replaced it, and a voter refuses shorter logs anyway.

--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -134,7 +134,6 @@
     duration early_election_delay();
     void on_leadership_query(const message& received, const leadership_query& body);
     void on_leadership_reply(const message& received, const leadership_reply& body, time_point now);
-    bool is_superseded(const message& received) const;
     bool is_up_to_date(const vote_request& body) const;
     void record_known_commit(log_index leader_commit);
     void append_received(const append_request& body);
--- a/src/quorum/replica.cpp
+++ b/src/quorum/replica.cpp
@@ -186,12 +186,6 @@
 // messages
 // ---------------------------------------------------------------------------------------------------------
 
-bool replica::is_superseded(const message& received) const
-{
-    const auto found = m_log.members().members.find(received.from);
-    return found != m_log.members().members.end() && found->second.incarnation != received.from_incarnation;
-}
-
 void replica::receive(const message& received, time_point now)
 {
     const bool for_another = received.to_incarnation != 0 && received.to_incarnation != m_incarnation;
@@ -199,11 +193,6 @@
     {
         return;
     }
-    if (is_superseded(received) && std::holds_alternative<vote_request>(received.body))
-    {
-        m_non_members[received.from] = received.from_incarnation;
-        return;
-    }
     if (const auto* vote = std::get_if<vote_request>(&received.body))
     {
         on_vote_request(received, *vote, now);
--- a/tests/src/unit-quorum.cpp
+++ b/tests/src/unit-quorum.cpp
@@ -145,6 +145,27 @@
         CHECK(wiped.node.role() == role::follower);
     }
 
+    SECTION("a voter that missed how a candidate's lost disk was replaced votes for it all the same")
+    {
+        const incarnation_id unknown = 99;
+        follower.advance(600);
+        follower.receive_from(c3, unknown, 2, vote_request{true, 50, 1});
+        REQUIRE(follower.last_sent<vote_reply>() != nullptr);
+        CHECK(follower.last_sent<vote_reply>()->granted);
+        follower.receive_from(c3, unknown, 2, vote_request{false, 50, 1});
+        CHECK(follower.last_sent<vote_reply>()->granted);
+        CHECK(follower.sent_messages.back().to_incarnation == unknown);
+    }
+
+    SECTION("a replica of an earlier incarnation gets no vote with a log that ends before the voter's")
+    {
+        driver voter(three_members({command_at(2, 1), command_at(3, 1)}));
+        voter.advance(600);
+        voter.receive_from(c3, 9, 2, vote_request{true, 2, 1});
+        REQUIRE(voter.last_sent<vote_reply>() != nullptr);
+        CHECK_FALSE(voter.last_sent<vote_reply>()->granted);
+    }
+
     SECTION("a replica grants no vote to a candidate whose log is shorter than the known commit index")
     {
         persisted_state stored = three_members();
