Membership: a voter counts as lost within half of the time in which it must be replaced

Cause: lost_after was a constant of 3 s; where a lost replica must be replaced within 4 s, the election of a new leader, the copy of the log and two changes have to fit into the rest. It now follows from catch_up_ms, which the platform states: 2 s there, 3 s where it is 6 s.

--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -487,7 +487,9 @@
                  {
                      read_seeds(r, into.replicas);
                      r.flag("founding", into.founding);
+                     read_ms(r, "catch_up_ms", into.catch_up, 1.0, hour_ms);
                      read_ms(r, "lost_after_ms", into.keeper.lost_after, 1.0, hour_ms);
+                     into.lost_after_given = r.has("lost_after_ms");
                      read_section(r, "tolerated_losses", false,
                                   [&](json_reader& losses)
                                   {
@@ -496,6 +498,21 @@
                  });
 }
 
+/// Derives when a voter counts as lost, unless it is given: a lost replica must be replaced within the
+/// catch-up time, of which the election of a new leader, the copy of the log and two changes of the member
+/// set need half.
+void derive_lost_after(control_settings& into)
+{
+    constexpr double share_of_catch_up = 0.5;
+    if (into.lost_after_given || into.catch_up == duration{})
+    {
+        return;
+    }
+    const duration least = into.timing.election_max + into.timing.heartbeat;
+    into.keeper.lost_after =
+        std::max(least, std::min(into.keeper.lost_after, into.catch_up * share_of_catch_up));
+}
+
 } // namespace
 
 control_settings parse_control_settings(const std::string& text, const std::string& file, findings& found)
@@ -546,6 +563,7 @@
                      read_log(r, settings.least_level);
                  });
     reader.finish();
+    derive_lost_after(settings);
     check_distinct({{"/listen/link", settings.link}, {"/listen/operators", settings.operators}}, found);
     const auto self = [&](const named_address& item)
     {
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -99,3 +99,37 @@
               link_timing{duration::from_ms(300), duration::from_ms(1000), duration::from_ms(1000)});
     }
 }
+
+// Guards against a lost replica that outlasts the time in which it must be replaced.
+TEST_CASE("a voter counts as lost within half of the catch-up time", "[settings]")
+{
+    const auto lost_after = [](const std::string& membership)
+    {
+        findings found;
+        const std::string timing = R"("timing": {"heartbeat_ms": 300, "election_max_ms": 1700})";
+        const auto control =
+            parse_control_settings(R"({"membership": {"link_port": 7395, "seeds": ["127.0.0.1:8106"])" +
+                                       membership + "}, " + timing + "}",
+                                   "control.json", found);
+        return control.keeper.lost_after;
+    };
+    CHECK(lost_after("") == duration::from_ms(3000));
+    CHECK(lost_after(R"(, "catch_up_ms": 6000)") == duration::from_ms(3000));
+    CHECK(lost_after(R"(, "catch_up_ms": 4400)") == duration::from_ms(2200));
+    CHECK(lost_after(R"(, "catch_up_ms": 1000)") == duration::from_ms(2000));
+    CHECK(lost_after(R"(, "catch_up_ms": 4400, "lost_after_ms": 2900)") == duration::from_ms(2900));
+}
+
+TEST_CASE("the tolerated losses of the control replicas", "[settings]")
+{
+    findings found;
+    const auto control = parse_control_settings(
+        R"({"membership": {"tolerated_losses": {"replicas": 2, "availability_zones": 1, "regions": 1}}})",
+        "control.json", found);
+    CHECK(control.keeper.tolerated == quorum::tolerated_losses{2, 1, 1});
+    CHECK_FALSE(has_finding_at(found, "/membership/tolerated_losses"));
+    findings refused;
+    (void)parse_control_settings(R"({"membership": {"tolerated_losses": {"replicas": -1}}})", "control.json",
+                                 refused);
+    CHECK(has_finding_at(refused, "/membership/tolerated_losses/replicas"));
+}
