--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -87,15 +87,26 @@
     return [(service + "-%d" % i).encode().ljust(RECORD_BYTES, b".") for i in range(3)]
 
 
+# Beginnings of replies that never end, and what follows again and again.
+FILLER = b"a" * 65536
+ENDLESS_REPLIES = {
+    "head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", FILLER),
+    "chunk_line": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", FILLER),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + FILLER + b"\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", FILLER)}
+
+
 class Backend:
     """A backend server that registers itself. Its answer to a shard's request is three records of its service.
 
     Shares of its requests may meet trouble: `refuse` (503, not run), `lose` (run, and the connection is closed in place of
-    an answer), `slow` (run, but SLOW_S later)."""
+    an answer), `slow` (run, but SLOW_S later). With `endless` set to one of ENDLESS_REPLIES, each request gets bytes
+    without end until its connection is closed."""
 
     def __init__(self, platform, service, address, zone="zone-1"):
         self.platform, self.service, self.address, self.zone = platform, service, address, zone
         self.trouble, self.draw = {}, random.Random(address)
+        self.endless = None
         self.arrivals = []
         # The headers of each request that arrived, by its id.
         self.headers = {}
@@ -162,6 +173,9 @@
         status, body = 200, b"".join(self.records()) + b"rest"
         self.arrivals.append((time.monotonic(), request))
         self.headers[request] = dict(handler.headers.items())
+        if self.endless:
+            self.answer_without_end(handler)
+            return
         if handler.headers.get("X-Expect-Instance") != self.id:
             self.expected_others += 1
             status, body = 421, b""
@@ -183,6 +197,17 @@
         handler.end_headers()
         handler.wfile.write(body)
 
+    def answer_without_end(self, handler):
+        handler.close_connection = True
+        beginning, filler = ENDLESS_REPLIES[self.endless]
+        try:
+            handler.wfile.write(beginning)
+            while self.alive:
+                handler.wfile.write(filler)
+        except OSError:
+            # The caller has closed the connection.
+            return
+
     def beat(self):
         while self.alive:
             if self.beats:
