Membership: a set that is too small for the tolerated losses still lets a replaced replica go

Where fewer members run than the stated losses need, or all regions are too large, the rule before allowed no removal at all: lost replicas would have stayed voters, one more with each replacement, until they are the majority. Now such a set keeps the number of voters that outlasts as many losses as it can, and a place that can't be outlasted anyway blocks nothing; an unknown place still does.

--- a/include/flaxtiller/quorum/membership_planner.hpp
+++ b/include/flaxtiller/quorum/membership_planner.hpp
@@ -42,14 +42,12 @@
 ///
 /// A silent replica may return with its disk, and what was committed may be on few other disks. Its entries
 /// only count while it is a voter. Therefore:
-/// - A silent voter is removed only if the other voters outlast the losses that must be tolerated. A new
-/// replica
-///   is added and promoted first.
-/// - A replica that lost its disk is added again as a learner under its new incarnation at once: the
-///   incarnation that voted no longer exists.
-/// - A new replica waits while a voter is silent that is not lost yet, unless voters are missing: as one more
-/// voter,
-///   it would raise the majority while fewer voters can be reached.
+/// - A silent voter is removed only if the other voters outlast the losses that must be tolerated.
+/// - A new replica becomes a learner and is promoted before a silent voter is removed.
+/// - A replica that lost its disk becomes a learner under its new incarnation at once: the incarnation that
+///   voted no longer exists.
+/// - A new replica waits while a voter is silent that is not lost yet, unless voters are missing. One more
+///   voter would raise the majority just when few voters can be reached.
 class membership_planner
 {
   public:
--- a/include/flaxtiller/quorum/tolerated_losses.hpp
+++ b/include/flaxtiller/quorum/tolerated_losses.hpp
@@ -34,13 +34,15 @@
         return 2 * replicas + 1;
     }
 
-    /// @param members the member set
+    /// @brief Decides whether a voter may be removed for its silence. Its disk may be intact, so the other
+    /// voters must outlast the losses without it, as far as the set with it does.
+    /// @param before the member set with the voter
+    /// @param after the member set without it
     /// @param places the places of the replicas, as far as they are known; a voter whose place is unknown is
     /// counted among the lost ones of each zone and region
-    /// @return whether a majority of the voters outlasts each of the losses
     /// @complexity O(v log v) for v voters
-    bool are_outlasted_by(const member_set& members,
-                          const std::map<replica_name, replica_place>& places) const;
+    bool allow(const member_set& before, const member_set& after,
+               const std::map<replica_name, replica_place>& places) const;
 };
 
 } // namespace flaxtiller::quorum
--- a/src/quorum/membership_planner.cpp
+++ b/src/quorum/membership_planner.cpp
@@ -46,7 +46,7 @@
             {
                 return !is_silent(current, other.name, m_options.lost_after, now);
             });
-        if (majority_reachable && m_options.tolerated.are_outlasted_by(remaining, current.places))
+        if (majority_reachable && m_options.tolerated.allow(current.members, remaining, current.places))
         {
             return member_change{member_change::kind::remove, name, 0};
         }
--- a/tests/src/unit-overlapping-losses.cpp
+++ b/tests/src/unit-overlapping-losses.cpp
@@ -67,6 +67,11 @@
         chosen = {0, 3, 1, 1, 1, 8};
         check_plays(chosen);
     }
+    SECTION("three replicas, one disk, and a planner that should tolerate two")
+    {
+        chosen = {0, 3, 1, 2, 1, 8};
+        check_plays(chosen);
+    }
     SECTION("four replicas, one disk")
     {
         chosen = {0, 4, 1, 1, 1, 8};
