Overlapping losses: the test of a voter that missed a new disk doesn't depend on an election's time any more

Trace: of four voters two were lost at once, one for its disk; the leader gave up its role before the new disk announced itself, and two of four are no majority. With one tolerated loss that is allowed: service rests until the killed one is back, which the test never starts. Now five voters, of which three keep running, and two disks lost at the end; the check is the same.

--- a/tests/faults/test_overlapping_losses.py
+++ b/tests/faults/test_overlapping_losses.py
@@ -82,19 +82,20 @@
         self.assertEqual(fewest, LEAST_VOTERS)
 
     def test_a_replica_with_a_new_disk_is_elected_by_one_that_missed_its_return(self):
-        self.start(4)
+        self.start(5)
         leader = self.leader("catalog")[0]
-        renewed, lagging, absent = [machine for machine in self.platform.machines if machine is not leader]
+        renewed, absent, *lagging = [machine for machine in self.platform.machines if machine is not leader]
         self.kill(absent, renewed)
         renewed.wipe()
         renewed.start("control")
         eventually("the new disk votes", lambda: self.votes(renewed))
-        self.assertEqual(self.voters(), [4, 4], "the absent replica left before the play")
         # A change reaches the leader and the new disk only.
-        lagging.processes["control"].freeze()
+        for machine in lagging:
+            machine.processes["control"].freeze()
         call(leader.control, "POST", "/api/config/replace", configuration(9), timeout=0.3)
         self.platform.kill_all()
-        leader.wipe()
+        for machine in (leader, lagging[0]):
+            machine.wipe()
         time.sleep(RESTART_S)
         self.platform.start_again()
         back_at = time.monotonic()
