--- a/tests/src/losses_play.hpp
+++ b/tests/src/losses_play.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "simulated_disk.hpp"
+
 #include <flaxtiller/quorum/membership_planner.hpp>
 #include <flaxtiller/quorum/replica.hpp>
 
@@ -383,7 +385,7 @@
             double sync_ms = 0;
             if (actions.must_sync())
             {
-                write(item.disk, actions);
+                write_to(item.disk, actions);
                 item.process->on_synced();
                 sync_ms = std::uniform_real_distribution<double>(0, m_parameters.sync_ms)(m_random);
                 item.busy_until_ms = std::max(item.busy_until_ms, m_now_ms) + sync_ms;
@@ -408,28 +410,6 @@
         return std::stoi(name.str().substr(1)) % regions;
     }
 
-    static void write(quorum::persisted_state& disk, const quorum::output& actions)
-    {
-        if (actions.hard)
-        {
-            disk.hard = *actions.hard;
-        }
-        if (actions.install)
-        {
-            disk.base = *actions.install;
-            disk.entries.clear();
-        }
-        if (actions.truncate_from)
-        {
-            std::erase_if(disk.entries,
-                          [&](const quorum::log_entry& entry)
-                          {
-                              return entry.index >= *actions.truncate_from;
-                          });
-        }
-        disk.entries.insert(disk.entries.end(), actions.append.begin(), actions.append.end());
-    }
-
     void record_committed(const simulated_replica& item, const quorum::output& actions)
     {
         for (const quorum::log_entry& entry : actions.committed)
--- a/tests/src/quorum_harness.hpp
+++ b/tests/src/quorum_harness.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "simulated_disk.hpp"
+
 #include <flaxtiller/quorum/replica.hpp>
 
 #include <map>
@@ -496,7 +498,7 @@
                 item.process.reset();
                 return;
             }
-            write(item, actions);
+            write_to(item.disk, actions);
             if (crash_point == 1)
             {
                 item.process.reset();
@@ -526,28 +528,6 @@
         m_network.insert(m_network.end(), messages.begin(), messages.end());
     }
 
-    static void write(simulated_replica& item, const quorum::output& actions)
-    {
-        if (actions.hard)
-        {
-            item.disk.hard = *actions.hard;
-        }
-        if (actions.install)
-        {
-            item.disk.base = *actions.install;
-            item.disk.entries.clear();
-        }
-        if (actions.truncate_from)
-        {
-            std::erase_if(item.disk.entries,
-                          [&](const quorum::log_entry& e)
-                          {
-                              return e.index >= *actions.truncate_from;
-                          });
-        }
-        item.disk.entries.insert(item.disk.entries.end(), actions.append.begin(), actions.append.end());
-    }
-
     void apply(simulated_replica& item, const quorum::output& actions)
     {
         if (actions.install)
