--- a/src/quorum/membership_planner.cpp
+++ b/src/quorum/membership_planner.cpp
@@ -100,15 +100,15 @@
 
 std::optional<member_change> membership_planner::next(const view& current, time_point now) const
 {
-    if (const auto change = returned_without_disk(current, now))
+    if (auto change = returned_without_disk(current, now))
     {
         return change;
     }
-    if (const auto change = removable_voter(current, now))
+    if (auto change = removable_voter(current, now))
     {
         return change;
     }
-    if (const auto change = new_replica(current, now))
+    if (auto change = new_replica(current, now))
     {
         return change;
     }
