--- a/include/flaxtiller/quorum/election_status.hpp
+++ b/include/flaxtiller/quorum/election_status.hpp
@@ -8,7 +8,7 @@
 namespace flaxtiller::quorum
 {
 
-/// @brief Why a replica that knows no leader isn't the leader itself, as far as the replica can tell.
+/// @brief The eligibility of a replica as a candidate, and the votes of its last election.
 struct election_status
 {
     /// The number of voters in the newest member set of the replica's log, and how many of them must vote for
--- a/include/flaxtiller/quorum/replica.hpp
+++ b/include/flaxtiller/quorum/replica.hpp
@@ -105,7 +105,7 @@
     const replica_name& leader() const noexcept;
     const replicated_log& log() const noexcept;
     const member_set& members() const noexcept;
-    /// @return what keeps this replica from being elected, as far as it can tell
+    /// @return the eligibility of this replica as a candidate, and the votes of its last election
     election_status election() const;
     /// @return the replication progress of the other members; empty unless this replica is the leader
     const std::map<replica_name, progress>& others() const noexcept;
--- a/src/process/machine_dump.hpp
+++ b/src/process/machine_dump.hpp
@@ -46,8 +46,8 @@
     return members;
 }
 
-/// @return how many members of a replicated machine vote and learn, and how many of them its leader has not
-/// heard for longer than an election takes; only the leader knows the latter
+/// @return the role of a replica of the machine, the numbers of voters and learners, and, at the leader, the
+/// number of members whose last contact is older than the longest election timeout
 template <typename Machine>
 nlohmann::json quorum_metrics(Machine& machine, time_point now)
 {
--- a/tests/src/losses_play.hpp
+++ b/tests/src/losses_play.hpp
@@ -33,7 +33,7 @@
         int replicas = 6;
         /// The number of disks that may be lost at once.
         std::size_t lost_disks = 2;
-        /// The losses that the planner is told to tolerate.
+        /// The number of lost replicas in the planner's `tolerated_losses`.
         std::size_t planned_for = 2;
         /// The time that a write to a disk takes at most.
         double sync_ms = 1;
