--- a/src/process/control_settings.cpp
+++ b/src/process/control_settings.cpp
@@ -47,44 +47,47 @@
     reader.number("regions", into.regions, std::size_t{0}, most);
 }
 
-void read_replicas_of(json_reader& reader, control_settings& into)
+/// Derives when a voter counts as lost: a lost replica must be replaced within the catch-up time, of which
+/// the election of a new leader, the copy of the log and two changes of the member set need half.
+/// @param catch_up the catch-up time; zero if nothing is to be derived
+void derive_lost_after(duration catch_up, control_settings& into)
+{
+    constexpr double share_of_catch_up = 0.5;
+    if (catch_up == duration{})
+    {
+        return;
+    }
+    const duration least = into.timing.election_max + into.timing.heartbeat;
+    into.keeper.lost_after = std::max(least, std::min(into.keeper.lost_after, catch_up * share_of_catch_up));
+}
+
+/// @return the catch-up time from which the time of a lost voter follows; zero if none is given, or the
+/// latter is
+duration read_replicas_of(json_reader& reader, control_settings& into)
 {
     if (!reader.has("membership"))
     {
         read_named_addresses(reader, "replicas", into.replicas);
-        return;
+        return {};
     }
     into.self_forming = true;
     into.replica.name = into.link.str();
+    duration catch_up;
     read_section(reader, "membership", false,
                  [&](json_reader& r)
                  {
                      read_seeds(r, into.replicas);
                      r.flag("founding", into.founding);
-                     read_ms(r, "catch_up_ms", into.catch_up, 1.0, hour_ms);
+                     read_ms(r, "catch_up_ms", catch_up, 1.0, hour_ms);
                      read_ms(r, "lost_after_ms", into.keeper.lost_after, 1.0, hour_ms);
-                     into.lost_after_given = r.has("lost_after_ms");
+                     catch_up = r.has("lost_after_ms") ? duration{} : catch_up;
                      read_section(r, "tolerated_losses", false,
                                   [&](json_reader& losses)
                                   {
                                       read_tolerated_losses(losses, into.keeper.tolerated);
                                   });
                  });
-}
-
-/// Derives when a voter counts as lost, unless it is given: a lost replica must be replaced within the
-/// catch-up time, of which the election of a new leader, the copy of the log and two changes of the member
-/// set need half.
-void derive_lost_after(control_settings& into)
-{
-    constexpr double share_of_catch_up = 0.5;
-    if (into.lost_after_given || into.catch_up == duration{})
-    {
-        return;
-    }
-    const duration least = into.timing.election_max + into.timing.heartbeat;
-    into.keeper.lost_after =
-        std::max(least, std::min(into.keeper.lost_after, into.catch_up * share_of_catch_up));
+    return catch_up;
 }
 
 } // namespace
@@ -109,7 +112,7 @@
                      read_address(r, "link", settings.link, true);
                      read_address(r, "operators", settings.operators, true);
                  });
-    read_replicas_of(reader, settings);
+    const duration catch_up = read_replicas_of(reader, settings);
     read_link_times(reader, settings.bounds, settings.links);
     read_zones(reader, settings.region_of_zone);
     read_ms(reader, "registration_silence_ms", settings.registration_silence, 1.0, hour_ms);
@@ -137,7 +140,7 @@
                      read_log(r, settings.least_level);
                  });
     reader.finish();
-    derive_lost_after(settings);
+    derive_lost_after(catch_up, settings);
     check_distinct({{"/listen/link", settings.link}, {"/listen/operators", settings.operators}}, found);
     const auto self = [&](const named_address& item)
     {
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -100,12 +100,7 @@
     std::map<std::string, std::string> region_of_zone;
     /// A registered backend server that wasn't heard for this long is lost: several of its heartbeats.
     duration registration_silence = duration::from_ms(8000);
-    /// The time after which a replica that returned, or took the place of another one, must count again; zero
-    /// if it isn't bounded.
-    duration catch_up;
     quorum::membership_planner::options keeper;
-    /// Whether the settings give @ref keeper's `lost_after`, which otherwise follows from @ref catch_up.
-    bool lost_after_given = false;
     /// By how much all entries together may exceed the limit of a team.
     rate_tolerance limit_tolerance;
     std::string data_folder;
