Entries say that they have no contact with the leader, and by how old a confirmation they answer 404

New lines leader_contact_lost, leader_contact_restored and target_unknown; the dump has the known control replicas, the leader and its last contact.

--- /dev/null
+++ b/include/flaxtiller/distribution/leader_contact.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <flaxtiller/core/duration.hpp>
+#include <flaxtiller/core/time_point.hpp>
+
+namespace flaxtiller::distribution
+{
+
+/// @brief Whether an instance is in contact with the leader of the control replicas. The class is a
+/// deterministic state machine without I/O.
+///
+/// Contact is lost when the leader's confirmations stay away, or when no control replica is reachable. A
+/// reachable replica alone doesn't keep it: the replica may itself be cut off, or no longer be a member.
+class leader_contact
+{
+  public:
+    /// Number of report intervals without a confirmation after which contact is lost, since another replica
+    /// may lead by then.
+    static constexpr double missed_reports_until_lost = 2.5;
+    /// The time without a reachable control replica after which contact is lost. Links that were closed are
+    /// renewed within this time.
+    static constexpr duration unreachable_until_lost = duration::from_ms(300);
+
+    /// @param start the start of the instance, which then has no contact
+    explicit leader_contact(time_point start) noexcept : m_confirmed_at(start)
+    {
+    }
+
+    /// @brief Processes a confirmation from the leader.
+    /// @param report_interval the interval at which the leader expects reports
+    void on_confirmation(duration report_interval, time_point now) noexcept
+    {
+        m_confirmed_at = now;
+        m_report_interval = report_interval;
+    }
+
+    /// @brief Sets whether any control replica is reachable.
+    void set_replica_reachable(bool reachable, time_point now) noexcept
+    {
+        if (reachable)
+        {
+            m_unreachable_since = time_point::never();
+        }
+        else if (m_unreachable_since == time_point::never())
+        {
+            m_unreachable_since = now;
+        }
+    }
+
+    /// @return the time since the last confirmation, or since the start
+    duration since_confirmation(time_point now) const noexcept
+    {
+        return now - m_confirmed_at;
+    }
+
+    /// @return whether contact with the leader is lost
+    bool is_lost(time_point now) const noexcept
+    {
+        const bool is_unreachable =
+            m_unreachable_since != time_point::never() && now - m_unreachable_since >= unreachable_until_lost;
+        return is_unreachable || since_confirmation(now) >= m_report_interval * missed_reports_until_lost;
+    }
+
+  private:
+    time_point m_confirmed_at;
+    duration m_report_interval = duration::from_ms(1000);
+    time_point m_unreachable_since = time_point::never();
+};
+
+} // namespace flaxtiller::distribution
--- a/src/entry/entry_callers.cpp
+++ b/src/entry/entry_callers.cpp
@@ -223,6 +223,10 @@
                         {"revision", subscriber.revision()},
                         {"evacuated_zones", subscriber.current()->evacuated_zones},
                         {"reachable_peers", reachable},
+                        {"control_replicas", names_of(control.addresses())},
+                        {"leader", leader},
+                        {"leader_contact_lost", contact.is_lost(clock.now())},
+                        {"leader_heard_ms_ago", contact.since_confirmation(clock.now()).ms()},
                         {"services", services},
                         {"registered_backend_servers", registered.present().size()},
                         {"metrics", counted.dump()}};
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -11,9 +11,7 @@
 namespace
 {
 
-/// Number of report intervals without a confirmation after which the leader counts as lost, since another
-/// replica may lead by then.
-constexpr double missed_reports_until_leader_lost = 2.5;
+constexpr double missed_reports_until_leader_lost = distribution::leader_contact::missed_reports_until_lost;
 
 } // namespace
 
@@ -48,6 +46,7 @@
     }
     leader_contact_at = now;
     leader_report_interval = std::max(settings.report_every, duration::from_ms(confirmation.report_every_ms));
+    contact.on_confirmation(leader_report_interval, now);
     subscriber.on_confirmation(confirmation, now);
     if (leader_revision != confirmation.revision)
     {
@@ -101,7 +100,12 @@
         return;
     }
     const bool first = !serves();
-    confirmed_at_us.store((clock.now() - *age).since_start().us(), std::memory_order_release);
+    const time_point confirmed_at = clock.now() - *age;
+    confirmed_at_us.store(confirmed_at.since_start().us(), std::memory_order_release);
+    if (routed)
+    {
+        routed->set_confirmed_at(confirmed_at);
+    }
     if (first)
     {
         log(log_level::info, "serving", {{"revision", subscriber.revision()}});
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -15,6 +15,7 @@
 
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/control_replica_selector.hpp>
+#include <flaxtiller/distribution/leader_contact.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
 #include <flaxtiller/registration/live_placement.hpp>
 #include <flaxtiller/registration/registry.hpp>
@@ -207,6 +208,10 @@
     std::int64_t leader_revision = 0;
     /// Selects the control replica from which this entry receives updates.
     distribution::control_replica_selector control_choice{settings.bounds.apply};
+    /// Whether this entry is in contact with the leader.
+    distribution::leader_contact contact{clock.now()};
+    bool contact_lost = false;
+    time_point next_contact_line_at{};
     /// The times at which the control replicas last answered a report.
     std::map<std::string, time_point> answered_at;
     bool reports_unanswered = false;
@@ -324,6 +329,15 @@
     /// Schedules a report at the time at which another control replica may have to be followed.
     void schedule_follow_check();
 
+    /// Follows whether this entry is in contact with the leader.
+    void track_leader_contact();
+
+    /// Logs that contact with the leader is lost, or restored, and at intervals that it stays lost.
+    void log_leader_contact(time_point now);
+
+    /// @return the known control replicas that are reachable
+    std::vector<std::string> reachable_control_replicas() const;
+
     /// Logs once that the followed replica doesn't answer reports: a link may carry messages one way only.
     void log_unanswered_reports(time_point now);
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -209,6 +209,7 @@
         {
             self.check_suspension();
             self.links.tick();
+            self.track_leader_contact();
         });
     self.repeat(self.report_timer, self.settings.report_every,
                 [&self]
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -86,6 +86,11 @@
     m_open = true;
 }
 
+void routing_frontend::set_confirmed_at(time_point at) noexcept
+{
+    m_confirmed_at_us.store(at.since_start().us(), std::memory_order_relaxed);
+}
+
 void routing_frontend::close_after_reply()
 {
     m_server.close_after_reply();
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -92,6 +92,9 @@
     /// @brief Starts to accept requests. Before this call, all requests are refused as not run.
     void open();
 
+    /// @brief Sets when a leader confirmed the active configuration. Thread-safe.
+    void set_confirmed_at(time_point at) noexcept;
+
     /// @brief Closes each connection of a caller after its next reply. Requests are still accepted.
     void close_after_reply();
 
@@ -171,6 +174,7 @@
     void configure_pool(const backend_server& server, int sharers);
     void release(const placed_service& service);
     void log_answer(const caller& from, const routed_outcome& outcome, duration elapsed) const;
+    void log_unknown(const caller& from, const routed_outcome& outcome) const;
     nlohmann::json dump_state() const;
 
     metrics& m_metrics;
@@ -184,6 +188,8 @@
     const crash_records_handler m_report_crash_records;
     const witness_report_handler m_report_to_witnesses;
     std::atomic<bool> m_open{false};
+    /// When a leader last confirmed the active configuration, in microseconds of the monotonic clock.
+    std::atomic<std::int64_t> m_confirmed_at_us{0};
     std::atomic<request_number> m_next_request{1};
     // The members below are used on the strand only.
     caller_admission m_admission;
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -404,6 +404,23 @@
          {"retry_after_ms", outcome.retry_after.ms()},
          {"revision", outcome.revision},
          {"after_ms", elapsed.ms()}});
+    log_unknown(from, outcome);
+}
+
+/// A caller is told that something doesn't exist on the strength of what a leader confirmed this long ago.
+void routing_frontend::log_unknown(const caller& from, const routed_outcome& outcome) const
+{
+    const bool is_unknown = outcome.end == routed_end::no_route || outcome.end == routed_end::unauthorized;
+    if (!is_unknown || !from.delegated_by.empty())
+    {
+        return;
+    }
+    const time_point confirmed(duration::from_us(m_confirmed_at_us.load(std::memory_order_relaxed)));
+    log(log_level::info, "target_unknown",
+        {{"request", from.id},
+         {"end", name_of(outcome.end)},
+         {"revision", outcome.revision},
+         {"confirmed_ms_ago", (m_clock.now() - confirmed).ms()}});
 }
 
 void routing_frontend::schedule_timer()
