--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -240,9 +240,9 @@
 class Machine:
     """An instance: an entry process and, in the core, a control process."""
 
-    def __init__(self, platform, number, core):
+    def __init__(self, platform, number, core, zone=None):
         self.platform, self.number, self.in_core = platform, number, core
-        self.zone = sorted(platform.zones)[(number - 1) % len(platform.zones)]
+        self.zone = zone or sorted(platform.zones)[(number - 1) % len(platform.zones)]
         self.ip = NETWORK + ".%d" % number
         self.front, self.readiness, self.control = (self.ip + ":%d" % port for port in (8104, 8108, 8106))
         self.folder = os.path.join(platform.folder, "disk-%d" % number)
@@ -333,6 +333,31 @@
                 if wanted and not machine.running(role):
                     machine.start(role, bootstrap)
 
+    def replace(self, machine):
+        """Takes a core machine away for good, adds an empty one at another address, and waits until the new one votes in its
+        place."""
+        for process in machine.processes.values():
+            process.kill()
+        added = Machine(self, len(self.machines) + 1, True, zone=machine.zone)
+        self.machines.append(added)
+        self.seeds = [core.control for core in self.core() if core is not added][:2] + [added.control]
+        for role in added.processes:
+            added.start(role)
+        names = sorted(core.ip + ":7395" for core in self.core())
+        eventually("machine %d votes" % added.number, lambda: self.voters() == [names] * 2)
+        return added
+
+    def voters(self):
+        """The voters of both logs, by the leader of each."""
+        found = []
+        for log in ("catalog", "register"):
+            for machine in self.core():
+                state = machine.dump("control").get(log, {})
+                if state.get("role") == "leader":
+                    found.append(sorted(member["name"] for member in state["members"] if member["voter"]))
+                    break
+        return found
+
     def core(self):
         return [machine for machine in self.machines if machine.in_core and machine.running("control")]
 
--- /dev/null
+++ b/tests/faults/test_replaced_core.py
@@ -0,0 +1,86 @@
+"""All control replicas are replaced by others at new addresses, one after the other, while some instances are not in contact:
+on a stand-in of the users' platform, in real processes."""
+
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from cluster import eventually
+from platform_stand_in import Platform, configuration
+
+CORE, ENTRIES = 3, 5
+# What the users state: an instance is in touch this long after it is back, and a change in force this long after its
+# acknowledgement.
+CONTACT_S, APPLY_S = 4.0, 3.0
+CHANGES, CHANGE_EVERY_S = 3, 1.0
+# After this time the links to a process that stands still are closed, so that messages that wait in their buffers tell it
+# nothing of later replicas.
+LINKS_CLOSED_S = 13.0
+
+
+def with_routes(version):
+    """A configuration with one more route for each version."""
+    changed = configuration(version)
+    for number in range(1, version + 1):
+        changed["routes"].append(dict(changed["routes"][1], name="r-%d" % number, pathPrefix="/added-%d/" % number))
+    return changed
+
+
+class ReplacedCoreTest(unittest.TestCase):
+    def start(self, entries=ENTRIES):
+        self.platform = Platform(entries=entries, zones=3, core=CORE)
+        self.platform.__enter__()
+        self.addCleanup(self.platform.__exit__)
+        self.platform.add_backend("s0")
+        self.version = 0
+        self.change()
+        for machine in self.platform.machines:
+            eventually("machine %d is ready" % machine.number, machine.is_ready)
+        eventually("the leader knows all entries", self.knows_all_entries)
+
+    def knows_all_entries(self):
+        entries = [machine for machine in self.platform.machines if machine.running("entry")]
+        return all(len(machine.dump("entry").get("reachable_peers", [])) > 0 for machine in entries)
+
+    def change(self):
+        self.version += 1
+        self.assertEqual(self.platform.put(with_routes(self.version)), 200)
+        return time.monotonic()
+
+    def replace_core(self):
+        for machine in self.platform.core():
+            self.platform.replace(machine)
+
+    def status_of_newest(self, machine):
+        path = "/added-%d/x" % self.version
+        return self.platform.request(machine, path, "q-%d-%d" % (machine.number, time.monotonic_ns()))[0]
+
+    def check_changes(self, machine, back_at):
+        """No machine may say that an added route doesn't exist once it must know it, and the one that is back serves it."""
+        unknown, asked = [], 0
+        for _ in range(CHANGES):
+            due_at = max(self.change() + APPLY_S, back_at + CONTACT_S)
+            time.sleep(max(0.0, due_at - time.monotonic()))
+            until = time.monotonic() + CHANGE_EVERY_S
+            while time.monotonic() < until:
+                asked += 1
+                status = self.status_of_newest(machine)
+                if status == 404:
+                    unknown.append(self.version)
+                time.sleep(0.1)
+        self.assertEqual((unknown, self.status_of_newest(machine)), ([], 200), "of %d requests" % asked)
+
+    def test_an_entry_that_stood_still_while_all_control_replicas_were_replaced_serves_added_routes(self):
+        self.start()
+        absent = self.platform.machines[CORE]
+        absent.processes["entry"].freeze()
+        time.sleep(LINKS_CLOSED_S)
+        self.replace_core()
+        absent.processes["entry"].thaw()
+        self.check_changes(absent, time.monotonic())
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
