Each deployment has its secret from the first change on

The secret was drawn with the first document that declares teams, so a deployment without teams had none, and its processes had nothing to prove to one another that they belong together.

--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -20,16 +20,19 @@
 
 void add_key_secret(change& wanted)
 {
-    nlohmann::json* items = &wanted.body;
-    if (wanted.kind == change_kind::patch)
+    const bool has_items = wanted.kind == change_kind::replace || wanted.kind == change_kind::patch;
+    if (!has_items || !wanted.body.is_object())
     {
-        const auto upsert = wanted.body.find("upsert");
-        items = upsert == wanted.body.end() ? nullptr : &*upsert;
+        return;
     }
-    const bool declares = items != nullptr && items->is_object() && items->contains(detail::teams_key);
-    if (declares && !items->contains(detail::key_secret_key))
+    nlohmann::json& items = wanted.kind == change_kind::patch ? wanted.body["upsert"] : wanted.body;
+    if (items.is_null())
     {
-        (*items)[detail::key_secret_key] = generate_key_secret();
+        items = nlohmann::json::object();
+    }
+    if (items.is_object() && !items.contains(detail::key_secret_key))
+    {
+        items[detail::key_secret_key] = generate_key_secret();
     }
 }
 
--- a/tests/src/unit-teams.cpp
+++ b/tests/src/unit-teams.cpp
@@ -38,6 +38,49 @@
 
 } // namespace
 
+TEST_CASE("the first change gives a deployment its secret, also without teams", "[teams]")
+{
+    const json upsert = {{"upsert", {{"services", json::array({{{"name", "s"}, {"shards", 1}}})}}}};
+    const auto [kind, body] =
+        GENERATE_COPY(std::pair{change_kind::replace, json::object()},
+                      std::pair{change_kind::patch, json::object()}, std::pair{change_kind::patch, upsert});
+    catalog_state state;
+    change first;
+    first.id = change_id("c-1");
+    first.kind = kind;
+    first.body = body;
+    add_key_secret(first);
+    REQUIRE(state.apply(first).status == change_status::accepted);
+    const std::string secret = state.current().key_secret;
+    CHECK_FALSE(secret.empty());
+
+    SECTION("a second one doesn't replace it")
+    {
+        change second;
+        second.id = change_id("c-2");
+        second.base_revision = state.revision();
+        second.body = json::object();
+        add_key_secret(second);
+        (void)state.apply(second);
+        CHECK(state.current().key_secret == secret);
+    }
+}
+
+TEST_CASE("a malformed change stays as it was sent", "[teams]")
+{
+    change malformed;
+    for (const json& body : {json(), json::array(), json("text")})
+    {
+        malformed.body = body;
+        add_key_secret(malformed);
+        CHECK(malformed.body == body);
+    }
+    malformed.kind = change_kind::patch;
+    malformed.body = {{"upsert", 7}};
+    add_key_secret(malformed);
+    CHECK(malformed.body == json{{"upsert", 7}});
+}
+
 TEST_CASE("entries receive digests of keys, and operators read back the keys they wrote", "[teams]")
 {
     catalog_state state;
