An entry that knows only control replicas that are gone asks other entries for the present ones

Callers saw: an entry that stood still, or was cut off, while all control replicas were replaced answered 404 to every route that was added since, for good. Cause: whom to ask it knew from its settings and from the control replicas themselves; once these were all gone, nobody told it the others, although its links to other entries worked. Class: knowledge of whom to ask that only those give who may all be gone; control replicas had the same, with their log's members. Now an entry without contact to the leader, and a control replica that has known no leader for 1 s, asks up to three entries a second, and dials listed entries for it. Entries with contact reply with the member lists, proved by a keyed digest with the deployment's secret.

--- a/include/flaxtiller/distribution/leader_contact.hpp
+++ b/include/flaxtiller/distribution/leader_contact.hpp
@@ -9,8 +9,9 @@
 /// @brief Whether an instance is in contact with the leader of the control replicas. The class is a
 /// deterministic state machine without I/O.
 ///
-/// Contact is lost when the leader's confirmations stay away, or when no control replica is reachable. A
-/// reachable replica alone doesn't keep it: the replica may itself be cut off, or no longer be a member.
+/// Contact is lost when the leader's confirmations stay away, or, after the first one, when no control
+/// replica is reachable. A reachable replica alone doesn't keep it: the replica may itself be cut off, or no
+/// longer be a member.
 class leader_contact
 {
   public:
@@ -30,6 +31,7 @@
     /// @param report_interval the interval at which the leader expects reports
     void on_confirmation(duration report_interval, time_point now) noexcept
     {
+        m_was_confirmed = true;
         m_confirmed_at = now;
         m_report_interval = report_interval;
     }
@@ -56,12 +58,13 @@
     /// @return whether contact with the leader is lost
     bool is_lost(time_point now) const noexcept
     {
-        const bool is_unreachable =
-            m_unreachable_since != time_point::never() && now - m_unreachable_since >= unreachable_until_lost;
+        const bool is_unreachable = m_was_confirmed && m_unreachable_since != time_point::never() &&
+                                    now - m_unreachable_since >= unreachable_until_lost;
         return is_unreachable || since_confirmation(now) >= m_report_interval * missed_reports_until_lost;
     }
 
   private:
+    bool m_was_confirmed = false;
     time_point m_confirmed_at;
     duration m_report_interval = duration::from_ms(1000);
     time_point m_unreachable_since = time_point::never();
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -89,7 +89,7 @@
 
 void control_process::implementation::link_to_members()
 {
-    std::set<std::string> names = replica_names();
+    std::set<std::string> names = contact_names();
     if (names == linked_replicas)
     {
         return;
@@ -317,10 +317,11 @@
     catalog.tick(now);
     registers.tick(now);
     pump();
+    search_replicas(now);
     if (now >= next_notice_at)
     {
         next_notice_at = now + notice_interval;
-        std::set<std::string> others = replica_names();
+        std::set<std::string> others = contact_names();
         others.erase(settings.replica.name);
         send_notices({others.begin(), others.end()});
     }
--- /dev/null
+++ b/src/control/control_discovery.cpp
@@ -0,0 +1,61 @@
+#include "control_implementation.hpp"
+
+#include <flaxtiller/distribution/member_list_proof.hpp>
+
+namespace flaxtiller::shell
+{
+
+namespace
+{
+
+/// The time without a leader after which a replica asks entries for the control replicas. Most elections take
+/// less time.
+constexpr duration search_after = duration::from_ms(1000);
+
+} // namespace
+
+std::set<std::string> control_process::implementation::contact_names()
+{
+    std::set<std::string> names = replica_names();
+    names.insert(named_by_entries.begin(), named_by_entries.end());
+    return names;
+}
+
+void control_process::implementation::search_replicas(time_point now)
+{
+    const bool has_leader = catalog_leaderless.since() == time_point::never();
+    if (has_leader || !is_self_forming())
+    {
+        discovery.end();
+        named_by_entries.clear();
+        return;
+    }
+    const bool searches =
+        now - catalog_leaderless.since() >= search_after && !catalog.state().current().key_secret.empty();
+    if (!searches || !discovery.is_choice_due(now))
+    {
+        return;
+    }
+    const std::vector<std::string> linked = linked_entry_names();
+    for (const std::string& entry : discovery.choose({linked.begin(), linked.end()}, draw64(), now))
+    {
+        links.send(entry, control_members_request{discovery.number()});
+    }
+}
+
+void control_process::implementation::on_control_members_reply(const hello& from,
+                                                               const control_members_reply& reply)
+{
+    const bool proved = distribution::is_member_list_proved(catalog.state().current().key_secret,
+                                                            reply.number, reply.names, reply.proof);
+    const bool accepted = proved && discovery.is_awaited(from.name, reply.number);
+    log(log_level::info, "control_replicas_named",
+        {{"by", from.name}, {"names", reply.names.size()}, {"proved", proved}, {"accepted", accepted}});
+    if (accepted)
+    {
+        named_by_entries.insert(reply.names.begin(), reply.names.end());
+        link_to_members();
+    }
+}
+
+} // namespace flaxtiller::shell
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -14,6 +14,7 @@
 #include <flaxtiller/catalog/catalog_state.hpp>
 #include <flaxtiller/core/hash.hpp>
 #include <flaxtiller/distribution/publisher.hpp>
+#include <flaxtiller/distribution/replica_discovery.hpp>
 #include <flaxtiller/distribution/report_interval.hpp>
 #include <flaxtiller/quorum/membership_planner.hpp>
 #include <flaxtiller/quorum/posix_file_system.hpp>
@@ -162,6 +163,10 @@
     time_point next_link_tick_at{};
     /// The replicas that links were last requested to, and that registrations are exchanged with.
     std::set<std::string> linked_replicas;
+    /// Decides which entries to ask for the control replicas while no leader is known, and the replicas that
+    /// they named.
+    distribution::replica_discovery discovery{draw64()};
+    std::set<std::string> named_by_entries;
     suspension_watch suspensions;
     bool pump_posted = false;
     /// Whether the replica of the catalog granted no votes yet, at the last check, since a lease that it
@@ -187,6 +192,15 @@
 
     std::set<std::string> replica_names();
 
+    /// @return the replicas that this one links to: the members, and those that entries named
+    std::set<std::string> contact_names();
+
+    /// Asks entries for the control replicas while no leader is known: all members that this replica knows
+    /// may have been replaced.
+    void search_replicas(time_point now);
+
+    void on_control_members_reply(const hello& from, const control_members_reply& reply);
+
     /// Requests links to all members. In a self-forming set, the name of a replica is the address of its
     /// link.
     void link_to_members();
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -221,7 +221,7 @@
 void entry_process::implementation::update_links()
 {
     std::vector<named_address> peers = control.addresses();
-    for (const auto& [name, needed_at] : linked_entries)
+    const auto add_entry = [&](const instance_name& name)
     {
         const auto listed_entry = listed_entries.find(name);
         const auto at =
@@ -230,6 +230,14 @@
         {
             peers.push_back({name.str(), *at});
         }
+    };
+    for (const auto& [name, needed_at] : linked_entries)
+    {
+        add_entry(name);
+    }
+    for (const std::string& name : dialled_for_discovery)
+    {
+        add_entry(instance_name(name));
     }
     const auto snapshot = current_snapshot.load();
     const std::map<instance_name, instance> none;
--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -1,6 +1,11 @@
 #include "entry_implementation.hpp"
 
+#include "process/system.hpp"
+
+#include <flaxtiller/distribution/member_list_proof.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace flaxtiller::shell
 {
@@ -43,6 +48,89 @@
     const time_point now = clock.now();
     contact.set_replica_reachable(!reachable_control_replicas().empty(), now);
     log_leader_contact(now);
+    search_control_replicas(now);
+}
+
+void entry_process::implementation::search_control_replicas(time_point now)
+{
+    if (!contact.is_lost(now))
+    {
+        discovery.end();
+        dial_for_discovery({});
+        if (control.forget_named_by_entries())
+        {
+            on_control_replicas_changed();
+        }
+        return;
+    }
+    if (discovery.is_dial_due(now))
+    {
+        std::set<std::string> listed;
+        for (const auto& [name, peer] : listed_entries)
+        {
+            listed.insert(name.str());
+        }
+        dial_for_discovery(discovery.choose_peers_to_dial(listed, now));
+    }
+    if (!discovery.is_choice_due(now))
+    {
+        return;
+    }
+    // Of the peers, only entries that a leader of this deployment listed.
+    std::set<std::string> reachable_entries;
+    for (const std::string& name : reachable)
+    {
+        if (listed_entries.count(instance_name(name)) > 0)
+        {
+            reachable_entries.insert(name);
+        }
+    }
+    for (const std::string& peer : discovery.choose(reachable_entries, draw64(), now))
+    {
+        links.send(peer, control_members_request{discovery.number()});
+    }
+}
+
+void entry_process::implementation::dial_for_discovery(std::vector<std::string> names)
+{
+    if (names != dialled_for_discovery)
+    {
+        dialled_for_discovery = std::move(names);
+        update_links();
+    }
+}
+
+void entry_process::implementation::on_control_members_request(const hello& from,
+                                                               const control_members_request& request)
+{
+    const std::string& secret = subscriber.current()->key_secret;
+    const time_point now = clock.now();
+    if (contact.is_lost(now) || secret.empty())
+    {
+        log(log_level::info, "control_replicas_not_told",
+            {{"peer", from.name}, {"contact_lost", contact.is_lost(now)}, {"has_secret", !secret.empty()}});
+        return;
+    }
+    const std::vector<std::string> names = control.on_member_lists();
+    log(log_level::info, "control_replicas_told", {{"peer", from.name}, {"names", joined(names)}});
+    links.send(from.name,
+               control_members_reply{request.number, names,
+                                     distribution::member_list_proof(secret, request.number, names)});
+}
+
+void entry_process::implementation::on_control_members_reply(const hello& from,
+                                                             const control_members_reply& reply)
+{
+    const bool proved = distribution::is_member_list_proved(subscriber.current()->key_secret, reply.number,
+                                                            reply.names, reply.proof);
+    const bool accepted =
+        proved && contact.is_lost(clock.now()) && discovery.is_awaited(from.name, reply.number);
+    log(log_level::info, "control_replicas_named",
+        {{"by", from.name}, {"names", joined(reply.names)}, {"proved", proved}, {"accepted", accepted}});
+    if (accepted && control.on_named_by_entry(reply.names))
+    {
+        on_control_replicas_changed();
+    }
 }
 
 void entry_process::implementation::log_leader_contact(time_point now)
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -16,6 +16,7 @@
 #include <flaxtiller/core/rcu_cell.hpp>
 #include <flaxtiller/distribution/control_replica_selector.hpp>
 #include <flaxtiller/distribution/leader_contact.hpp>
+#include <flaxtiller/distribution/replica_discovery.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
 #include <flaxtiller/registration/live_placement.hpp>
 #include <flaxtiller/registration/registry.hpp>
@@ -211,6 +212,10 @@
     /// Whether this entry is in contact with the leader.
     distribution::leader_contact contact{clock.now()};
     bool contact_lost = false;
+    /// Decides which entries to ask for the control replicas while there is no contact, and the entries that
+    /// are dialled for that.
+    distribution::replica_discovery discovery{run_id};
+    std::vector<std::string> dialled_for_discovery;
     time_point next_contact_line_at{};
     /// The times at which the control replicas last answered a report.
     std::map<std::string, time_point> answered_at;
@@ -332,6 +337,17 @@
     /// Follows whether this entry is in contact with the leader.
     void track_leader_contact();
 
+    /// Asks other entries for the control replicas while contact with the leader is lost.
+    void search_control_replicas(time_point now);
+
+    /// Dials these entries in addition to the linked ones.
+    void dial_for_discovery(std::vector<std::string> names);
+
+    /// Tells a process without contact to a leader the control replicas, if this entry has contact.
+    void on_control_members_request(const hello& from, const control_members_request& request);
+
+    void on_control_members_reply(const hello& from, const control_members_reply& reply);
+
     /// Logs that contact with the leader is lost, or restored, and at intervals that it stays lost.
     void log_leader_contact(time_point now);
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -119,6 +119,14 @@
     {
         on_control_members(from, *member_list);
     }
+    else if (const auto* request = std::get_if<control_members_request>(&message))
+    {
+        on_control_members_request(from, *request);
+    }
+    else if (const auto* reply = std::get_if<control_members_reply>(&message))
+    {
+        on_control_members_reply(from, *reply);
+    }
     else if (const auto* list = std::get_if<entry_list>(&message))
     {
         on_entry_list(*list);
--- a/src/entry/known_control_replicas.hpp
+++ b/src/entry/known_control_replicas.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,7 +13,8 @@
 {
 
 /// @brief The control replicas that an entry can contact: the replicas named in the settings of the entry,
-/// and every replica on the member list of any reachable replica.
+/// every replica on the member list of any reachable replica, and, while the entry has no contact to a
+/// leader, those that another entry named.
 ///
 /// The result is the union of all member lists, so a list that lacks a replica doesn't remove a replica that
 /// another list names. A replica that lost its data lists only the founding members until it has received the
@@ -46,6 +48,33 @@
         return m_reported.erase(from) > 0 && update();
     }
 
+    /// @brief Adds the replicas that another entry named, until @ref forget_named_by_entries.
+    /// @return whether the set of known replicas changed
+    bool on_named_by_entry(const std::vector<std::string>& names)
+    {
+        m_named_by_entries.insert(names.begin(), names.end());
+        return update();
+    }
+
+    /// @brief Discards the replicas that only other entries named.
+    /// @return whether the set of known replicas changed
+    bool forget_named_by_entries()
+    {
+        m_named_by_entries.clear();
+        return update();
+    }
+
+    /// @return the names of all replicas on the member lists
+    std::vector<std::string> on_member_lists() const
+    {
+        std::set<std::string> names;
+        for (const auto& [from, listed] : m_reported)
+        {
+            names.insert(listed.begin(), listed.end());
+        }
+        return {names.begin(), names.end()};
+    }
+
     /// @return the addresses of the known replicas, starting with the replicas from the settings
     const std::vector<named_address>& addresses() const noexcept
     {
@@ -79,20 +108,27 @@
                            });
     }
 
+    template <typename Names>
+    static void add(std::vector<named_address>& list, const Names& names)
+    {
+        for (const std::string& name : names)
+        {
+            const auto at = parse_address(name);
+            if (at && !holds(list, name))
+            {
+                list.push_back({name, *at});
+            }
+        }
+    }
+
     bool update()
     {
         std::vector<named_address> next = m_configured;
         for (const auto& [from, names] : m_reported)
         {
-            for (const std::string& name : names)
-            {
-                const auto at = parse_address(name);
-                if (at && !holds(next, name))
-                {
-                    next.push_back({name, *at});
-                }
-            }
+            add(next, names);
         }
+        add(next, m_named_by_entries);
         const bool changed = !(next == m_replicas);
         m_replicas = std::move(next);
         return changed;
@@ -100,6 +136,7 @@
 
     std::vector<named_address> m_configured;
     std::map<std::string, std::vector<std::string>> m_reported;
+    std::set<std::string> m_named_by_entries;
     std::vector<named_address> m_replicas;
 };
 
--- a/src/links/link_message.cpp
+++ b/src/links/link_message.cpp
@@ -25,6 +25,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_abandon, number, stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_request, log, action, name)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_news, items)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(control_members_request, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(control_members_reply, number, names, proof)
 
 static void to_json(nlohmann::json& j, const ask_message& value)
 {
@@ -161,7 +163,9 @@
                                             "member_request",
                                             "limit_report",
                                             "limit_word",
-                                            "crash_news"};
+                                            "crash_news",
+                                            "control_members_request",
+                                            "control_members_reply"};
     static_assert(std::size(names) == link_message_kinds);
     return names[kind];
 }
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -191,6 +191,26 @@
     std::vector<crash_record> items;
 };
 
+/// @brief Asks the receiver for the control replicas that it can contact. Sent by a process that has no
+/// contact to a leader: all control replicas that it knows may be gone.
+struct control_members_request
+{
+    /// Drawn by the sender at random, so that an earlier reply can't be taken for the one to this request.
+    std::uint64_t number = 0;
+};
+
+/// @brief The reply to a @ref control_members_request. A process that has no contact to a leader itself
+/// doesn't reply.
+struct control_members_reply
+{
+    std::uint64_t number = 0;
+    /// The link addresses of the control replicas.
+    std::vector<std::string> names;
+    /// Shows that the sender belongs to the deployment of the receiver; see @ref
+    /// distribution::member_list_proof.
+    std::string proof;
+};
+
 /// @brief Any message that a link carries. The position of a type is its number on the wire, so a new type
 /// goes at the end.
 using link_message =
@@ -198,7 +218,8 @@
                  register_call, register_return, distribution::revision_update, distribution::revision_report,
                  distribution::revision_confirmation, incarnation_notice, registration_update,
                  registration_heard, registration_digest, control_members, entry_list, routed_ask,
-                 routed_return, routed_abandon, member_request, limit_report, limit_update, crash_news>;
+                 routed_return, routed_abandon, member_request, limit_report, limit_update, crash_news,
+                 control_members_request, control_members_reply>;
 
 /// The number of kinds of messages; a kind is the position of a type in @ref link_message.
 inline constexpr std::size_t link_message_kinds = std::variant_size_v<link_message>;
--- a/tests/src/unit-known-control-replicas.cpp
+++ b/tests/src/unit-known-control-replicas.cpp
@@ -60,4 +60,15 @@
     {
         CHECK_FALSE(known.on_member_list("10.0.0.1:7", {"c1"}));
     }
+    SECTION("replicas that another entry named are known until they are on a member list or the search ends")
+    {
+        known.on_member_list("10.0.0.1:7", founders);
+        CHECK(known.on_named_by_entry({"10.0.0.4:7", "10.0.0.5:7"}));
+        CHECK(known.knows("10.0.0.5:7"));
+        CHECK(known.on_member_lists() == founders);
+        known.on_member_list("10.0.0.4:7", all);
+        CHECK(known.forget_named_by_entries());
+        CHECK(known.knows("10.0.0.4:7"));
+        CHECK_FALSE(known.knows("10.0.0.5:7"));
+    }
 }
