The soak replaces control replicas while entries are out of contact

Callers of an entry that was out of contact while all control replicas were replaced got 404 on added routes, and the soak could not see it: it never took a control replica away for good, and held an entry to a change only while nothing at all had been disturbed.

Disturbances are spans now, so that a fault longer than the time to calm leaves no gap. The settings file of a process is no longer named in the environment that all threads share.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -93,10 +93,11 @@
         self.arguments = arguments
         self.log = log
         self.handle = None
+        self.environment = {}
         self.clock_file, self.suspended_ms, self.frozen_at = None, 0, None
 
     def start(self):
-        environment = dict(os.environ)
+        environment = dict(os.environ, **self.environment)
         if self.clock_file:
             environment.update({"LD_PRELOAD": SUSPENSION, "SUSPENSION_FILE": self.clock_file})
         with open(self.log, "ab") as log:
@@ -134,6 +135,12 @@
             self.handle.kill()
             self.handle.wait()
 
+    def end_silent(self):
+        """Ends it for good, also if it stands still: without a moment in which it goes on."""
+        if self.handle and self.handle.poll() is None:
+            self.handle.kill()
+            self.handle.wait()
+
     def freeze(self):
         self.signal(signal.SIGSTOP)
 
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -262,17 +262,26 @@
                            "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
                            "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 4}}
 
-    def start(self, role, bootstrap=False):
-        if role == "control":
-            os.makedirs(self.folder, exist_ok=True)
+    def write_settings(self, role, bootstrap=False):
+        """The settings as they are at this moment."""
         with open(os.path.join(ROOT, "platform", role + ".json")) as file:
             text = render(file.read(), self.fields(bootstrap))
         settings = os.path.join(self.platform.folder, "%s-%d.json" % (role, self.number))
         with open(settings, "w") as file:
             file.write(text)
-        os.environ["FLAXTILLER_BOOT"] = settings
+        return settings
+
+    def start(self, role, bootstrap=False):
+        if role == "control":
+            os.makedirs(self.folder, exist_ok=True)
+        # Not in the tests' own environment, which threads share that start machines at the same moment.
+        self.processes[role].environment["FLAXTILLER_BOOT"] = self.write_settings(role, bootstrap)
         self.processes[role].start()
 
+    def reload(self, role):
+        self.write_settings(role)
+        self.processes[role].signal(signal.SIGHUP)
+
     def running(self, role):
         handle = self.processes[role].handle
         return handle is not None and handle.poll() is None
@@ -313,7 +322,7 @@
                 backend.crash()
         for machine in self.machines:
             for process in machine.processes.values():
-                process.kill()
+                process.end_silent()
         if os.environ.get("FLAXTILLER_KEEP") is None:
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -338,13 +347,20 @@
         place."""
         for process in machine.processes.values():
             process.kill()
+        added = self.succeed(machine)
+        names = sorted(core.ip + ":7395" for core in self.core())
+        eventually("machine %d votes" % added.number, lambda: self.voters() == [names] * 2)
+        return added
+
+    def succeed(self, machine):
+        """Adds an empty machine at another address in place of a core machine that is gone for good."""
+        machine.in_core = False
+        remaining = [core.control for core in self.core()][:2]
         added = Machine(self, len(self.machines) + 1, True, zone=machine.zone)
+        self.seeds = remaining + [added.control]
         self.machines.append(added)
-        self.seeds = [core.control for core in self.core() if core is not added][:2] + [added.control]
         for role in added.processes:
             added.start(role)
-        names = sorted(core.ip + ":7395" for core in self.core())
-        eventually("machine %d votes" % added.number, lambda: self.voters() == [names] * 2)
         return added
 
     def voters(self):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,6 @@
 """What must always hold, checked from what callers, backend servers and operators saw."""
 
+import contextlib
 import os
 import sys
 import threading
@@ -16,6 +17,13 @@
 DRAIN_S = 3.5
 # A process is calm this long after the last fault that touched it or the core.
 CALM_AFTER_S = 6.0
+# What the users state: an entry is in contact this long after it and the core were last disturbed, and handles requests
+# by a change this long after its acknowledgement. While the core is disturbed, but most of it runs, it may take longer.
+CONTACT_S = 4.0
+APPLY_S = 3.0
+UNSTABLE_CORE_S = 12.0
+# A final answer by which version a request was handled: run on the route, or refused because there is no such route.
+DECIDED = (200, 404)
 NOT_RUN = (408, 421, 429, 503)
 # Names under which disturbances are noted, beside those of single processes.
 CORE = "core"
@@ -44,8 +52,12 @@
         self.violations, self.calls = [], []
         # By entry and life: the greatest version seen there, and when its answer had come.
         self.seen = {}
-        # What was disturbed, and when.
+        # What was disturbed: from when, until when (None while it lasts), and its name.
         self.disturbed = []
+        # By version that was sent: the routes of single versions that it has.
+        self.routes = {}
+        # By entry and life: versions that a request was seen handled by, and when its answer had come.
+        self.handled = {}
         # Versions acknowledged: number, and when.
         self.acknowledged = []
 
@@ -55,15 +67,33 @@
         print("VIOLATION " + what, flush=True)
 
     def disturb(self, name):
+        """Something that happened to it at this moment."""
         with self.lock:
-            self.disturbed.append((time.monotonic(), name))
+            now = time.monotonic()
+            self.disturbed.append([now, now, name])
+
+    @contextlib.contextmanager
+    def disturbance(self, name):
+        """It is disturbed all the while."""
+        mark = [time.monotonic(), None, name]
+        with self.lock:
+            self.disturbed.append(mark)
+        try:
+            yield
+        finally:
+            mark[1] = time.monotonic()
+
+    def was_disturbed(self, names, since, until):
+        with self.lock:
+            return any(who in names and begun_at <= until and (ended_at is None or ended_at >= since)
+                       for begun_at, ended_at, who in self.disturbed)
 
     def calm(self, name, since, until):
         """Whether neither the named process nor the core was disturbed in that time, or shortly before; with EVERYTHING,
         whether nothing at all was."""
         with self.lock:
-            return not any(name == EVERYTHING or who in (name, CORE, EVERYTHING)
-                           for at, who in self.disturbed if since - CALM_AFTER_S <= at <= until)
+            names = {who for _, _, who in self.disturbed} if name == EVERYTHING else {name, CORE, EVERYTHING}
+        return not self.was_disturbed(names, since - CALM_AFTER_S, until)
 
     # -- as each call ends
 
@@ -78,6 +108,8 @@
             self.violate("%s: an invalid configuration is in force" % call.request)
         if call.kind == "version":
             self.check_version(call)
+        if call.kind == "route" and call.status in DECIDED:
+            self.check_handled(call)
 
     def check_merged(self, call):
         stamps = [stamp.strip() for stamp in call.headers.get("X-Part-Stamps", "").split(",")]
@@ -107,6 +139,46 @@
         if back:
             self.violate("%s: entry %d went back to version %d" % (call.request, call.machine, call.version))
 
+    # -- routes that changes add and drop
+
+    def note_sent(self, version, routes):
+        with self.lock:
+            self.routes[version] = frozenset(routes)
+
+    def versions_of(self, call):
+        """The versions by which the call may have been handled as it was."""
+        with self.lock:
+            return {version for version, routes in self.routes.items()
+                    if (call.version in routes) == (call.status == 200)}
+
+    def due_version(self, call):
+        """The version that the call's entry must know by the users' terms; 0 if they state none."""
+        entry = "entry-%d" % call.machine
+        # Twice the time for contact after most of the core was disturbed at once.
+        if (self.was_disturbed({entry}, call.sent_at - CONTACT_S, call.ended_at)
+                or self.was_disturbed({EVERYTHING}, call.sent_at - 2 * CONTACT_S, call.ended_at)):
+            return 0
+        if not self.was_disturbed({CORE}, call.sent_at - CONTACT_S, call.ended_at):
+            return self.newest_acknowledged(call.sent_at - APPLY_S)
+        acknowledged_before = call.sent_at - APPLY_S - UNSTABLE_CORE_S
+        if self.was_disturbed({EVERYTHING}, acknowledged_before, call.ended_at):
+            return 0
+        return self.newest_acknowledged(acknowledged_before)
+
+    def check_handled(self, call):
+        explained_by = self.versions_of(call)
+        due, newest = self.due_version(call), max(explained_by, default=0)
+        what = "%s: entry %d answered %d on the route of version %d" % (call.request, call.machine, call.status, call.version)
+        if newest < due:
+            self.violate("%s, as only version %d or older allows; version %d is due" % (what, newest, due))
+        with self.lock:
+            before = self.handled.setdefault((call.machine, call.life), [])
+            least = max((version for version, known_at in before if known_at < call.sent_at), default=0)
+            if explained_by and min(explained_by) > max((version for version, _ in before), default=0):
+                before.append((min(explained_by), call.ended_at))
+        if newest < least:
+            self.violate("%s, as only version %d or older allows; it went by version %d before" % (what, newest, least))
+
     # -- what operators see
 
     def note_acknowledged(self, version):
@@ -130,8 +202,18 @@
         if due and call.status == 404 and self.calm("entry-%d" % call.machine, call.sent_at, call.ended_at):
             self.violate("%s: version %d isn't in force at entry %d" % (call.request, call.version, call.machine))
 
+    def check_read_at(self, machine, version, begun_at):
+        newest = self.newest_acknowledged(begun_at)
+        if version < newest:
+            self.violate("machine %d reads back version %d after %d had been acknowledged" % (machine, version, newest))
+
     # -- at the end
 
+    def check_recovered(self, machine, version, status):
+        """What an entry that runs answers on the newest route once all has been calm for the time that recovery may take."""
+        if status != 200:
+            self.violate("entry %d answers %s on the route of version %d after the time to recover" % (machine, status, version))
+
     def check_runs(self, backends):
         """At most once, and what is said not to have run hasn't."""
         ran = {}
