The soak cuts entries off from all other processes

A process that stands still is told by messages that wait in its buffers what it missed, if its links outlast it; one that is cut off loses them. libcut.so, loaded into entries outside the core by tests that ask for it, loses what they send, hides what comes and lets what they dial go unanswered, and resets what lost something once the cut is over.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -17,6 +17,7 @@
 FLAXTILLER = os.path.join(BUILD, "flaxtiller")
 STAND_IN = os.path.join(BUILD, "stand_in")
 SUSPENSION = os.path.join(BUILD, "libsuspension.so")
+CUT = os.path.join(BUILD, "libcut.so")
 
 # A folder that is kept in memory.
 MEMORY_FOLDER = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
@@ -95,6 +96,7 @@
         self.handle = None
         self.environment = {}
         self.clock_file, self.suspended_ms, self.frozen_at = None, 0, None
+        self.cut_file, self.cut_number = None, 0
 
     def start(self):
         environment = dict(os.environ, **self.environment)
@@ -114,6 +116,28 @@
         with open(self.clock_file, "wb") as file:
             file.write(struct.pack("q", self.suspended_ms))
 
+    def may_be_cut(self):
+        """To be called before the process starts."""
+        self.cut_file = self.log + ".cut"
+        self.environment.update({"LD_PRELOAD": CUT, "CUT_FILE": self.cut_file})
+        with open(self.cut_file, "wb") as file:
+            file.write(struct.pack("q", self.cut_number))
+        return self
+
+    def change_cut(self):
+        self.cut_number += 1
+        with open(self.cut_file, "r+b") as file:
+            file.write(struct.pack("q", self.cut_number))
+
+    def cut(self):
+        """Cuts it off from all other processes, in silence and in both directions."""
+        if self.cut_number % 2 == 0:
+            self.change_cut()
+
+    def join(self):
+        if self.cut_number % 2 != 0:
+            self.change_cut()
+
     def suspend(self):
         """As a machine that is suspended: it stands still, and its steady clock with it."""
         self.frozen_at = time.monotonic()
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -250,6 +250,8 @@
         for role in ("entry", "control") if core else ("entry",):
             self.processes[role] = Process(role, [FLAXTILLER, "platform", role],
                                            os.path.join(platform.folder, "%s-%d.log" % (role, number)))
+        if platform.cuttable and not core:
+            self.processes["entry"].may_be_cut()
 
     def fields(self, bootstrap):
         return {"nodeName": "machine-%d" % self.number, "ip": self.ip, "zone": self.zone,
@@ -302,7 +304,9 @@
     """Machines with an entry each, the first of them the core, one after the other in @a zones availability zones,
     each a region of its own."""
 
-    def __init__(self, entries=2, zones=1, core=3):
+    def __init__(self, entries=2, zones=1, core=3, cuttable=False):
+        # Whether entries outside the core may be cut off.
+        self.cuttable = cuttable
         self.zones = {"zone-%d" % (i + 1): "region-%d" % (i + 1) for i in range(zones)}
         self.folder = tempfile.mkdtemp(prefix="flaxtiller-platform-")
         self.seeds = [NETWORK + ".%d:8106" % number for number in (1, 2, 3)]
--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -152,20 +152,26 @@
         until_done = draw.choice([ends_at, ends_at, draw.randint(self.done + 1, max(self.done + 1, ends_at))])
         while not self.soak.take(name):
             time.sleep(0.05)
-        began_at = time.monotonic()
+        began_at, process, cut = time.monotonic(), machine.processes["entry"], draw.random() < 0.5
         with self.promises.disturbance(name):
-            machine.processes["entry"].freeze()
+            if cut:
+                process.cut()
+            else:
+                process.freeze()
             while self.done < until_done and not self.over.is_set():
                 time.sleep(0.05)
             time.sleep(draw.uniform(0.0, 3.0))
             reload = draw.random() < 0.5
             if reload:
                 machine.write_settings("entry")
-            machine.processes["entry"].thaw()
+            if cut:
+                process.join()
+            else:
+                process.thaw()
             if reload:
                 machine.reload("entry")
-        self.log("entry %d is back after %.1f s%s" % (machine.number, time.monotonic() - began_at,
-                                                      ", with new settings" if reload else ""))
+        self.log("entry %d is back, %s for %.1f s%s" % (machine.number, "cut off" if cut else "stopped",
+                                                        time.monotonic() - began_at, ", with new settings" if reload else ""))
         self.soak.give_back(name)
 
     # -- changes
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -421,7 +421,7 @@
         parser.error("--core is from %d to %d, and at most --entries" % (REPLICAS_OF_CONTROL, MOST_CONTROL_REPLICAS))
     if options.entries > MOST_ENTRIES:
         parser.error("--entries is at most %d" % MOST_ENTRIES)
-    with Platform(entries=options.entries, zones=ZONES, core=options.core) as platform:
+    with Platform(entries=options.entries, zones=ZONES, core=options.core, cuttable=options.replace_core) as platform:
         soak = Soak(platform, options.seed, options.replace_core)
         threading.excepthook = soak.note_own_failure
         soak.start()
