--- a/tests/faults/test_crashing_request.py
+++ b/tests/faults/test_crashing_request.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import eventually
-from platform_stand_in import Backend, Platform, configuration
+from platform_stand_in import NETWORK, Backend, Platform, configuration
 
 DEADLY = "deadly"
 # How long a backend server runs the request before it ends, and until it is back.
@@ -71,7 +71,7 @@
         self.addCleanup(lambda: setattr(platform.deadly, "over", True))
         for i in range(shards):
             for k in range(replicas):
-                address = "127.0.1.%d:%d" % (100, 9000 + i * 10 + k)
+                address = "%s.%d:%d" % (NETWORK, 100, 9000 + i * 10 + k)
                 platform.backends.append(MortalBackend(platform, "s%d" % i, address))
         self.assertEqual(platform.put(configuration(7, shards)), 200)
         self.await_service(platform)
