Register: the commands of an entry follow the known control replicas

Callers of a query that isn't repeatable got no grant from the register at an entry whose control replicas had all been replaced since its start, also once the entry knew the new ones: its commands went to the old ones until their time limit.

Cause: `register_client` got the names of the settings at the start, and nothing changed them later. Found by reading.

`entry_links` now hands over the names whenever the known control replicas change. Open calls remember the replica that they asked by its name, so that a list that changes while they are open moves none of them to another position or beyond the end of the list; with an empty list they wait for the next one or their time limit.

--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -186,6 +186,7 @@
 void entry_process::implementation::on_control_replicas_changed()
 {
     log(log_level::info, "control_replicas", {{"count", control.addresses().size()}});
+    registers.set_replicas(names_of(control.addresses()));
     update_links();
 }
 
--- a/src/entry/register_client.cpp
+++ b/src/entry/register_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace flaxtiller::shell
 {
@@ -17,6 +18,31 @@
 {
 }
 
+void register_client::set_replicas(std::vector<std::string> replicas)
+{
+    boost::asio::post(m_strand,
+                      [this, replicas = std::move(replicas)]() mutable
+                      {
+                          m_replicas = std::move(replicas);
+                      });
+}
+
+bool register_client::asks(const std::string& replica) const
+{
+    return std::find(m_replicas.begin(), m_replicas.end(), replica) != m_replicas.end();
+}
+
+std::string register_client::replica_after(const std::string& replica) const
+{
+    if (m_replicas.empty())
+    {
+        return {};
+    }
+    const auto found = std::find(m_replicas.begin(), m_replicas.end(), replica);
+    const bool is_last = found == m_replicas.end() || std::next(found) == m_replicas.end();
+    return is_last ? m_replicas.front() : *std::next(found);
+}
+
 void register_client::call(const register_command& command, duration time_limit, completion done)
 {
     boost::asio::post(m_strand,
@@ -24,7 +50,8 @@
                       {
                           const time_point now = m_clock.now();
                           const std::uint64_t number = m_next_number++;
-                          pending_call added{command, std::move(done), now + time_limit, now, m_leader};
+                          const std::string first = asks(m_leader) ? m_leader : replica_after({});
+                          pending_call added{command, std::move(done), now + time_limit, now, first};
                           auto& item = m_calls.emplace(number, std::move(added)).first->second;
                           send(number, item);
                           schedule_check();
@@ -34,7 +61,7 @@
 void register_client::send(std::uint64_t number, pending_call& item)
 {
     item.sent_at = m_clock.now();
-    m_links.send(m_replicas[item.replica], register_call{number, item.command});
+    m_links.send(item.replica, register_call{number, item.command});
 }
 
 void register_client::on_return(const std::string& from, const register_return& returned)
@@ -43,7 +70,7 @@
                       [this, from, returned]
                       {
                           const auto found = m_calls.find(returned.number);
-                          if (found == m_calls.end() || m_replicas[found->second.replica] != from)
+                          if (found == m_calls.end() || found->second.replica != from)
                           {
                               return;
                           }
@@ -95,7 +122,7 @@
         }
         if (now - pending.sent_at >= replica_timeout)
         {
-            pending.replica = (pending.replica + 1) % m_replicas.size();
+            pending.replica = replica_after(pending.replica);
             send(item->first, pending);
         }
         ++item;
--- a/src/entry/register_client.hpp
+++ b/src/entry/register_client.hpp
@@ -32,6 +32,11 @@
 
     register_client(boost::asio::io_context& io, peer_links& links, std::vector<std::string> replicas);
 
+    /// @brief Sets the replicas to ask. Open calls to a replica that isn't among them go to the first one
+    /// when their answer is overdue; an empty list leaves them waiting for the next one.
+    /// @param replicas names of the replicas
+    void set_replicas(std::vector<std::string> replicas);
+
     /// @brief Sends a command.
     /// @param time_limit how long to try
     /// @param done called exactly once, on the strand of the client; with the status `unreachable` if no
@@ -49,13 +54,18 @@
         completion done;
         time_point deadline;
         time_point sent_at;
-        std::size_t replica = 0;
+        /// The replica that the command was last sent to; empty if there was none.
+        std::string replica;
     };
 
     /// A command without an answer is sent to the next replica after this time.
     static constexpr duration replica_timeout = duration::from_ms(150);
     static constexpr duration check_interval = duration::from_ms(25);
 
+    /// @return whether the replica is among those to ask
+    bool asks(const std::string& replica) const;
+    /// @return the replica to ask after @a replica; empty if there is none
+    std::string replica_after(const std::string& replica) const;
     void send(std::uint64_t number, pending_call& item);
     void check();
     void schedule_check();
@@ -67,7 +77,8 @@
     monotonic_clock m_clock;
     bool m_checking = false;
     std::uint64_t m_next_number = first_number_of_run();
-    std::size_t m_leader = 0;
+    /// The replica that last answered as the leader; empty if none did.
+    std::string m_leader;
     std::map<std::uint64_t, pending_call> m_calls;
 };
 
