Known control replicas: the list of a replaced replica is discarded once a leader has confirmed

An entry that had lost all control replicas dialled the addresses on the last list for as long as it ran, also when other replicas had sent lists since.

Cause: the list of a replica that becomes unreachable stays if it is the only one, so that the entry still knows somebody; nothing discarded it afterwards, as the replica, being unreachable already, isn't reported unreachable again.

Each confirmation by a leader now discards the lists of unreachable replicas. A list from another replica alone doesn't: it may come from one that lost its data, or was removed and runs on, and names nobody who is present. A leader's confirmation shows that the lists that are left name a present one.

The added section of `unit-known-control-replicas` fails where the call discards nothing (trial), 2 checks; it passes now.

--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -47,6 +47,10 @@
     leader_contact_at = now;
     leader_report_interval = std::max(settings.report_every, duration::from_ms(confirmation.report_every_ms));
     contact.on_confirmation(leader_report_interval, now);
+    if (control.discard_lists_except(reachable))
+    {
+        on_control_replicas_changed();
+    }
     subscriber.on_confirmation(confirmation, now);
     if (leader_revision != confirmation.revision)
     {
--- a/src/entry/known_control_replicas.hpp
+++ b/src/entry/known_control_replicas.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,23 @@
         return m_reported.erase(from) > 0 && update();
     }
 
+    /// @brief Discards the lists of replicas that are unreachable while other lists are left. To be called
+    /// when a leader has confirmed the configuration: the replicas that can be contacted then include a
+    /// present one.
+    /// @return whether the set of known replicas changed
+    bool discard_lists_except(const std::set<std::string>& reachable)
+    {
+        const auto is_unreachable = [&](const auto& item)
+        {
+            return reachable.count(item.first) == 0;
+        };
+        if (std::all_of(m_reported.begin(), m_reported.end(), is_unreachable))
+        {
+            return false;
+        }
+        return std::erase_if(m_reported, is_unreachable) > 0 && update();
+    }
+
     /// @return the addresses of the known replicas, starting with the replicas from the settings
     const std::vector<named_address>& addresses() const noexcept
     {
--- a/tests/src/unit-known-control-replicas.cpp
+++ b/tests/src/unit-known-control-replicas.cpp
@@ -56,6 +56,23 @@
         CHECK(known.on_unreachable("10.0.0.1:7"));
         CHECK_FALSE(known.knows("10.0.0.4:7"));
     }
+    SECTION("a confirmed entry discards the lists of unreachable replicas, also the one that was kept as the "
+            "only one")
+    {
+        // Guards against an entry that dials replaced replicas for as long as it runs.
+        const std::vector<std::string> replaced{"10.0.0.1:7", "10.0.0.4:7"};
+        const std::vector<std::string> present{"10.0.0.5:7", "10.0.0.6:7"};
+        known.on_member_list("10.0.0.4:7", replaced);
+        CHECK_FALSE(known.on_unreachable("10.0.0.4:7"));
+        CHECK_FALSE(known.discard_lists_except({}));
+        CHECK(known.knows("10.0.0.4:7"));
+        known.on_member_list("10.0.0.5:7", present);
+        CHECK(known.knows("10.0.0.4:7"));
+        CHECK(known.discard_lists_except({"10.0.0.5:7", "entry"}));
+        CHECK_FALSE(known.knows("10.0.0.4:7"));
+        CHECK(known.knows("10.0.0.6:7"));
+        CHECK_FALSE(known.discard_lists_except({"10.0.0.5:7"}));
+    }
     SECTION("names that aren't addresses are ignored")
     {
         CHECK_FALSE(known.on_member_list("10.0.0.1:7", {"c1"}));
