A control replica that may not run for election names no leader once the leader is silent

Cause: the name was forgotten only when the replica stood for election itself. Now each election timeout forgets it.

--- a/src/quorum/replica_election.cpp
+++ b/src/quorum/replica_election.cpp
@@ -116,13 +116,14 @@
         // are still in transit.
         m_election_deadline = now + m_timing.leadership_query_interval + early_election_delay();
     }
+    // The leader, if there was one, has been silent for the whole time.
+    m_leader = {};
     const election_status status = election();
     if (!status.is_voter || status.lacks_committed_entries)
     {
         return;
     }
     m_role = pre_vote ? role::pre_candidate : role::candidate;
-    m_leader = {};
     m_votes.clear();
     m_refusals.clear();
     if (!pre_vote)
--- a/tests/src/unit-quorum.cpp
+++ b/tests/src/unit-quorum.cpp
@@ -373,6 +373,17 @@
     }
 }
 
+TEST_CASE("a replica that may not run for election names no leader once the leader is silent", "[quorum]")
+{
+    driver follower(three_members());
+    // It has received that index 9 is committed, but not the entry.
+    follower.receive_from(c2, 12, 1, append_request{1, 1, 9, 7, {}});
+    REQUIRE(follower.node.leader() == c2);
+    follower.advance(timing{}.election_max.ms() + 1.0);
+    CHECK(follower.node.role() == role::follower);
+    CHECK(follower.node.leader().empty());
+}
+
 TEST_CASE("a learner becomes a voter while changes commit faster than it can acknowledge them", "[quorum]")
 {
     driver leader(three_members());
