A followed control replica that names no leader is left, and counts as lost contact

With many entries, whose leader confirms each several seconds, contact counted as lost only after 10 s (995) or 33 s (3,300). Now two answers without a leader, each after a leader's confirmation, end the following, and 2.5 s of such answers are lost contact, whatever the report interval. A control replica that searches also dials entries if few are linked, and its member list has members only, not what entries named. Entries dial others only while fewer than three are reachable. New sections in unit-control-replica-selector and unit-replica-discovery.

--- a/include/flaxtiller/distribution/control_replica_selector.hpp
+++ b/include/flaxtiller/distribution/control_replica_selector.hpp
@@ -40,6 +40,10 @@
     static constexpr duration own_zone_wait = duration::from_ms(250);
     /// The time in which a lost link is replaced if the replica answers.
     static constexpr duration link_renewal_time = duration::from_ms(300);
+    /// The number of successive answers in which the followed replica names no leader, each after a leader's
+    /// confirmation, until another replica is followed: it is cut off from the leader, or no longer a member,
+    /// and lacks the registrations of the others. After an election one such answer is usual.
+    static constexpr int max_leaderless_answers = 2;
     /// The minimum time for which a replica that lagged is not followed. A replica whose storage was erased
     /// receives the whole log within this time.
     static constexpr duration lagging_exclusion_time = duration::from_ms(10000);
@@ -139,6 +143,10 @@
     time_point m_follow_any_at = time_point::never();
     std::map<std::string, std::int64_t> m_reported_revisions;
     std::map<std::string, exclusion> m_exclusions;
+    /// The number of successive answers of the followed replica that named no leader, and whether a leader
+    /// has confirmed the revision since the last of them.
+    int m_leaderless_answers = 0;
+    bool m_confirmed_since_answer = false;
     /// The time at which the link to the followed replica was lost; the replica has not answered since.
     time_point m_followed_lost_at = time_point::never();
 };
--- a/include/flaxtiller/distribution/leader_contact.hpp
+++ b/include/flaxtiller/distribution/leader_contact.hpp
@@ -3,6 +3,8 @@
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/core/time_point.hpp>
 
+#include <algorithm>
+
 namespace flaxtiller::distribution
 {
 
@@ -22,6 +24,11 @@
     /// renewed within this time.
     static constexpr duration unreachable_until_lost = duration::from_ms(300);
 
+    /// The time for which the followed replica names no leader until contact is lost. Most elections take
+    /// less time. Replicas answer the reports of their followers more often than a leader of many instances
+    /// does.
+    static constexpr duration leaderless_until_lost = duration::from_ms(2500);
+
     /// @param start the start of the instance, which then has no contact
     explicit leader_contact(time_point start) noexcept : m_confirmed_at(start)
     {
@@ -33,9 +40,17 @@
     {
         m_was_confirmed = true;
         m_confirmed_at = now;
+        m_leaderless_since = time_point::never();
         m_report_interval = report_interval;
     }
 
+    /// @brief Processes an answer of the followed control replica.
+    /// @param names_leader whether the replica is the leader or in contact with one
+    void on_followed_replica(bool names_leader, time_point now) noexcept
+    {
+        m_leaderless_since = names_leader ? time_point::never() : std::min(m_leaderless_since, now);
+    }
+
     /// @brief Sets whether any control replica is reachable.
     void set_replica_reachable(bool reachable, time_point now) noexcept
     {
@@ -60,7 +75,10 @@
     {
         const bool is_unreachable = m_was_confirmed && m_unreachable_since != time_point::never() &&
                                     now - m_unreachable_since >= unreachable_until_lost;
-        return is_unreachable || since_confirmation(now) >= m_report_interval * missed_reports_until_lost;
+        const bool is_leaderless =
+            m_leaderless_since != time_point::never() && now - m_leaderless_since >= leaderless_until_lost;
+        return is_unreachable || is_leaderless ||
+               since_confirmation(now) >= m_report_interval * missed_reports_until_lost;
     }
 
   private:
@@ -68,6 +86,7 @@
     time_point m_confirmed_at;
     duration m_report_interval = duration::from_ms(1000);
     time_point m_unreachable_since = time_point::never();
+    time_point m_leaderless_since = time_point::never();
 };
 
 } // namespace flaxtiller::distribution
--- a/include/flaxtiller/distribution/replica_discovery.hpp
+++ b/include/flaxtiller/distribution/replica_discovery.hpp
@@ -59,10 +59,11 @@
     /// @return whether the peer was asked with this number in this round or the one before
     bool is_awaited(const std::string& from, std::uint64_t number) const;
 
+    /// @param reachable the number of reachable peers
     /// @return whether other peers are to be dialled than at the last call of @ref choose_peers_to_dial
-    bool is_dial_due(time_point now) const noexcept
+    bool is_dial_due(std::size_t reachable, time_point now) const noexcept
     {
-        return now >= m_next_dial_at;
+        return reachable < peers_per_round && now >= m_next_dial_at;
     }
 
     /// @return the peers that are to be dialled, out of those that are known
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -102,6 +102,15 @@
     {
         return;
     }
+    dial_peers();
+    const std::set<std::string> members = replica_names();
+    const control_members member_list{{members.begin(), members.end()}};
+    const std::set<std::string> reachable = links.reachable();
+    links.send(std::vector<std::string>(reachable.begin(), reachable.end()), member_list);
+}
+
+void control_process::implementation::dial_peers()
+{
     std::vector<named_address> peers;
     for (const std::string& name : linked_replicas)
     {
@@ -110,10 +119,16 @@
             peers.push_back({name, *at});
         }
     }
+    for (const std::string& name : dialled_for_discovery)
+    {
+        const auto entry = entries.find(name);
+        const auto at = entry == entries.end() ? std::nullopt : parse_address(entry->second.address);
+        if (at)
+        {
+            peers.push_back({name, *at});
+        }
+    }
     links.set_peers(peers);
-    const control_members member_list{{linked_replicas.begin(), linked_replicas.end()}};
-    const std::set<std::string> reachable = links.reachable();
-    links.send(std::vector<std::string>(reachable.begin(), reachable.end()), member_list);
 }
 
 void control_process::implementation::send(const char* log_name, const quorum::message& message)
--- a/src/control/control_discovery.cpp
+++ b/src/control/control_discovery.cpp
@@ -28,6 +28,11 @@
     {
         discovery.end();
         named_by_entries.clear();
+        if (!dialled_for_discovery.empty())
+        {
+            dialled_for_discovery.clear();
+            dial_peers();
+        }
         return;
     }
     const bool searches =
@@ -37,6 +42,20 @@
         return;
     }
     const std::vector<std::string> linked = linked_entry_names();
+    if (discovery.is_dial_due(linked.size(), now))
+    {
+        std::set<std::string> unlinked;
+        for (const std::string& name : entry_names())
+        {
+            unlinked.insert(name);
+        }
+        for (const std::string& name : linked)
+        {
+            unlinked.erase(name);
+        }
+        dialled_for_discovery = discovery.choose_peers_to_dial(unlinked, now);
+        dial_peers();
+    }
     for (const std::string& entry : discovery.choose({linked.begin(), linked.end()}, draw64(), now))
     {
         links.send(entry, control_members_request{discovery.number()});
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -167,6 +167,8 @@
     /// they named.
     distribution::replica_discovery discovery{draw64()};
     std::set<std::string> named_by_entries;
+    /// The entries that are dialled to ask them.
+    std::vector<std::string> dialled_for_discovery;
     suspension_watch suspensions;
     bool pump_posted = false;
     /// Whether the replica of the catalog granted no votes yet, at the last check, since a lease that it
@@ -201,6 +203,9 @@
 
     void on_control_members_reply(const hello& from, const control_members_reply& reply);
 
+    /// Dials the linked replicas, and the entries that are to be asked for control replicas.
+    void dial_peers();
+
     /// Requests links to all members. In a self-forming set, the name of a replica is the address of its
     /// link.
     void link_to_members();
--- a/src/distribution/control_replica_selector.cpp
+++ b/src/distribution/control_replica_selector.cpp
@@ -1,6 +1,7 @@
 #include <flaxtiller/distribution/control_replica_selector.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace flaxtiller::distribution
 {
@@ -15,6 +16,8 @@
     if (replica == m_followed)
     {
         m_followed_lost_at = time_point::never();
+        const bool counts = !knows_leader && std::exchange(m_confirmed_since_answer, false);
+        m_leaderless_answers = knows_leader ? 0 : m_leaderless_answers + (counts ? 1 : 0);
     }
     const auto excluded = m_exclusions.find(replica);
     if (excluded != m_exclusions.end())
@@ -61,6 +64,7 @@
 
 bool control_replica_selector::on_current_revision(std::int64_t revision, time_point now)
 {
+    m_confirmed_since_answer = true;
     m_current_revision = std::max(m_current_revision, revision);
     const bool fell_behind = m_active_revision < m_current_revision && m_behind_since == time_point::never();
     m_behind_since = fell_behind ? now : m_behind_since;
@@ -126,6 +130,11 @@
         exclude(m_followed, now);
         m_followed_lost_at = time_point::never();
     }
+    if (m_leaderless_answers >= max_leaderless_answers)
+    {
+        exclude(m_followed, now);
+        m_leaderless_answers = 0;
+    }
     end_exclusions(now);
     if (is_lagging(serves, now))
     {
@@ -150,7 +159,8 @@
     {
         return m_followed;
     }
-    m_followed = best == nullptr ? leader : best->name;
+    const std::string before = std::exchange(m_followed, best == nullptr ? leader : best->name);
+    m_leaderless_answers = before == m_followed ? m_leaderless_answers : 0;
     return m_followed;
 }
 
--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -63,15 +63,6 @@
         }
         return;
     }
-    if (discovery.is_dial_due(now))
-    {
-        std::set<std::string> listed;
-        for (const auto& [name, peer] : listed_entries)
-        {
-            listed.insert(name.str());
-        }
-        dial_for_discovery(discovery.choose_peers_to_dial(listed, now));
-    }
     if (!discovery.is_choice_due(now))
     {
         return;
@@ -85,6 +76,18 @@
             reachable_entries.insert(name);
         }
     }
+    if (discovery.is_dial_due(reachable_entries.size(), now))
+    {
+        std::set<std::string> unreached;
+        for (const auto& [name, peer] : listed_entries)
+        {
+            if (reachable.count(name.str()) == 0)
+            {
+                unreached.insert(name.str());
+            }
+        }
+        dial_for_discovery(discovery.choose_peers_to_dial(unreached, now));
+    }
     for (const std::string& peer : discovery.choose(reachable_entries, draw64(), now))
     {
         links.send(peer, control_members_request{discovery.number()});
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -113,6 +113,10 @@
     {
         answered_at[from.name] = clock.now();
         control_choice.on_word(from.name, revision_state->revision, !revision_state->leader.empty());
+        if (from.name == control_choice.followed())
+        {
+            contact.on_followed_replica(!revision_state->leader.empty(), clock.now());
+        }
         on_leader_named(revision_state->leader);
     }
     else if (const auto* member_list = std::get_if<control_members>(&message))
--- a/tests/src/unit-control-replica-selector.cpp
+++ b/tests/src/unit-control-replica-selector.cpp
@@ -83,6 +83,29 @@
         CHECK(selector.choose(all, "", true, now) == "near");
         CHECK_FALSE(selector.is_excluded("near"));
     }
+    SECTION(
+        "a followed replica that names no leader is left while a leader confirms, and followed again later")
+    {
+        selector.on_activated(2);
+        for (int i = 0; i < control_replica_selector::max_leaderless_answers; ++i)
+        {
+            CHECK(selector.choose(all, "", true, now) == "near");
+            selector.on_current_revision(2, now);
+            selector.on_word("near", 2, false);
+        }
+        CHECK(selector.choose(all, "", true, now) == "next");
+        selector.on_word("near", 2, true);
+        CHECK(selector.choose(all, "", true, now) == "near");
+    }
+    SECTION("no replica is left while there is no leader at all")
+    {
+        selector.on_activated(2);
+        for (int i = 0; i < 10; ++i)
+        {
+            selector.on_word("near", 2, false);
+            CHECK(selector.choose(all, "", true, now) == "near");
+        }
+    }
     // Guards against an instance that checks for a lag only with its next report.
     SECTION("the check is due when the replica counts as lagging")
     {
--- a/tests/src/unit-replica-discovery.cpp
+++ b/tests/src/unit-replica-discovery.cpp
@@ -60,6 +60,17 @@
         contact.set_replica_reachable(true, start + leader_contact::unreachable_until_lost);
         CHECK_FALSE(contact.is_lost(start + leader_contact::unreachable_until_lost));
     }
+    SECTION("a followed replica that names no leader doesn't keep contact, whatever the report interval")
+    {
+        contact.set_replica_reachable(true, start);
+        contact.on_confirmation(interval * 10.0, start);
+        contact.on_followed_replica(false, start);
+        contact.on_followed_replica(false, start + tick);
+        CHECK_FALSE(contact.is_lost(start + leader_contact::leaderless_until_lost - tick));
+        CHECK(contact.is_lost(start + leader_contact::leaderless_until_lost));
+        contact.on_followed_replica(true, start + leader_contact::leaderless_until_lost);
+        CHECK_FALSE(contact.is_lost(start + leader_contact::leaderless_until_lost));
+    }
     SECTION("a leader of many instances that wants fewer reports isn't lost earlier")
     {
         contact.on_confirmation(interval * 4.0, start);
@@ -125,8 +136,10 @@
     {
         const auto first = discovery.choose_peers_to_dial(named(200), now);
         CHECK(first.size() == replica_discovery::peers_per_round);
-        CHECK_FALSE(discovery.is_dial_due(now + tick));
-        CHECK(discovery.is_dial_due(now + replica_discovery::dial_interval));
+        CHECK_FALSE(discovery.is_dial_due(0, now + tick));
+        CHECK(discovery.is_dial_due(0, now + replica_discovery::dial_interval));
+        CHECK_FALSE(discovery.is_dial_due(replica_discovery::peers_per_round,
+                                          now + replica_discovery::dial_interval));
         CHECK(discovery.choose_peers_to_dial(named(200), now + replica_discovery::dial_interval) != first);
     }
 }
