Platform stand-in: a replacement is over once all core machines know the new voters

Tests that replace the core machines one after the other sometimes gave up with "machine 7 votes": 3 of 4 plays in which one entry stood still while three were replaced.

Cause: `replace` asked the leader of each log alone. A leader shows a change of its set as soon as it has appended it; the test then killed it before anybody else had the entry. The log of the one play that was kept shows it: `leaderless` with `voters=4 majority=3` at both replicas that were left, so the removal of the replica that went before was lost with the leader, and two of four voters were gone, which is more than the stated losses.

`replace` now waits until every core machine has the new voters in both logs, a stricter condition than before.

--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -344,9 +344,16 @@
         for role in added.processes:
             added.start(role)
         names = sorted(core.ip + ":7395" for core in self.core())
-        eventually("machine %d votes" % added.number, lambda: self.voters() == [names] * 2)
+        eventually("machine %d votes" % added.number, lambda: self.all_have_voters(names))
         return added
 
+    def all_have_voters(self, names):
+        """Whether each core machine has these voters in both logs. A leader alone may have appended a change that nobody
+        else has, and that is lost with it."""
+        logs = [machine.dump("control").get(log, {}) for machine in self.core() for log in ("catalog", "register")]
+        return all(names == sorted(member["name"] for member in log.get("members", []) if member["voter"])
+                   for log in logs)
+
     def voters(self):
         """The voters of both logs, by the leader of each."""
         found = []
