Settings: the addresses of control replicas are read anew, on SIGHUP and while there is no contact

Callers got 404 for every route that was added since at an entry that had stood still while all control replicas were replaced, although its settings file named the new ones; with SIGHUP, too. An entry or control replica whose seeds were gone at its start never became ready, or a voter, whatever its file said later.

Cause: the settings were read once, and SIGHUP logged `reload_ignored`.

The decision is `settings_reload`: of a file that is read again, only the addresses of control replicas take effect; other keys that differ are named in `settings_reloaded`; a file that can't be read, isn't valid or names nobody changes nothing (`settings_refused`). They read on SIGHUP, and once a second while an entry has no contact with the leader, or a control replica has known no leader for a second; then an outcome is logged once until the file changes. The seeds at the start alone count for founding.

--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -42,6 +42,16 @@
     return false;
 }
 
+/// @brief Reads the settings file that --settings names.
+shell::settings_source open_settings_file(findings& found)
+{
+    const auto read = [file = FLAGS_settings](findings& read_findings)
+    {
+        return shell::read_file(file, read_findings);
+    };
+    return shell::open_settings(FLAGS_settings, read, found);
+}
+
 } // namespace
 
 int run_entry(const std::vector<std::string>& arguments)
@@ -51,15 +61,15 @@
         return usage;
     }
     findings found;
-    const std::string text = shell::read_file(FLAGS_settings, found);
-    const shell::entry_settings settings = shell::parse_entry_settings(text, FLAGS_settings, found);
+    const shell::settings_source source = open_settings_file(found);
+    const shell::entry_settings settings = shell::parse_entry_settings(source.text, source.file, found);
     if (!print_findings(found))
     {
         return refused;
     }
     std::signal(SIGPIPE, SIG_IGN);
     shell::configure_log("entry/" + settings.instance.name, settings.least_level);
-    shell::entry_process process(settings);
+    shell::entry_process process(settings, source);
     if (!print_findings(process.open()))
     {
         return refused;
@@ -74,15 +84,15 @@
         return usage;
     }
     findings found;
-    const std::string text = shell::read_file(FLAGS_settings, found);
-    const shell::control_settings settings = shell::parse_control_settings(text, FLAGS_settings, found);
+    const shell::settings_source source = open_settings_file(found);
+    const shell::control_settings settings = shell::parse_control_settings(source.text, source.file, found);
     if (!print_findings(found))
     {
         return refused;
     }
     std::signal(SIGPIPE, SIG_IGN);
     shell::configure_log("control/" + settings.replica.name, settings.least_level);
-    shell::control_process process(settings);
+    shell::control_process process(settings, source);
     if (!print_findings(process.open()))
     {
         return refused;
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -27,6 +27,9 @@
 constexpr duration startup_period = duration::from_ms(6000);
 /// The longest time between the starts of processes that start together, including their first links.
 constexpr duration simultaneous_start_tolerance = duration::from_ms(1000);
+/// The time without a leader after which the settings file is read again, longer than most elections, and the
+/// interval of further readings.
+constexpr duration settings_interval = duration::from_ms(1000);
 
 } // namespace
 
@@ -87,6 +90,37 @@
     return names;
 }
 
+std::vector<named_address> control_process::implementation::read_seeds_again(const std::string& text,
+                                                                             findings& found) const
+{
+    const control_settings read = parse_control_settings(text, source.file, found);
+    return is_self_forming() && read.self_forming ? read.replicas : settings.replicas;
+}
+
+void control_process::implementation::reload_settings(settings_reload::cause why)
+{
+    findings found;
+    const std::string text = source.read(found);
+    const settings_reload::outcome result = reloaded.on_read(why, text, found);
+    log_outcome(result);
+    if (result.replicas)
+    {
+        settings.replicas = *result.replicas;
+        link_to_members();
+    }
+}
+
+void control_process::implementation::search_settings(time_point now)
+{
+    const time_point since = catalog_leaderless.since();
+    const bool lacks_leader = since != time_point::never() && now - since > settings_interval;
+    if (lacks_leader && now >= next_settings_reading_at)
+    {
+        next_settings_reading_at = now + settings_interval;
+        reload_settings(settings_reload::cause::lost_contact);
+    }
+}
+
 void control_process::implementation::link_to_members()
 {
     std::set<std::string> names = replica_names();
@@ -330,6 +364,7 @@
         maintain_membership(catalog, catalog_log, now);
         maintain_membership(registers, register_log, now);
     }
+    search_settings(now);
     registrations.tick(catalog.is_authoritative(now), now);
     if (crash_records.is_due(now))
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -61,9 +61,9 @@
 {
     static http_server::limits http_limits_of(const control_settings& settings);
 
-    explicit implementation(control_settings requested)
-        : settings(std::move(requested)), strand(net::make_strand(io)), timer(strand),
-          signals(strand, SIGTERM, SIGINT, SIGHUP),
+    implementation(control_settings requested, settings_source read_from)
+        : settings(std::move(requested)), source(std::move(read_from)), strand(net::make_strand(io)),
+          timer(strand), signals(strand, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "control", settings.replica.name, draw64(),
                       settings.replica.region, settings.replica.availability_zone, settings.link.str()},
                 counted, link_timing_between_replicas(settings.links, settings.timing), settings.links,
@@ -114,6 +114,7 @@
     }
 
     control_settings settings;
+    settings_source source;
     net::io_context io;
     net::strand<net::io_context::executor_type> strand;
     net::steady_timer timer;
@@ -140,6 +141,12 @@
     rate_limit_role last_rate_limit_role;
     leaderless_report catalog_leaderless{catalog_log};
     leaderless_report register_leaderless{register_log};
+    settings_reload reloaded{source.text, settings.replicas,
+                             [this](const std::string& text, findings& found)
+                             {
+                                 return read_seeds_again(text, found);
+                             }};
+    time_point next_settings_reading_at{};
     time_point next_limit_share_at{};
     quorum::membership_planner membership;
     http_server operators;
@@ -187,6 +194,16 @@
 
     std::set<std::string> replica_names();
 
+    /// @return the seeds that the settings name; those in force if the set doesn't form itself
+    std::vector<named_address> read_seeds_again(const std::string& text, findings& found) const;
+
+    /// Reads the settings file again and takes the seeds from it. Logs are created at the start only.
+    void reload_settings(settings_reload::cause why);
+
+    /// Reads the settings file again at intervals while no leader is known, since it may name replicas that
+    /// are present.
+    void search_settings(time_point now);
+
     /// Requests links to all members. In a self-forming set, the name of a replica is the address of its
     /// link.
     void link_to_members();
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -209,7 +209,7 @@
             }
             if (number == SIGHUP)
             {
-                log(log_level::info, "reload_ignored", {{"reason", "settings hold from start to stop"}});
+                reload_settings(settings_reload::cause::signal);
                 on_signal();
                 return;
             }
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -15,8 +15,8 @@
     return limits;
 }
 
-control_process::control_process(control_settings settings)
-    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+control_process::control_process(control_settings settings, settings_source source)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), std::move(source)))
 {
 }
 
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -2,6 +2,7 @@
 
 #include "http/http_server.hpp"
 #include "process/settings.hpp"
+#include "process/settings_reload.hpp"
 
 #include <flaxtiller/catalog/change.hpp>
 #include <flaxtiller/catalog/configuration.hpp>
@@ -21,7 +22,8 @@
 class control_process
 {
   public:
-    explicit control_process(control_settings settings);
+    /// @param source where the settings were read, and are read again while no leader is known
+    control_process(control_settings settings, settings_source source);
     ~control_process();
     control_process(const control_process&) = delete;
     control_process& operator=(const control_process&) = delete;
--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -11,6 +11,9 @@
 /// The interval at which an entry logs that its contact with the leader stays lost.
 constexpr duration contact_line_interval = duration::from_ms(5000);
 
+/// The interval at which an entry without contact reads its settings file again.
+constexpr duration settings_interval = duration::from_ms(1000);
+
 /// @return the first few names, separated by commas; limited to keep log lines short
 std::string joined(const std::vector<std::string>& names)
 {
@@ -43,6 +46,31 @@
     const time_point now = clock.now();
     contact.set_replica_reachable(!reachable_control_replicas().empty(), now);
     log_leader_contact(now);
+    if (contact_lost)
+    {
+        search_settings(now);
+    }
+}
+
+void entry_process::implementation::search_settings(time_point now)
+{
+    if (now >= next_settings_reading_at)
+    {
+        next_settings_reading_at = now + settings_interval;
+        reload_settings(settings_reload::cause::lost_contact);
+    }
+}
+
+void entry_process::implementation::reload_settings(settings_reload::cause why)
+{
+    findings found;
+    const std::string text = source.read(found);
+    const settings_reload::outcome result = reloaded.on_read(why, text, found);
+    log_outcome(result);
+    if (result.replicas && control.set_configured(*result.replicas))
+    {
+        on_control_replicas_changed();
+    }
 }
 
 void entry_process::implementation::log_leader_contact(time_point now)
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -61,10 +61,11 @@
     static http_server::limits limits_of(const entry_settings& settings);
     static service_coordinator::options options_of(const entry_settings& settings);
 
-    explicit implementation(entry_settings wanted)
-        : settings(std::move(wanted)), run_id(draw64()), strand(net::make_strand(io)), link_timer(strand),
-          report_timer(strand), follow_check_timer(strand), pools_timer(strand), crash_resend_timer(strand),
-          drain_timer(strand), routing_update_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
+    implementation(entry_settings wanted, settings_source read_from)
+        : settings(std::move(wanted)), source(std::move(read_from)), run_id(draw64()),
+          strand(net::make_strand(io)), link_timer(strand), report_timer(strand), follow_check_timer(strand),
+          pools_timer(strand), crash_resend_timer(strand), drain_timer(strand), routing_update_timer(strand),
+          signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links, settings.links,
@@ -135,6 +136,7 @@
     }
 
     entry_settings settings;
+    settings_source source;
     const std::uint64_t run_id;
     net::io_context io;
     net::strand<net::io_context::executor_type> strand;
@@ -212,6 +214,12 @@
     distribution::leader_contact contact{clock.now()};
     bool contact_lost = false;
     time_point next_contact_line_at{};
+    settings_reload reloaded{source.text, settings.control,
+                             [file = source.file](const std::string& text, findings& found)
+                             {
+                                 return parse_entry_settings(text, file, found).control;
+                             }};
+    time_point next_settings_reading_at{};
     /// The times at which the control replicas last answered a report.
     std::map<std::string, time_point> answered_at;
     bool reports_unanswered = false;
@@ -335,6 +343,12 @@
     /// Logs that contact with the leader is lost, or restored, and at intervals that it stays lost.
     void log_leader_contact(time_point now);
 
+    /// Reads the settings file again and takes the addresses of control replicas from it.
+    void reload_settings(settings_reload::cause why);
+
+    /// Reads the settings file again at intervals, since it may name control replicas that are present.
+    void search_settings(time_point now);
+
     /// @return the known control replicas that are reachable
     std::vector<std::string> reachable_control_replicas() const;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -57,7 +57,11 @@
             }
             if (number == SIGHUP)
             {
-                log(log_level::info, "reload_ignored", {{"reason", "settings hold from start to stop"}});
+                net::post(strand,
+                          [this]
+                          {
+                              reload_settings(settings_reload::cause::signal);
+                          });
                 on_signal();
                 return;
             }
@@ -160,8 +164,8 @@
           });
 }
 
-entry_process::entry_process(entry_settings settings)
-    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+entry_process::entry_process(entry_settings settings, settings_source source)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), std::move(source)))
 {
 }
 
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -2,6 +2,7 @@
 
 #include "http/http_server.hpp"
 #include "process/settings.hpp"
+#include "process/settings_reload.hpp"
 #include "service_runner.hpp"
 
 #include <flaxtiller/core/rcu_cell.hpp>
@@ -20,7 +21,8 @@
 class entry_process
 {
   public:
-    explicit entry_process(entry_settings settings);
+    /// @param source where the settings were read, and are read again while control replicas are searched
+    entry_process(entry_settings settings, settings_source source);
     ~entry_process();
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
--- a/src/entry/known_control_replicas.hpp
+++ b/src/entry/known_control_replicas.hpp
@@ -26,6 +26,14 @@
     {
     }
 
+    /// @brief Sets the replicas that the settings name.
+    /// @return whether the set of known replicas changed
+    bool set_configured(std::vector<named_address> configured)
+    {
+        m_configured = std::move(configured);
+        return update();
+    }
+
     /// @brief Stores the member list that a replica sent; it replaces the previous list of this replica.
     /// @param from name of the sending replica
     /// @param names link addresses of all members in the log of the sending replica
--- a/src/process/settings_reading.cpp
+++ b/src/process/settings_reading.cpp
@@ -41,7 +41,15 @@
         found.error(errc::document_unreadable, path, "can't be opened");
         return {};
     }
-    return {std::istreambuf_iterator<char>(stream), {}};
+    try
+    {
+        return {std::istreambuf_iterator<char>(stream), {}};
+    }
+    catch (const std::ios_base::failure&)
+    {
+        found.error(errc::document_unreadable, path, "can't be read");
+        return {};
+    }
 }
 
 namespace detail
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -262,15 +262,20 @@
                            "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
                            "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 4}}
 
-    def start(self, role, bootstrap=False):
-        if role == "control":
-            os.makedirs(self.folder, exist_ok=True)
+    def settings_file(self, role):
+        return os.path.join(self.platform.folder, "%s-%d.json" % (role, self.number))
+
+    def write_settings(self, role, bootstrap=False):
         with open(os.path.join(ROOT, "platform", role + ".json")) as file:
             text = render(file.read(), self.fields(bootstrap))
-        settings = os.path.join(self.platform.folder, "%s-%d.json" % (role, self.number))
-        with open(settings, "w") as file:
+        with open(self.settings_file(role), "w") as file:
             file.write(text)
-        os.environ["FLAXTILLER_BOOT"] = settings
+
+    def start(self, role, bootstrap=False):
+        if role == "control":
+            os.makedirs(self.folder, exist_ok=True)
+        self.write_settings(role, bootstrap)
+        os.environ["FLAXTILLER_BOOT"] = self.settings_file(role)
         self.processes[role].start()
 
     def running(self, role):
--- a/tests/src/unit-known-control-replicas.cpp
+++ b/tests/src/unit-known-control-replicas.cpp
@@ -73,6 +73,16 @@
         CHECK(known.knows("10.0.0.6:7"));
         CHECK_FALSE(known.discard_lists_except({"10.0.0.5:7"}));
     }
+    SECTION("addresses of settings that were read again replace those of the earlier ones")
+    {
+        known.on_member_list("10.0.0.1:7", {"10.0.0.2:7"});
+        CHECK(known.set_configured({{"10.0.0.9:7", *parse_address("10.0.0.9:7")}}));
+        CHECK(known.knows("10.0.0.9:7"));
+        CHECK(known.knows("10.0.0.2:7"));
+        CHECK_FALSE(known.knows("10.0.0.1:7"));
+        CHECK_FALSE(known.knows("10.0.0.3:7"));
+        CHECK_FALSE(known.set_configured({{"10.0.0.9:7", *parse_address("10.0.0.9:7")}}));
+    }
     SECTION("names that aren't addresses are ignored")
     {
         CHECK_FALSE(known.on_member_list("10.0.0.1:7", {"c1"}));
