An entry without a recent confirmation refuses what its configuration lacks

Callers saw 404 for routes that were added and acknowledged, and would see 401 for added keys, from an entry that had lost contact with the leader: for as long as it had no contact.

Cause: an entry decides by the revision that it has, however long ago a leader confirmed it, also where the answer states that something doesn't exist. Only the present configuration proves that.

404 for a route, 401 for a key, and 404 for a service or shard of POST /query are now given only while a leader's confirmation of the active revision is valid: for the agreed time of changes (apply_ms), but at least 2.5 report intervals of the leader. Else the request is refused at once as not run, with Retry-After (reason `unconfirmed`). The decision is made when the request is decided, by the clock, so that a process that stood still judges its first request by the time that passed. An entry that lags isn't confirmed, since the leader confirms a revision above the active one. What the entry knows is served as before. A key that a revision withdraws from an open request stays unauthorized, as the revision itself states that. An entry that lacks the route of delegated shards still tells that to the entry that delegated them, which has the route and runs them itself.

--- a/include/flaxtiller/query/missing_reason.hpp
+++ b/include/flaxtiller/query/missing_reason.hpp
@@ -30,6 +30,9 @@
     quarantined,
     /// A new revision of the configuration no longer contains the route or the team of the request.
     withdrawn,
+    /// The active configuration doesn't contain the route or key of the request, and no leader has confirmed
+    /// it lately, so that it may be out of date.
+    unconfirmed,
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(missing_reason, {{missing_reason::none, "none"},
@@ -42,6 +45,7 @@
                                               {missing_reason::owner_unreachable, "owner_unreachable"},
                                               {missing_reason::no_allowed_region, "no_allowed_region"},
                                               {missing_reason::quarantined, "quarantined"},
-                                              {missing_reason::withdrawn, "withdrawn"}})
+                                              {missing_reason::withdrawn, "withdrawn"},
+                                              {missing_reason::unconfirmed, "unconfirmed"}})
 
 } // namespace flaxtiller
--- a/include/flaxtiller/routing/caller_admission.hpp
+++ b/include/flaxtiller/routing/caller_admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flaxtiller/routing/absence_rule.hpp>
 #include <flaxtiller/routing/load_options.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/routing/routing_view.hpp>
@@ -68,6 +69,13 @@
     /// for the rate limit coordinator, and whose key was withdrawn, are refused as unauthorized.
     void configure(const routing_view& view);
 
+    /// @brief Sets until when the active configuration counts as the present one. Later, requests with a key
+    /// that it lacks are refused in place of being unauthorized.
+    void set_confirmed_until(time_point until) noexcept
+    {
+        m_absence.set_confirmed_until(until);
+    }
+
     /// @return the admitted requests whose keys the last revisions withdrew; each is returned once
     std::vector<request_number> take_withdrawn();
 
@@ -136,7 +144,7 @@
 
   private:
     void admit(request_number number, routed_request request);
-    void reject(request_number number, routed_end end, const std::string& route,
+    void reject(request_number number, routed_outcome result, const std::string& route,
                 std::optional<rate_limiter::decision> over_limit = std::nullopt);
     void apply(const rate_limiter::decision& limiter_decision, routed_request request,
                const std::string& route, time_point now);
@@ -158,6 +166,7 @@
     };
 
     load_options m_load;
+    absence_rule m_absence;
     retry_schedule m_retry_schedule;
     std::shared_ptr<const route_table> m_routes;
     std::shared_ptr<const team_table> m_teams;
--- a/include/flaxtiller/routing/router.hpp
+++ b/include/flaxtiller/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include <flaxtiller/dispatch/scheduler.hpp>
 #include <flaxtiller/quarantine/crash_ledger.hpp>
+#include <flaxtiller/routing/absence_rule.hpp>
 #include <flaxtiller/routing/completion_margin.hpp>
 #include <flaxtiller/routing/group_choice.hpp>
 #include <flaxtiller/routing/open_request_limit.hpp>
@@ -56,6 +57,13 @@
     /// @brief A caller closed its connection: the request's attempts are cancelled, and no answer is sent.
     void caller_gone(request_number number, time_point now);
 
+    /// @brief Sets until when the active configuration counts as the present one. Later, requests of callers
+    /// for which it has no route are refused.
+    void set_confirmed_until(time_point until) noexcept
+    {
+        m_absence.set_confirmed_until(until);
+    }
+
     /// @brief The key of a caller's request was withdrawn. The request is answered as unauthorized unless an
     /// attempt was started or a part was delegated.
     /// @return whether the request was answered
@@ -456,6 +464,7 @@
     void publish_crash_changes(time_point now);
 
     router_options m_options;
+    absence_rule m_absence;
     routing_view m_view;
     target_choice m_targets;
     group_choice m_groups;
--- a/src/entry/entry_callers.cpp
+++ b/src/entry/entry_callers.cpp
@@ -3,6 +3,8 @@
 #include "http/http_status.hpp"
 #include "http/json_reply.hpp"
 
+#include <flaxtiller/routing/absence_rule.hpp>
+
 #include <boost/asio/post.hpp>
 
 #include <mutex>
@@ -43,6 +45,12 @@
     return answer.outcome == outcome::not_run ? http_unavailable : http_gateway_timeout;
 }
 
+/// @return whether the answer states that something isn't in the configuration
+bool states_absence(const query_answer& answer)
+{
+    return answer.refusal == errc::unknown_service || answer.refusal == errc::unknown_shard;
+}
+
 } // namespace
 
 void entry_process::implementation::on_caller(const http_request& request, http_server::respond respond)
@@ -124,6 +132,15 @@
 
 void entry_process::implementation::answer(const query_answer& result, const http_server::respond& respond)
 {
+    if (states_absence(result) && !is_confirmed())
+    {
+        counted.add(metrics::counter::refused_unconfirmed);
+        query_answer refused = result;
+        refused.refusal = errc::not_ready;
+        refused.retry_after = absence_rule::retry_after;
+        answer(refused, respond);
+        return;
+    }
     count(result);
     nlohmann::json body = result;
     const time_point confirmed(duration::from_us(confirmed_at_us.load(std::memory_order_relaxed)));
@@ -233,6 +250,8 @@
     if (age)
     {
         j["configuration_age_ms"] = age->ms();
+        j["configuration_is_confirmed"] = is_confirmed();
+        j["confirmation_valid_ms"] = validity.time(leader_report_interval).ms();
     }
     return j;
 }
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -102,9 +102,11 @@
     const bool first = !serves();
     const time_point confirmed_at = clock.now() - *age;
     confirmed_at_us.store(confirmed_at.since_start().us(), std::memory_order_release);
+    const time_point until = confirmed_at + validity.time(leader_report_interval);
+    confirmed_until_us.store(until.since_start().us(), std::memory_order_relaxed);
     if (routed)
     {
-        routed->set_confirmed_at(confirmed_at);
+        routed->set_confirmed(confirmed_at, until);
     }
     if (first)
     {
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -14,6 +14,7 @@
 #include "service_runner.hpp"
 
 #include <flaxtiller/core/rcu_cell.hpp>
+#include <flaxtiller/distribution/confirmation_validity.hpp>
 #include <flaxtiller/distribution/control_replica_selector.hpp>
 #include <flaxtiller/distribution/leader_contact.hpp>
 #include <flaxtiller/distribution/subscriber.hpp>
@@ -160,6 +161,9 @@
     std::set<std::string> witnesses;
     /// When a leader last confirmed the active revision, in microseconds of the monotonic clock; 0 for never.
     std::atomic<std::int64_t> confirmed_at_us{0};
+    /// Until when this proves what the configuration lacks, likewise.
+    std::atomic<std::int64_t> confirmed_until_us{0};
+    const distribution::confirmation_validity validity{settings.bounds};
     std::atomic<bool> draining{false};
     time_point drain_deadline{};
     /// When all requests still in flight are given their final answers.
@@ -347,6 +351,13 @@
         return confirmed_at_us.load(std::memory_order_relaxed) != 0;
     }
 
+    /// @return whether a leader's confirmation proves that what the configuration lacks doesn't exist
+    bool is_confirmed() const
+    {
+        const time_point until(duration::from_us(confirmed_until_us.load(std::memory_order_relaxed)));
+        return clock.now() < until;
+    }
+
     // ------------------------------------------------------------------ instance list of the platform
 
     void poll_platform();
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -86,9 +86,18 @@
     m_open = true;
 }
 
-void routing_frontend::set_confirmed_at(time_point at) noexcept
+void routing_frontend::set_confirmed(time_point at, time_point until) noexcept
 {
     m_confirmed_at_us.store(at.since_start().us(), std::memory_order_relaxed);
+    m_confirmed_until_us.store(until.since_start().us(), std::memory_order_relaxed);
+}
+
+time_point routing_frontend::check_confirmation()
+{
+    const time_point until(duration::from_us(m_confirmed_until_us.load(std::memory_order_relaxed)));
+    m_admission.set_confirmed_until(until);
+    m_router.set_confirmed_until(until);
+    return m_clock.now();
 }
 
 void routing_frontend::close_after_reply()
@@ -277,7 +286,7 @@
 void routing_frontend::arrive_from_caller(request_number number, routed_request request,
                                           const std::string& key, caller from)
 {
-    const time_point now = m_clock.now();
+    const time_point now = check_confirmation();
     from.arrived = now;
     m_callers.emplace(number, std::move(from));
     m_admission.arrive(number, std::move(request), key, now);
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -92,8 +92,9 @@
     /// @brief Starts to accept requests. Before this call, all requests are refused as not run.
     void open();
 
-    /// @brief Sets when a leader confirmed the active configuration. Thread-safe.
-    void set_confirmed_at(time_point at) noexcept;
+    /// @brief Sets when a leader confirmed the active configuration, and until when this is valid.
+    /// Thread-safe.
+    void set_confirmed(time_point at, time_point until) noexcept;
 
     /// @brief Closes each connection of a caller after its next reply. Requests are still accepted.
     void close_after_reply();
@@ -148,6 +149,10 @@
     void arrive(request_number number, std::shared_ptr<const routed_request> request, caller from);
     void arrive_from_caller(request_number number, routed_request request, const std::string& key,
                             caller from);
+    /// Passes the validity of the last confirmation to the decisions.
+    /// @return the present time, read after that validity, so that a process that stands still in between
+    ///         doesn't count as confirmed
+    time_point check_confirmation();
     void execute(const admit_request& action);
     void execute(const reject_request& action);
     void execute(const send_limit_report& action);
@@ -190,6 +195,8 @@
     std::atomic<bool> m_open{false};
     /// When a leader last confirmed the active configuration, in microseconds of the monotonic clock.
     std::atomic<std::int64_t> m_confirmed_at_us{0};
+    /// Until when this proves what the configuration lacks, likewise.
+    std::atomic<std::int64_t> m_confirmed_until_us{0};
     std::atomic<request_number> m_next_request{1};
     // The members below are used on the strand only.
     caller_admission m_admission;
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -177,7 +177,9 @@
     if (from != m_callers.end())
     {
         from->second.team = action.admitted->team.str();
-        m_router.arrive(action.request, action.admitted, m_clock.now());
+        // The request may have waited for the rate limit coordinator.
+        const time_point now = check_confirmation();
+        m_router.arrive(action.request, action.admitted, now);
     }
 }
 
@@ -322,6 +324,10 @@
         m_metrics.add(counter_of(outcome.admission->decided));
         log_admission_refused(from, outcome);
     }
+    if (outcome.reason == missing_reason::unconfirmed)
+    {
+        m_metrics.add(metrics::counter::refused_unconfirmed);
+    }
     log_answer(from, outcome, elapsed);
     from.respond(outcome);
 }
@@ -407,20 +413,25 @@
     log_unknown(from, outcome);
 }
 
-/// A caller is told that something doesn't exist on the strength of what a leader confirmed this long ago.
+/// The configuration lacks the route or key. A leader confirmed it this long ago, by which the caller is told
+/// that the target doesn't exist, or is refused.
 void routing_frontend::log_unknown(const caller& from, const routed_outcome& outcome) const
 {
-    const bool is_unknown = outcome.end == routed_end::no_route || outcome.end == routed_end::unauthorized;
+    const bool is_unknown = outcome.end == routed_end::no_route || outcome.end == routed_end::unauthorized ||
+                            outcome.reason == missing_reason::unconfirmed;
     if (!is_unknown || !from.delegated_by.empty())
     {
         return;
     }
-    const time_point confirmed(duration::from_us(m_confirmed_at_us.load(std::memory_order_relaxed)));
+    const duration at = duration::from_us(m_confirmed_at_us.load(std::memory_order_relaxed));
+    const duration until = duration::from_us(m_confirmed_until_us.load(std::memory_order_relaxed));
     log(log_level::info, "target_unknown",
         {{"request", from.id},
          {"end", name_of(outcome.end)},
+         {"reason", nlohmann::json(outcome.reason).get<std::string>()},
          {"revision", outcome.revision},
-         {"confirmed_ms_ago", (m_clock.now() - confirmed).ms()}});
+         {"confirmed_ms_ago", (m_clock.now() - time_point(at)).ms()},
+         {"valid_ms", (until - at).ms()}});
 }
 
 void routing_frontend::schedule_timer()
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -41,6 +41,8 @@
         refused_past_deadline,
         refused_past_objective,
         refused_too_many_open,
+        /// Requests refused since the configuration lacks their target, and isn't confirmed.
+        refused_unconfirmed,
         /// Requests that became suspect of crashing backend servers, and those that were found to.
         requests_suspected,
         requests_quarantined,
--- a/src/routing/caller_admission.cpp
+++ b/src/routing/caller_admission.cpp
@@ -48,7 +48,8 @@
             continue;
         }
         m_limiter.cancel_request(number);
-        reject(number, routed_end::unauthorized, held->second.route);
+        // The active revision itself states that the key was withdrawn, whoever confirmed it.
+        reject(number, absence_rule::outcome_of(routed_end::unauthorized), held->second.route);
         m_held.erase(held);
     }
 }
@@ -67,11 +68,9 @@
     m_actions.emplace_back(admit_request{number, std::make_shared<const routed_request>(std::move(request))});
 }
 
-void caller_admission::reject(request_number number, routed_end end, const std::string& route,
+void caller_admission::reject(request_number number, routed_outcome result, const std::string& route,
                               std::optional<rate_limiter::decision> over_limit)
 {
-    routed_outcome result;
-    result.end = end;
     result.route = route;
     result.revision = m_revision;
     if (over_limit)
@@ -97,7 +96,7 @@
     const authentication caller = m_teams->authenticate(by.get(), key);
     if (!caller.is_authorized)
     {
-        reject(number, routed_end::unauthorized, route);
+        reject(number, m_absence.outcome(routed_end::unauthorized, now), route);
         return;
     }
     if (caller.by == nullptr)
@@ -131,7 +130,8 @@
     }
     rate_limiter::decision refused = limiter_decision;
     refused.retry_after = retry_after_of(refused, now);
-    reject(limiter_decision.request, routed_end::over_limit, route, std::move(refused));
+    reject(limiter_decision.request, absence_rule::outcome_of(routed_end::over_limit), route,
+           std::move(refused));
 }
 
 duration caller_admission::retry_after_of(const rate_limiter::decision& refused, time_point now)
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -192,8 +192,9 @@
     const auto matched_route = found ? route_for(request->team, found) : nullptr;
     if (!matched_route)
     {
-        routed_outcome result;
-        result.end = routed_end::no_route;
+        // Between entries, the delegating one has the route and runs the shards itself.
+        routed_outcome result = request->is_delegated() ? absence_rule::outcome_of(routed_end::no_route)
+                                                        : m_absence.outcome(routed_end::no_route, now);
         result.revision = m_view.placed->revision;
         m_actions.emplace_back(answer_request{number, std::move(result)});
         return;
--- a/tests/src/router_driver.hpp
+++ b/tests/src/router_driver.hpp
@@ -88,6 +88,11 @@
         process_actions();
     }
 
+    void set_confirmed_until(time_point until)
+    {
+        m_router.set_confirmed_until(until);
+    }
+
     request_number submit(const std::string& target, double patience_ms = 1000.0)
     {
         auto request = std::make_shared<routed_request>();
