A test that a confirmation of a later revision doesn't renew that of the active one

An instance that lags must count as unconfirmed once the validity of its last confirmation is over. The behaviour is as before; only the test is new.

--- a/tests/src/unit-distribution.cpp
+++ b/tests/src/unit-distribution.cpp
@@ -142,6 +142,16 @@
         CHECK(receiver.age(now + duration::from_ms(40)) == duration::from_ms(40));
     }
 
+    // Guards against an instance that lags, and counts as confirmed by what the leader says of later
+    // revisions.
+    SECTION("the confirmation of a later revision does not renew that of the active one")
+    {
+        receiver.on_confirmation({1}, now);
+        REQUIRE(receiver.age(now) == duration{});
+        receiver.on_confirmation({2}, now + duration::from_ms(40));
+        CHECK(receiver.age(now + duration::from_ms(40)) == duration::from_ms(40));
+    }
+
     SECTION("the confirmation of revision 0 does not confirm an instance")
     {
         subscriber fresh;
