Process tests count the members of a leader once its log is committed

Seen: a test that replaces control replicas one after the other gave up now and then with "machine 7 votes"; in a loop of it 4 of 29 replacements hung. Cause: the test's own. Platform.voters read the member list of the leader, which holds a change from the moment it is appended. The test then ended this very leader, within milliseconds, and the removal of the replica that was gone was on no other disk: two of four voters were gone at once, which three replicas need not outlast. Evidence: the kept dumps of all four hangs have one log without a leader, at the two remaining replicas with four voters, two of them gone; `leaderless voters=4 majority=3`, granted by two. Ruled out: a removal that the planner delays, a new replica that isn't found (the other log has the three right voters in each). The stand-in can also end single roles, leave out voters of absent machines, and give seeds.

--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -22,6 +22,8 @@
 # The loopback addresses of the machines; runs side by side need one each.
 NETWORK = os.environ.get("FLAXTILLER_NETWORK", "127.0.1")
 SLOW_S = 0.4
+# A machine that may stand still is asked for its state no longer than this.
+DUMP_TIMEOUT_S = 0.5
 
 
 def render(template, fields):
@@ -246,6 +248,8 @@
         self.ip = NETWORK + ".%d" % number
         self.front, self.readiness, self.control = (self.ip + ":%d" % port for port in (8104, 8108, 8106))
         self.folder = os.path.join(platform.folder, "disk-%d" % number)
+        # The seeds in its settings, unless they are those of the moment.
+        self.seeds = None
         self.processes = {}
         for role in ("entry", "control") if core else ("entry",):
             self.processes[role] = Process(role, [FLAXTILLER, "platform", role],
@@ -255,7 +259,7 @@
         return {"nodeName": "machine-%d" % self.number, "ip": self.ip, "zone": self.zone,
                 "region": self.platform.zones[self.zone], "zones": self.platform.zones,
                 "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
-                "internalPortRange": [7380, 7395], "seeds": self.platform.seeds, "bootstrap": bootstrap,
+                "internalPortRange": [7380, 7395], "seeds": self.seeds or self.platform.seeds, "bootstrap": bootstrap,
                 "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
                 "faultTolerance": {"machines": (self.platform.core_size - 1) // 2, "zones": 0, "regions": 0},
                 "bounds": {"contactMs": 4000, "configApplyMs": 3000, "drainMs": 3000, "ackMs": 5000, "graceS": 6,
@@ -280,9 +284,9 @@
     def wipe(self):
         shutil.rmtree(self.folder)
 
-    def dump(self, role):
+    def dump(self, role, timeout=3.0):
         port = {"entry": 7384, "control": 7385}[role]
-        status, _, body = call(self.ip + ":%d" % port, "GET", "/dump")
+        status, _, body = call(self.ip + ":%d" % port, "GET", "/dump", timeout=timeout)
         return json.loads(body) if status == 200 else {}
 
     def is_ready(self):
@@ -333,27 +337,29 @@
                 if wanted and not machine.running(role):
                     machine.start(role, bootstrap)
 
-    def replace(self, machine):
+    def replace(self, machine, roles=("entry", "control"), absent=(), seeds=None):
         """Takes a core machine away for good, adds an empty one at another address, and waits until the new one votes in its
-        place."""
-        for process in machine.processes.values():
-            process.kill()
+        place. Only the given roles end, if fewer than all are given. The leaders have no voters on the machines that are
+        absent. The new one knows the seeds, if given, in place of the first two machines."""
+        for role in roles:
+            machine.processes[role].kill()
         added = Machine(self, len(self.machines) + 1, True, zone=machine.zone)
         self.machines.append(added)
-        self.seeds = [core.control for core in self.core() if core is not added][:2] + [added.control]
+        self.seeds = (seeds or [core.control for core in self.core() if core is not added][:2]) + [added.control]
         for role in added.processes:
             added.start(role)
-        names = sorted(core.ip + ":7395" for core in self.core())
+        names = sorted(core.ip + ":7395" for core in self.core() if core not in absent)
         eventually("machine %d votes" % added.number, lambda: self.voters() == [names] * 2)
         return added
 
     def voters(self):
-        """The voters of both logs, by the leader of each."""
+        """The voters of both logs, by the leader of each. A leader with an uncommitted entry isn't counted: if it is lost, so may
+        be its last change of the members."""
         found = []
         for log in ("catalog", "register"):
             for machine in self.core():
-                state = machine.dump("control").get(log, {})
-                if state.get("role") == "leader":
+                state = machine.dump("control", DUMP_TIMEOUT_S).get(log, {})
+                if state.get("role") == "leader" and state["commit"] == state["last_index"]:
                     found.append(sorted(member["name"] for member in state["members"] if member["voter"]))
                     break
         return found
