A new control replica links to all members that its seeds name

Seen: a new replica, in the place of one that was lost for good, never voted, and said `leaderless voters=0` for good; the set stayed without its successor. Cause: it links to its seeds only, which are three replicas at most, and the leader adds those that it has a link to. With five or six replicas the leader is often none of the three. The seeds send their member list with each link, which a control replica ignored. Evidence: the log of such a replica has links to its two seeds only, and the leader's log doesn't name it. Now a replica that is in no log dials all members that its seeds name, for as long as it is in none; lists of others than its seeds don't count.

--- a/src/control/control_discovery.cpp
+++ b/src/control/control_discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <flaxtiller/distribution/member_list_proof.hpp>
 
+#include <algorithm>
+
 namespace flaxtiller::shell
 {
 
@@ -18,9 +20,34 @@
 {
     std::set<std::string> names = replica_names();
     names.insert(named_by_entries.begin(), named_by_entries.end());
+    if (is_without_members())
+    {
+        names.insert(named_by_seeds.begin(), named_by_seeds.end());
+    }
     return names;
 }
 
+bool control_process::implementation::is_without_members()
+{
+    const quorum::replica* node = catalog.node();
+    return node != nullptr && node->members().members.empty();
+}
+
+void control_process::implementation::on_control_members(const hello& from, const control_members& list)
+{
+    const bool is_seed =
+        from.role == "control" && std::any_of(settings.replicas.begin(), settings.replicas.end(),
+                                              [&](const named_address& seed)
+                                              {
+                                                  return seed.name == from.name;
+                                              });
+    if (is_seed && is_self_forming() && is_without_members())
+    {
+        named_by_seeds.insert(list.names.begin(), list.names.end());
+        link_to_members();
+    }
+}
+
 void control_process::implementation::search_replicas(time_point now)
 {
     const bool has_leader = catalog_leaderless.since() == time_point::never();
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -167,6 +167,8 @@
     /// they named.
     distribution::replica_discovery discovery{draw64()};
     std::set<std::string> named_by_entries;
+    /// The replicas that the seeds named to this one, for as long as it is in no log.
+    std::set<std::string> named_by_seeds;
     suspension_watch suspensions;
     bool pump_posted = false;
     /// Whether the replica of the catalog granted no votes yet, at the last check, since a lease that it
@@ -192,13 +194,19 @@
 
     std::set<std::string> replica_names();
 
-    /// @return the replicas that this one links to: the members, and those that entries named
+    /// @return the replicas that this one links to: the members, and those that entries or seeds named
     std::set<std::string> contact_names();
 
     /// Asks entries for the control replicas while no leader is known: all members that this replica knows
     /// may have been replaced.
     void search_replicas(time_point now);
 
+    /// @return whether the catalog log of this replica is empty: it is new, or lost its disk
+    bool is_without_members();
+
+    /// Links a new replica to the members that its seeds name. The leader, which adds it, may be no seed.
+    void on_control_members(const hello& from, const control_members& list);
+
     void on_control_members_reply(const hello& from, const control_members_reply& reply);
 
     /// Requests links to all members. In a self-forming set, the name of a replica is the address of its
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -91,6 +91,10 @@
     {
         crash_records.on_crash_update(from.name, *crash_update, from.role == "control", now);
     }
+    else if (const auto* members = std::get_if<control_members>(&message))
+    {
+        on_control_members(from, *members);
+    }
     else if (const auto* named = std::get_if<control_members_reply>(&message))
     {
         on_control_members_reply(from, *named);
--- a/tests/faults/test_replaced_core.py
+++ b/tests/faults/test_replaced_core.py
@@ -18,6 +18,8 @@
 # After this time the links to a process that stands still are closed, so that messages that wait in their buffers tell it
 # nothing of later replicas.
 LINKS_CLOSED_S = 13.0
+# Two of five control replicas may be lost at once.
+LARGE_CORE = 5
 
 
 def with_routes(version):
@@ -29,8 +31,8 @@
 
 
 class ReplacedCoreTest(unittest.TestCase):
-    def start(self, entries=ENTRIES):
-        self.platform = Platform(entries=entries, zones=3, core=CORE)
+    def start(self, entries=ENTRIES, core=CORE):
+        self.platform = Platform(entries=entries, zones=3, core=core)
         self.platform.__enter__()
         self.addCleanup(self.platform.__exit__)
         self.platform.add_backend("s0")
@@ -81,6 +83,17 @@
         absent.processes["entry"].thaw()
         self.check_changes(absent, time.monotonic())
 
+    def leading(self, machine):
+        dump = machine.dump("control")
+        return any(dump[log]["role"] == "leader" for log in ("catalog", "register"))
+
+    # Guards against a new replica that waits for the leader among its seeds only.
+    def test_a_new_replica_whose_seeds_do_not_lead_votes(self):
+        self.start(entries=LARGE_CORE, core=LARGE_CORE)
+        eventually("all vote", lambda: [len(log) for log in self.platform.voters()] == [LARGE_CORE] * 2)
+        lost, *seeds = [machine for machine in self.platform.core() if not self.leading(machine)]
+        self.platform.replace(lost, seeds=[seed.control for seed in seeds[:2]])
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
