Platform tests: the voters are expected at the addresses of FLAXTILLER_NETWORK

`test_core_mends_itself` gave up waiting for three voters wherever FLAXTILLER_NETWORK isn't the usual one, as it expected fixed addresses. With the usual network the expectation is the same as before.

--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import eventually
-from platform_stand_in import Backend, Platform, call, configuration
+from platform_stand_in import NETWORK, Backend, Platform, call, configuration
 
 # Within this all instances that reach one another know what is in force.
 CONTACT_S = 2.0
@@ -500,7 +500,7 @@
     def test_core_mends_itself(self):
         with Platform() as platform:
             self.serve(platform)
-            ips = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
+            ips = [NETWORK + ".%d" % number for number in (1, 2, 3)]
             eventually("three voters", lambda: self.voters(platform) == [ips, ips])
             # A disk is lost: the machine comes back at its address as a newcomer and becomes a voter again.
             third = platform.machines[2]
@@ -516,7 +516,7 @@
             newcomer = type(third)(platform, 9, True)
             platform.machines.append(newcomer)
             newcomer.start("control")
-            mended = ["127.0.1.1", "127.0.1.3", "127.0.1.9"]
+            mended = [NETWORK + ".%d" % number for number in (1, 3, 9)]
             eventually("the newcomer votes, the lost one left",
                        lambda: self.voters(platform) == [mended, mended])
             self.assertEqual(platform.put(configuration(10)), 200)
