A control replica that reaches nobody confirms no heartbeat of a backend server

Backend servers saw: 200 to each heartbeat, while no entry knew them: they send heartbeats to the first replica that confirms them. Callers saw requests refused, as their entries had no backend server. Cause: a replica confirms a heartbeat by its own registry alone. One that was out of contact while all other replicas were replaced reaches neither another replica nor an entry, and knew nobody to pass it on to.

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -253,6 +253,21 @@
     was_authoritative = authoritative;
 }
 
+void control_process::implementation::track_contact(time_point now)
+{
+    const quorum::replica* node = catalog.node();
+    const std::size_t members = node == nullptr ? 0 : node->members().members.size();
+    const std::size_t replicas = members > 0 ? members : settings.replicas.size();
+    heartbeats.set_contact(replicas, reachable_names.size(), now);
+    const bool refuses = !heartbeats.accepts(now);
+    if (refuses != refuses_heartbeats)
+    {
+        refuses_heartbeats = refuses;
+        log(refuses ? log_level::warning : log_level::info,
+            refuses ? "heartbeats_refused" : "heartbeats_accepted", {{"replicas", replicas}});
+    }
+}
+
 void control_process::implementation::send_notices(const std::vector<std::string>& receivers)
 {
     if (const quorum::replica* node = catalog.node())
@@ -268,6 +283,15 @@
 void control_process::implementation::on_reachable(const std::string& name, bool up)
 {
     sent_entry_lists.erase(name);
+    if (up)
+    {
+        reachable_names.insert(name);
+    }
+    else
+    {
+        reachable_names.erase(name);
+    }
+    track_contact(clock.now());
     if (!up)
     {
         publisher.on_link_lost(instance_name(name));
@@ -313,6 +337,7 @@
     {
         next_link_tick_at = now + link_tick_interval;
         links.tick();
+        track_contact(now);
     }
     catalog.tick(now);
     registers.tick(now);
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -20,6 +20,7 @@
 #include <flaxtiller/quorum/posix_file_system.hpp>
 #include <flaxtiller/quorum/replicated_state_machine.hpp>
 #include <flaxtiller/register/register_state.hpp>
+#include <flaxtiller/registration/heartbeat_admission.hpp>
 #include <flaxtiller/teams/rate_limit_coordinator.hpp>
 
 #include <utility>
@@ -177,6 +178,11 @@
     bool was_leader = false;
     time_point leader_since{};
     const time_point started_at = clock.now();
+    /// The reachable replicas and entries. Copying the names from the links at each tick would cost the more,
+    /// the more entries there are.
+    std::set<std::string> reachable_names;
+    heartbeat_admission heartbeats;
+    bool refuses_heartbeats = false;
     bool was_authoritative = false;
     /// The revision that was last confirmed to all entries.
     std::int64_t confirmed_revision = 0;
@@ -269,6 +275,9 @@
 
     distribution::revision_confirmation confirmation(time_point now);
 
+    /// Decides whether heartbeats of backend servers are confirmed, and logs when that changes.
+    void track_contact(time_point now);
+
     /// Announces the incarnations of both logs of this replica.
     void send_notices(const std::vector<std::string>& receivers);
 
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -131,9 +131,16 @@
     return m_implementation->knows_zone(zone);
 }
 
-void control_process::heartbeat(const registration& report)
+bool control_process::heartbeat(const registration& report)
 {
-    m_implementation->registrations.on_heartbeat(report, m_implementation->clock.now());
+    implementation& self = *m_implementation;
+    const time_point now = self.clock.now();
+    if (!self.heartbeats.accepts(now))
+    {
+        return false;
+    }
+    self.registrations.on_heartbeat(report, now);
+    return true;
 }
 
 void control_process::deregister(const backend_server_name& id, std::int64_t born_ms,
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -64,7 +64,9 @@
     bool knows_zone(const std::string& zone) const;
 
     /// @brief Handles the heartbeat of a backend server.
-    void heartbeat(const registration& report);
+    /// @return whether the heartbeat is confirmed; else the backend server must send it to another replica,
+    /// since this one can pass it on to nobody
+    [[nodiscard]] bool heartbeat(const registration& report);
 
     /// @brief Handles the deregistration of a backend server.
     /// @param born_ms the start time of the run that ends; 0 for the known run
--- a/tests/faults/test_replaced_core.py
+++ b/tests/faults/test_replaced_core.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import eventually
-from platform_stand_in import Platform, configuration
+from platform_stand_in import Platform, call, configuration
 
 CORE, ENTRIES = 3, 5
 # What the users state: an instance is in touch this long after it is back, and a change in force this long after its
@@ -94,6 +94,28 @@
         lost, *seeds = [machine for machine in self.platform.core() if not self.leading(machine)]
         self.platform.replace(lost, seeds=[seed.control for seed in seeds[:2]])
 
+    def heartbeat_at(self, machine, sequence):
+        """Sends the heartbeat of a backend server to this control replica only; returns the status."""
+        body = {"service": "s0", "address": self.platform.backends[0].address, "zone": "zone-1", "version": "v1",
+                "capacity": 4, "state": "ready", "warmupRemainingMs": 0, "sequence": sequence, "born": 1}
+        return call(machine.control, "POST", "/api/instances/i-alone/heartbeat", body, timeout=1.0)[0]
+
+    # Guards against heartbeats that are confirmed by a replica that can pass them on to nobody.
+    def test_a_replica_that_reaches_neither_replicas_nor_entries_refuses_heartbeats(self):
+        self.start()
+        alone = self.platform.machines[0]
+        others = [process for machine in self.platform.machines for process in machine.processes.values()
+                  if process is not alone.processes["control"]]
+        self.assertEqual(self.heartbeat_at(alone, 1), 200)
+        for process in others:
+            process.freeze()
+        time.sleep(CONTACT_S)
+        alone_statuses = {self.heartbeat_at(alone, sequence) for sequence in (2, 3, 4)}
+        for process in others:
+            process.thaw()
+        self.assertEqual(alone_statuses, {503})
+        eventually("it confirms heartbeats", lambda: self.heartbeat_at(alone, 5) == 200, patience=CONTACT_S)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
