The first change of a deployment generates its secret

Callers of a deployment without teams saw nothing of it, but its processes had nothing in common that another deployment doesn't have: the secret was generated only by a change that declares teams. Now each document or patch that states none, or an empty one as a read-back of a deployment without a secret does, brings one; the first committed one stays. Evacuations and roll-backs have no place for it that older builds accept alike, and stay as they are.

--- a/include/flaxtiller/catalog/change.hpp
+++ b/include/flaxtiller/catalog/change.hpp
@@ -68,8 +68,8 @@
     bool operator==(const change_result&) const = default;
 };
 
-/// @brief Adds a secret for the digests of the teams' keys to a document that declares teams and contains no
-/// secret. The first committed secret remains in force; see configuration::key_secret.
+/// @brief Adds a secret to a complete document or a patch that contains none. Other kinds of changes state no
+/// items and stay as they are. The first committed secret remains in force; see configuration::key_secret.
 void add_key_secret(change& wanted);
 
 /// @return the change that evacuates an availability zone, or that ends its evacuation
--- a/include/flaxtiller/catalog/configuration.hpp
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -27,8 +27,9 @@
     shared_map<instance_name, instance> instances;
     shared_map<std::string, route> routes;
     shared_map<team_name, team> teams;
-    /// The secret for the digests of the callers' keys. It is generated once and never changes; see @ref
-    /// key_digest.
+    /// The secret for the digests of the callers' keys, see @ref key_digest, by which the processes of a
+    /// deployment recognise each other. It is generated with the first change and
+    /// never changes.
     std::string key_secret;
     request_limits limits;
     /// The availability zones whose backend servers receive no new work. Only changes of the kind
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -20,16 +20,23 @@
 
 void add_key_secret(change& wanted)
 {
-    nlohmann::json* items = &wanted.body;
-    if (wanted.kind == change_kind::patch)
+    if (!wanted.body.is_object() ||
+        (wanted.kind != change_kind::replace && wanted.kind != change_kind::patch))
     {
-        const auto upsert = wanted.body.find("upsert");
-        items = upsert == wanted.body.end() ? nullptr : &*upsert;
+        return;
     }
-    const bool declares = items != nullptr && items->is_object() && items->contains(detail::teams_key);
-    if (declares && !items->contains(detail::key_secret_key))
+    nlohmann::json& items = wanted.kind == change_kind::patch
+                                ? *wanted.body.emplace("upsert", nlohmann::json::object()).first
+                                : wanted.body;
+    if (!items.is_object())
     {
-        (*items)[detail::key_secret_key] = generate_key_secret();
+        return;
+    }
+    // A document that was read from a deployment without a secret contains an empty one.
+    const auto stated = items.find(detail::key_secret_key);
+    if (stated == items.end() || *stated == "")
+    {
+        items[detail::key_secret_key] = generate_key_secret();
     }
 }
 
--- a/tests/src/unit-teams.cpp
+++ b/tests/src/unit-teams.cpp
@@ -90,6 +90,90 @@
     }
 }
 
+// Guards against a deployment that has no secret until it declares teams, by which its processes could
+// recognise each other.
+TEST_CASE("the first change that states items generates the secret", "[teams]")
+{
+    catalog_state state;
+    const auto apply = [&](change_kind kind, json body, const std::string& id)
+    {
+        change wanted;
+        wanted.id = change_id(id);
+        wanted.kind = kind;
+        wanted.base_revision = state.revision();
+        wanted.body = std::move(body);
+        add_key_secret(wanted);
+        return state.apply(wanted);
+    };
+    SECTION("a document without teams")
+    {
+        REQUIRE(apply(change_kind::replace, json::object(), "a").revision == 1);
+        CHECK_FALSE(state.current().key_secret.empty());
+        const std::string secret = state.current().key_secret;
+        // A repetition gets the first result although it brings another secret.
+        CHECK(apply(change_kind::replace, json::object(), "a").revision == 1);
+        CHECK(state.revision() == 1);
+        // A change that was proposed before the first one was committed brings another secret, too.
+        CHECK(apply(change_kind::replace, json::object(), "b").revision == 2);
+        CHECK(state.current().key_secret == secret);
+    }
+    SECTION("a document that was read from a deployment without a secret")
+    {
+        REQUIRE(apply(change_kind::replace, json(configuration()), "a").revision == 1);
+        CHECK_FALSE(state.current().key_secret.empty());
+    }
+    SECTION("a patch, with and without items")
+    {
+        const json patch = GENERATE(json::object(), json{{"remove", json::object()}},
+                                    json{{"upsert", {{"services", json::array()}}}});
+        REQUIRE(apply(change_kind::patch, patch, "a").revision == 1);
+        CHECK_FALSE(state.current().key_secret.empty());
+    }
+    SECTION("a numbered document that is repeated has no effect")
+    {
+        change first;
+        first.id = change_id("v3");
+        first.version = 3;
+        first.body = json::object();
+        change repeated = first;
+        add_key_secret(first);
+        add_key_secret(repeated);
+        REQUIRE(state.apply(first).status == change_status::accepted);
+        const std::string secret = state.current().key_secret;
+        CHECK(state.apply(repeated).status == change_status::superseded);
+        CHECK(state.revision() == 1);
+        CHECK(state.current().key_secret == secret);
+        CHECK(platform::write_configuration(state.current()).dump().find(secret) == std::string::npos);
+    }
+    SECTION("a deployment without a secret gets one with its next change, and entries follow by a patch")
+    {
+        change without;
+        without.id = change_id("old");
+        without.body = json::object();
+        REQUIRE(state.apply(without).revision == 1);
+        const configuration before = state.current();
+        REQUIRE(before.key_secret.empty());
+        REQUIRE(apply(change_kind::replace, json::object(), "a").revision == 2);
+        const json patch = diff(before, state.current());
+        findings found;
+        const configuration patched = apply_patch(before, patch, found);
+        CHECK(patched == state.current());
+        CHECK_FALSE(patched.key_secret.empty());
+        CHECK(digest_after(before, before.digest(), patched, patch) == state.current().digest());
+    }
+    SECTION("a malformed change stays malformed, and an evacuation states nothing else")
+    {
+        CHECK(apply(change_kind::replace, json("text"), "a").status == change_status::invalid);
+        CHECK(apply(change_kind::patch, json("text"), "b").status == change_status::invalid);
+        CHECK(apply(change_kind::patch, {{"upsert", 3}}, "c").status == change_status::invalid);
+        CHECK(apply(change_kind::replace, {{"key_secret", 3}}, "d").status == change_status::invalid);
+        change order = evacuation_order(change_id("e"), "z", true);
+        add_key_secret(order);
+        CHECK(state.apply(order).status == change_status::accepted);
+        CHECK(state.current().key_secret.empty());
+    }
+}
+
 TEST_CASE("a key of two teams is refused with both team names but without the key", "[teams]")
 {
     catalog_state state;
