Processes of another deployment are refused

The addresses of control replicas that are gone go on being dialled, and a machine of another deployment may take one over. Nothing told an entry or control replica whose process answered: it took revisions, confirmations, member lists and registrations from it.

A handshake now names the deployment, a digest of the configuration's secret, empty until it is known, and is sent again when it is. A link between two known ones that differ is closed, when its handshake arrives or when the own one becomes known, and nothing it carries is passed on; its address is dialled again after 5 s. One deployment_refused for each peer and deployment. Older builds ignore the key, and nothing is refused without it. Control replicas keep the id in a file beside their log, since after a restart they don't know what of it is committed. An entry's configuration is never replaced by one with another secret, and an entry that has a deployment takes no revisions, confirmations, reports or lists of entries from a replica that states an empty one: a leader of its deployment knows it.

Not covered: a foreign control replica without a configuration can't be told from a wiped one of this deployment.

--- a/include/flaxtiller/distribution/subscriber.hpp
+++ b/include/flaxtiller/distribution/subscriber.hpp
@@ -18,7 +18,7 @@
 {
   public:
     /// @brief Processes an update from a control replica or a relaying instance.
-    /// @return whether a greater revision was activated
+    /// @return whether a greater revision was activated. The configuration of another deployment never is.
     bool on_update(const revision_update& update);
 
     /// @brief Processes a leader's confirmation of the current revision.
--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -1,5 +1,7 @@
 #include "control_implementation.hpp"
 
+#include "process/replace_file.hpp"
+
 #include <algorithm>
 #include <chrono>
 
@@ -121,12 +123,38 @@
     links.send(message.to.str(), quorum_envelope{log_name, message});
 }
 
+void control_process::implementation::load_deployment()
+{
+    std::string text;
+    if (!files.read(deployment_path, text))
+    {
+        deployment = deployment_id(text);
+        links.set_deployment(deployment);
+    }
+}
+
+void control_process::implementation::set_deployment(const deployment_id& own)
+{
+    if (!own.is_known() || own == deployment)
+    {
+        return;
+    }
+    deployment = own;
+    links.set_deployment(own);
+    if (const std::error_code failed = replace_file(files, deployment_path, own.str()))
+    {
+        log(log_level::warning, "deployment_not_written",
+            {{"path", deployment_path}, {"error", failed.message()}});
+    }
+}
+
 void control_process::implementation::publish()
 {
     const time_point now = clock.now();
     const catalog_state& state = catalog.state();
     if (state.revision() > publisher.revision())
     {
+        set_deployment(deployment_id::of_secret(state.current().key_secret));
         // Entries get digests in place of the keys of callers.
         configuration for_entries = state.current().without_keys();
         if (const auto previous = publisher.current_configuration())
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -122,6 +122,8 @@
     metrics counted;
     peer_links links;
     quorum::posix_file_system files;
+    deployment_id deployment;
+    const std::string deployment_path = settings.data_folder + "/" + catalog_log + "/deployment";
     catalog_machine catalog;
     register_machine registers;
     distribution::publisher publisher;
@@ -226,6 +228,13 @@
 
     void publish();
 
+    /// @brief Reads the deployment that this replica belonged to before its restart. Until a leader commits
+    /// something, the replica doesn't know which part of its log is committed.
+    void load_deployment();
+
+    /// @brief Keeps the deployment in a file beside the log, with which it is lost, and in the handshakes.
+    void set_deployment(const deployment_id& own);
+
     void track_state_changes();
 
     /// Confirms the revision to all entries when this replica becomes authoritative, as they may be waiting
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -28,6 +28,8 @@
     findings errors;
     self.open_machine(self.catalog, catalog_log, errors);
     self.open_machine(self.registers, register_log, errors);
+    self.load_deployment();
+    self.set_deployment(deployment_id::of_secret(self.catalog.state().current().key_secret));
     self.registrations.load(self.clock.now());
     self.crash_records.load(self.clock.now());
     return errors;
--- a/src/distribution/subscriber.cpp
+++ b/src/distribution/subscriber.cpp
@@ -18,6 +18,11 @@
     configuration next = update.base == 0 ? parse_configuration(update.body, found)
                                           : apply_patch(*m_current, update.body, found);
     const bool is_full_document = update.base == 0;
+    if (!m_current->key_secret.empty() && next.key_secret != m_current->key_secret)
+    {
+        // The secret of a deployment never changes, so that this is the configuration of another one.
+        return false;
+    }
     if (found.has_errors() ||
         update.digest !=
             (is_full_document ? next.digest() : digest_after(*m_current, m_digest, next, update.body)))
--- a/src/entry/entry_configuration.cpp
+++ b/src/entry/entry_configuration.cpp
@@ -154,6 +154,7 @@
 {
     apply_zone_changes();
     const configuration& current = *subscriber.current();
+    links.set_deployment(deployment_id::of_secret(current.key_secret));
     routes = std::make_shared<const route_table>(current.routes);
     if (!current.teams.is_shared_with(teams->teams()))
     {
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -96,6 +96,17 @@
 
 void entry_process::implementation::on_cluster_message(const hello& from, const link_message& message)
 {
+    const bool states_revision = std::holds_alternative<distribution::revision_update>(message) ||
+                                 std::holds_alternative<distribution::revision_confirmation>(message) ||
+                                 std::holds_alternative<distribution::revision_report>(message) ||
+                                 std::holds_alternative<entry_list>(message);
+    const bool has_deployment = !subscriber.current()->key_secret.empty();
+    if (states_revision && has_deployment && from.deployment && !from.deployment->is_known())
+    {
+        // A replica without the deployment's configuration doesn't lead it, and may lead another one that has
+        // no configuration yet.
+        return;
+    }
     if (const auto* update = std::get_if<distribution::revision_update>(&message))
     {
         on_update(from, *update);
--- a/src/links/link_message.cpp
+++ b/src/links/link_message.cpp
@@ -10,7 +10,6 @@
 namespace flaxtiller::shell
 {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, protocol_version, role, name, run, region, zone, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quorum_envelope, log, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(incarnation_notice, log, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_message, service, results)
@@ -53,6 +52,36 @@
 
 // The last key of each of these is optional. An older process ignores it.
 
+static void to_json(nlohmann::json& j, const hello& value)
+{
+    j = {{"protocol_version", value.protocol_version},
+         {"role", value.role},
+         {"name", value.name},
+         {"run", value.run},
+         {"region", value.region},
+         {"zone", value.zone},
+         {"address", value.address}};
+    if (value.deployment)
+    {
+        j["deployment"] = value.deployment->str();
+    }
+}
+
+static void from_json(const nlohmann::json& j, hello& value)
+{
+    value.protocol_version = j.at("protocol_version").get<int>();
+    value.role = j.at("role").get<std::string>();
+    value.name = j.at("name").get<std::string>();
+    value.run = j.at("run").get<std::uint64_t>();
+    value.region = j.at("region").get<std::string>();
+    value.zone = j.at("zone").get<std::string>();
+    value.address = j.at("address").get<std::string>();
+    if (j.contains("deployment"))
+    {
+        value.deployment = deployment_id(j.at("deployment").get<std::string>());
+    }
+}
+
 static void to_json(nlohmann::json& j, const registration_update& value)
 {
     j = {{"whole", value.whole}, {"items", value.items}, {"settled", value.settled}};
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flaxtiller/catalog/deployment_id.hpp>
 #include <flaxtiller/coordinator/peer_message.hpp>
 #include <flaxtiller/core/duration.hpp>
 #include <flaxtiller/distribution/revision_update.hpp>
@@ -37,6 +38,9 @@
     std::string zone;
     /// IP address and port at which the sender accepts links.
     std::string address;
+    /// The deployment of the sender, unknown before it has a configuration with a secret. A process sends its
+    /// handshake again when it learns its deployment. Older processes don't know the key.
+    std::optional<deployment_id> deployment{};
 };
 
 /// @brief Shows that the sender is alive; sent on a link that carried no other message for a heartbeat
--- a/src/links/linked_peer.cpp
+++ b/src/links/linked_peer.cpp
@@ -38,6 +38,12 @@
     dial_backoff = std::min(dial_backoff * 2.0, max_dial_backoff);
 }
 
+void linked_peer::on_refused(time_point now) noexcept
+{
+    dialled = 0;
+    next_dial_at = now + refused_dial_interval;
+}
+
 void linked_peer::give_up_silent_link(const link_timing& timing, time_point now) noexcept
 {
     // Without a dialled link, messages may still arrive on a link that the peer dialled, or on a link that
--- a/src/links/linked_peer.hpp
+++ b/src/links/linked_peer.hpp
@@ -32,6 +32,10 @@
     static constexpr duration max_dial_timeout = duration::from_ms(6000);
     static constexpr double max_redials_per_dial = 2.0;
 
+    /// The wait until an address is dialled again at which a process of another deployment answered. A dial
+    /// costs little beside the heartbeats of that time, and the address may become one of this deployment.
+    static constexpr duration refused_dial_interval = duration::from_ms(5000);
+
     /// The time until a silent link is replaced doubles with each new link that carried nothing but a
     /// handshake, at most this often. The process of the peer then stands still, for example at its disk.
     static constexpr int max_redial_doublings = 3;
@@ -97,6 +101,9 @@
     /// @brief Forgets the dialled link, so that another one is dialled after the wait.
     void redial() noexcept;
 
+    /// @brief Forgets the dialled link, which led to a process of another deployment.
+    void on_refused(time_point now) noexcept;
+
     /// @return whether the peer must be informed that nothing arrives from it
     bool is_silence_to_report(const link_timing& timing, time_point now) const noexcept
     {
--- a/src/links/peer_links.cpp
+++ b/src/links/peer_links.cpp
@@ -28,6 +28,7 @@
                   }},
                  max_message_bytes)
 {
+    m_self.deployment = deployment_id();
 }
 
 bool peer_links::listen(const address& at, std::string& why)
@@ -40,6 +41,51 @@
     m_endpoint.start();
 }
 
+void peer_links::set_deployment(const deployment_id& own)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!own.is_known() || m_self.deployment == own)
+    {
+        return;
+    }
+    m_self.deployment = own;
+    const encoded_message greeting{link_message(m_self)};
+    const time_point now = m_clock.now();
+    for (auto& [id, item] : m_links)
+    {
+        if (!item.from || !refuse_foreign(id, *item.from, now))
+        {
+            // The peer may know only now that it is of another deployment. A link that is still being opened
+            // gets its first handshake later; the endpoint ignores this one.
+            post(id, greeting);
+        }
+    }
+}
+
+bool peer_links::refuse_foreign(link_id id, const hello& greeting, time_point now)
+{
+    if (!greeting.deployment || !m_self.deployment->is_foreign_to(*greeting.deployment))
+    {
+        return false;
+    }
+    link& refused = m_links[id];
+    refused.refused = true;
+    const auto dialled = m_peers.find(refused.dialled);
+    if (dialled != m_peers.end() && dialled->second.dialled == id)
+    {
+        dialled->second.on_refused(now);
+    }
+    m_endpoint.close(id);
+    deployment_id& reported = m_refused[greeting.name];
+    if (reported != *greeting.deployment)
+    {
+        reported = *greeting.deployment;
+        log(log_level::warning, "deployment_refused",
+            {{"peer", greeting.name}, {"role", greeting.role}, {"address", greeting.address}});
+    }
+    return true;
+}
+
 void peer_links::set_peers(const std::vector<named_address>& peers)
 {
     const std::scoped_lock lock(m_mutex);
@@ -55,6 +101,10 @@
             m_endpoint.close(known.dialled);
             known.dialled = 0;
         }
+        if (!(known.at == item.at))
+        {
+            known.next_dial_at = time_point{};
+        }
         known.at = item.at;
         known.wanted = item.name != m_self.name;
     }
@@ -332,6 +382,10 @@
     const std::scoped_lock lock(m_mutex);
     const time_point now = m_clock.now();
     arrival recorded;
+    if (m_links[id].refused || (greeting != nullptr && refuse_foreign(id, *greeting, now)))
+    {
+        return std::nullopt;
+    }
     recorded.replaces = greeting != nullptr && open_link(id, *greeting, now);
     const link& current_link = m_links[id];
     if (!current_link.from)
--- a/src/links/peer_links.hpp
+++ b/src/links/peer_links.hpp
@@ -73,6 +73,11 @@
 
     void start();
 
+    /// @brief Sets the deployment of this process. Links to processes that are known to be of another one are
+    /// closed, now and when their handshake arrives, and nothing that they send is passed on. An unknown
+    /// deployment has no effect, since a process never leaves its deployment.
+    void set_deployment(const deployment_id& own);
+
     /// @brief Sets the peers to which this process dials and keeps a link. Links that this process dialled to
     /// peers outside of this list are closed.
     void set_peers(const std::vector<named_address>& peers);
@@ -114,6 +119,8 @@
         std::string dialled;
         /// The handshake of the peer; null until it arrives.
         std::shared_ptr<const hello> from;
+        /// Whether the peer is of another deployment; the link is being closed.
+        bool refused = false;
     };
 
     /// @brief A message that arrived, and what it shows of its sender.
@@ -144,6 +151,10 @@
     void maintain_dialled_link(const std::string& name, peer& known, time_point now);
     /// @brief Sends a heartbeat if one is due. The caller holds the mutex.
     void send_heartbeat(peer& known, time_point now);
+    /// @brief Closes a link if the handshake of the peer names another deployment than the one of this
+    /// process. The caller holds the mutex.
+    /// @return whether the link is refused
+    bool refuse_foreign(link_id id, const hello& greeting, time_point now);
     /// @brief Handles a handshake. Of the links that lead to a peer in the same direction, only the newest is
     /// kept. The caller holds the mutex.
     /// @return whether the link replaces an older one
@@ -166,7 +177,7 @@
     /// @return true if the peer was reachable and has no link left
     bool drop_link(const std::string& name, link_id id);
 
-    const hello m_self;
+    hello m_self;
     metrics& m_metrics;
     const link_timing m_dialled_timing;
     const link_timing m_accepted_timing;
@@ -175,6 +186,8 @@
     mutable std::mutex m_mutex;
     std::map<std::string, peer> m_peers;
     std::map<link_id, link> m_links;
+    /// The deployment for which each peer was last refused, by name, so that this is logged once.
+    std::map<std::string, deployment_id> m_refused;
     /// Time of the last call of @ref tick; accessed only by the thread that calls it.
     time_point m_last_tick_at = time_point::never();
     /// Time of the next log line with the bytes sent; accessed only by the thread that calls @ref tick.
--- a/tests/src/unit-distribution.cpp
+++ b/tests/src/unit-distribution.cpp
@@ -129,6 +129,21 @@
         CHECK(receiver.revision() == 2);
     }
 
+    SECTION("the configuration of another deployment never replaces the active one")
+    {
+        configuration own = *with_services(2);
+        own.key_secret = "own";
+        sender.on_revision(2, std::make_shared<const configuration>(own));
+        (void)deliver();
+        REQUIRE(receiver.current()->key_secret == "own");
+        configuration foreign = own;
+        foreign.key_secret = GENERATE("foreign", "");
+        CHECK_FALSE(receiver.on_update({9, 0, foreign.digest(), foreign}));
+        CHECK_FALSE(receiver.on_update({9, 2, foreign.digest(), diff(own, foreign)}));
+        CHECK(receiver.revision() == 2);
+        CHECK(*receiver.current() == own);
+    }
+
     SECTION("an instance is confirmed only after a leader confirmed its revision")
     {
         CHECK_FALSE(receiver.is_confirmed());
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -33,6 +33,20 @@
 
 TEST_CASE("messages of routed requests are unchanged by encoding and decoding", "[link]")
 {
+    SECTION("a handshake, with the deployment and as older processes send it")
+    {
+        hello greeting;
+        greeting.name = "a";
+        CHECK_FALSE(encode_and_decode(greeting).deployment);
+        greeting.deployment = deployment_id();
+        CHECK(encode_and_decode(greeting).deployment == deployment_id());
+        greeting.deployment = deployment_id::of_secret("secret");
+        CHECK(encode_and_decode(greeting).deployment == deployment_id::of_secret("secret"));
+        CHECK(greeting.deployment->is_foreign_to(deployment_id::of_secret("other")));
+        CHECK_FALSE(greeting.deployment->is_foreign_to(deployment_id()));
+        CHECK(greeting.deployment->str().find("secret") == std::string::npos);
+        CHECK_FALSE(deployment_id::of_secret("").is_known());
+    }
     SECTION("a delegated request whose body is not valid UTF-8")
     {
         routed_ask asked;
--- a/tests/src/unit-peer-links.cpp
+++ b/tests/src/unit-peer-links.cpp
@@ -205,3 +205,98 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     CHECK(receiver.received == 1);
 }
+
+// Guards against a process that takes messages from a process of another deployment, which took over an
+// address.
+TEST_CASE("links to processes of another deployment are refused", "[links]")
+{
+    const deployment_id own = deployment_id::of_secret("own");
+    const deployment_id foreign = deployment_id::of_secret("foreign");
+    linked_process accepting("b", "control");
+    linked_process dialling("a", "entry");
+    const address at{"127.0.0.1", free_port()};
+    std::string why;
+    REQUIRE(accepting.links.listen(at, why));
+    const auto open = [&]
+    {
+        accepting.links.start();
+        dialling.links.set_peers({{"b", at}});
+        dialling.links.start();
+    };
+    const auto tick_for = [&](int ticks)
+    {
+        for (int i = 0; i < ticks; ++i)
+        {
+            dialling.links.tick();
+            accepting.links.tick();
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    };
+    const auto holds_in_time = [&](const std::function<bool()>& condition)
+    {
+        constexpr int max_ticks = 2000;
+        for (int i = 0; i < max_ticks && !condition(); ++i)
+        {
+            tick_for(1);
+        }
+        return condition();
+    };
+    const auto are_linked = [&]
+    {
+        return dialling.reached >= 1 && accepting.reached >= 1;
+    };
+
+    SECTION("both deployments are known when the link is opened")
+    {
+        accepting.links.set_deployment(foreign);
+        dialling.links.set_deployment(own);
+        open();
+        tick_for(60);
+        accepting.links.send("a", registration_digest{1});
+        dialling.links.send("b", registration_digest{1});
+        tick_for(20);
+        CHECK(dialling.reached == 0);
+        CHECK(accepting.reached == 0);
+        CHECK(dialling.received == 0);
+        CHECK(accepting.received == 0);
+        CHECK_FALSE(dialling.links.identity("b"));
+    }
+    SECTION("they become known while the link is open")
+    {
+        open();
+        REQUIRE(holds_in_time(are_linked));
+        REQUIRE(dialling.links.identity("b")->deployment == deployment_id());
+        accepting.links.set_deployment(foreign);
+        REQUIRE(holds_in_time(
+            [&]
+            {
+                const auto identity = dialling.links.identity("b");
+                return identity && identity->deployment == foreign;
+            }));
+        REQUIRE(dialling.links.reachable().count("b") == 1);
+        dialling.links.set_deployment(own);
+        CHECK(holds_in_time(
+            [&]
+            {
+                return dialling.links.reachable().empty() && !dialling.links.identity("b");
+            }));
+        const int reached = dialling.reached;
+        tick_for(60);
+        CHECK(dialling.reached == reached);
+    }
+    SECTION("one that is unknown, or the same, is no reason")
+    {
+        dialling.links.set_deployment(own);
+        open();
+        REQUIRE(holds_in_time(are_linked));
+        accepting.links.set_deployment(own);
+        CHECK(holds_in_time(
+            [&]
+            {
+                const auto identity = dialling.links.identity("b");
+                return identity && identity->deployment == own;
+            }));
+        tick_for(20);
+        CHECK(dialling.links.reachable().count("b") == 1);
+    }
+}
