--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -20,17 +20,21 @@
 
 void add_key_secret(change& wanted)
 {
-    const bool has_items = wanted.kind == change_kind::replace || wanted.kind == change_kind::patch;
-    if (!has_items || !wanted.body.is_object())
+    if (!wanted.body.is_object() ||
+        (wanted.kind != change_kind::replace && wanted.kind != change_kind::patch))
     {
         return;
     }
-    nlohmann::json& items = wanted.kind == change_kind::patch ? wanted.body["upsert"] : wanted.body;
-    if (items.is_null())
+    nlohmann::json& items = wanted.kind == change_kind::patch
+                                ? *wanted.body.emplace("upsert", nlohmann::json::object()).first
+                                : wanted.body;
+    if (!items.is_object())
     {
-        items = nlohmann::json::object();
+        return;
     }
-    if (items.is_object() && !items.contains(detail::key_secret_key))
+    // A document that was read from a deployment without a secret contains an empty one.
+    const auto stated = items.find(detail::key_secret_key);
+    if (stated == items.end() || *stated == "")
     {
         items[detail::key_secret_key] = generate_key_secret();
     }
--- a/src/control/control_discovery.cpp
+++ b/src/control/control_discovery.cpp
@@ -83,7 +83,17 @@
         dialled_for_discovery = discovery.choose_peers_to_dial(unlinked, now);
         dial_peers();
     }
-    for (const std::string& entry : discovery.choose({linked.begin(), linked.end()}, draw64(), now))
+    // An older build takes the question for a malformed message.
+    std::set<std::string> asked;
+    for (const std::string& name : linked)
+    {
+        const auto identity = links.identity(name);
+        if (identity && identity->deployment)
+        {
+            asked.insert(name);
+        }
+    }
+    for (const std::string& entry : discovery.choose(asked, draw64(), now))
     {
         links.send(entry, control_members_request{discovery.number()});
     }
--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -74,11 +74,12 @@
     {
         return;
     }
-    // Of the peers, only entries that a leader of this deployment listed.
+    // Of the peers, only entries that a leader of this deployment listed, of builds that know the question.
     std::set<std::string> reachable_entries;
     for (const std::string& name : reachable)
     {
-        if (listed_entries.count(instance_name(name)) > 0)
+        const auto identity = links.identity(name);
+        if (listed_entries.count(instance_name(name)) > 0 && identity && identity->deployment)
         {
             reachable_entries.insert(name);
         }
