--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -237,3 +237,12 @@
         CHECK_FALSE(is_compressed(encode(heartbeat{})));
     }
 }
+
+TEST_CASE("the search for control replicas is unchanged by encoding and decoding", "[link]")
+{
+    CHECK(encode_and_decode(control_members_request{~std::uint64_t{0}}).number == ~std::uint64_t{0});
+    const auto reply = encode_and_decode(control_members_reply{7, {"10.0.0.1:7", "10.0.0.2:7"}, "proof"});
+    CHECK(reply.number == 7);
+    CHECK(reply.names == std::vector<std::string>{"10.0.0.1:7", "10.0.0.2:7"});
+    CHECK(reply.proof == "proof");
+}
