--- a/tests/cut/cut.cpp
+++ b/tests/cut/cut.cpp
@@ -101,8 +101,10 @@
     address.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
     const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-    ::listen(listener, 0);
+    if (::bind(listener, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(listener, 0) != 0)
+    {
+        std::abort();
+    }
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     // One more than fit in the queue.
     for (int i = 0; i < 2; ++i)
--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -275,8 +275,10 @@
         """The settings as they are at this moment."""
         with open(os.path.join(ROOT, "platform", role + ".json")) as file:
             text = render(file.read(), self.fields(bootstrap))
-        with open(self.settings_file(role), "w") as file:
+        # In place of the old file at once, so that no process reads a part of it.
+        with open(self.settings_file(role) + ".new", "w") as file:
             file.write(text)
+        os.replace(self.settings_file(role) + ".new", self.settings_file(role))
 
     def start(self, role, bootstrap=False):
         if role == "control":
--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -152,6 +152,8 @@
         until_done = draw.choice([ends_at, ends_at, draw.randint(self.done + 1, max(self.done + 1, ends_at))])
         while not self.soak.take(name):
             time.sleep(0.05)
+        # A process that hasn't begun to answer has no handler of SIGHUP yet.
+        self.soak.await_answer(machine)
         began_at, process, cut = time.monotonic(), machine.processes["entry"], draw.random() < 0.5
         with self.promises.disturbance(name):
             if cut:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -284,10 +284,17 @@
             self.restart(machine, "entry")
         self.on_process("entry", act)
 
+    def await_answer(self, machine):
+        """Any answer; the promises judge which one, and whether one comes."""
+        until = time.monotonic() + RECOVERY_S
+        while time.monotonic() < until and self.status_on_route(machine, 1) is None:
+            time.sleep(0.05)
+
     def reload(self):
         machine = self.random.choice(self.present())
         if self.take("entry-%d" % machine.number):
             if machine.number not in self.gone:
+                self.await_answer(machine)
                 machine.reload("entry")
             self.give_back("entry-%d" % machine.number)
 
