--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -49,7 +49,13 @@
 void entry_process::implementation::track_leader_contact()
 {
     const time_point now = clock.now();
-    contact.set_replica_reachable(!reachable_control_replicas().empty(), now);
+    const std::vector<named_address>& known = control.addresses();
+    const bool is_any_reachable = std::any_of(known.begin(), known.end(),
+                                              [&](const named_address& replica)
+                                              {
+                                                  return reachable.count(replica.name) > 0;
+                                              });
+    contact.set_replica_reachable(is_any_reachable, now);
     log_leader_contact(now);
     search_control_replicas(now);
     if (contact_lost)
--- a/src/entry/known_control_replicas.hpp
+++ b/src/entry/known_control_replicas.hpp
@@ -68,6 +68,10 @@
     /// @return whether the set of known replicas changed
     bool forget_named_by_entries()
     {
+        if (m_named_by_entries.empty())
+        {
+            return false;
+        }
         m_named_by_entries.clear();
         return update();
     }
