--- a/tests/faults/test_replaced_core.py
+++ b/tests/faults/test_replaced_core.py
@@ -46,13 +46,16 @@
 
 
 class ReplacedCoreTest(unittest.TestCase):
-    def start(self, entries=ENTRIES, core=CORE):
-        self.platform = Platform(entries=entries, zones=3, core=core)
+    def start_platform(self, entries=ENTRIES, core=CORE, cuttable=False):
+        self.platform = Platform(entries=entries, zones=3, core=core, cuttable=cuttable)
         self.platform.__enter__()
         self.addCleanup(self.platform.__exit__)
         self.platform.add_backend("s0")
         self.version = 0
         self.change()
+
+    def start(self, entries=ENTRIES, core=CORE, cuttable=False):
+        self.start_platform(entries, core, cuttable)
         for machine in self.platform.machines:
             eventually("machine %d is ready" % machine.number, machine.is_ready)
         eventually("the leader knows all entries", self.knows_all_entries)
@@ -113,6 +116,26 @@
 
     # Guards against a search for control replicas that only finds entries which stood still, too, and against an entry that
     # takes the control replica of its own instance for one that is still there.
+    def cut_off_while_replaced(self, absent):
+        absent.processes["entry"].cut()
+        time.sleep(LINKS_CLOSED_S)
+        self.replace_core()
+        absent.processes["entry"].join()
+        self.check_changes(absent, time.monotonic())
+
+    def test_an_entry_that_was_cut_off_while_all_control_replicas_were_replaced_serves_added_routes(self):
+        self.start(cuttable=True)
+        absent = self.platform.machines[CORE]
+        eventually("the entry is linked to others", lambda: any(name.startswith("machine-")
+                                                                for name in absent.dump("entry")["reachable_peers"]))
+        self.cut_off_while_replaced(absent)
+
+    def test_an_entry_that_was_cut_off_as_soon_as_it_was_ready_serves_added_routes(self):
+        self.start_platform(cuttable=True)
+        absent = self.platform.machines[CORE]
+        eventually("the entry is ready", absent.is_ready)
+        self.cut_off_while_replaced(absent)
+
     def test_several_entries_that_stood_still_at_once_serve_added_routes(self):
         self.start(entries=6)
         first = self.platform.machines[0]
