--- a/src/distribution/replica_discovery.cpp
+++ b/src/distribution/replica_discovery.cpp
@@ -23,6 +23,7 @@
         }
     }
     std::vector<std::string> chosen;
+    chosen.reserve(ranked.size());
     for (auto& [rank, name] : ranked)
     {
         chosen.push_back(std::move(name));
