Log lines: one function joins names

entry_contact had a copy of the one in routing_frontend_actions, without the mark that the list is cut. Lines with more than eight control replicas now end in ",..."; nothing else changes.

--- a/src/entry/entry_contact.cpp
+++ b/src/entry/entry_contact.cpp
@@ -1,5 +1,6 @@
 #include "entry_implementation.hpp"
 
+#include "process/joined_names.hpp"
 #include "process/system.hpp"
 
 #include <flaxtiller/distribution/member_list_proof.hpp>
@@ -19,18 +20,6 @@
 /// The interval at which an entry without contact reads its settings file again.
 constexpr duration settings_interval = duration::from_ms(1000);
 
-/// @return the first few names, separated by commas; limited to keep log lines short
-std::string joined(const std::vector<std::string>& names)
-{
-    constexpr std::size_t max_shown = 8;
-    std::string text;
-    for (std::size_t i = 0; i < std::min(names.size(), max_shown); ++i)
-    {
-        text += (i == 0 ? "" : ",") + names[i];
-    }
-    return text;
-}
-
 } // namespace
 
 std::vector<std::string> entry_process::implementation::reachable_control_replicas() const
@@ -129,7 +118,7 @@
         return;
     }
     const std::vector<std::string> names = control.on_member_lists();
-    log(log_level::info, "control_replicas_told", {{"peer", from.name}, {"names", joined(names)}});
+    log(log_level::info, "control_replicas_told", {{"peer", from.name}, {"names", joined_names(names)}});
     links.send(from.name,
                control_members_reply{request.number, names,
                                      distribution::member_list_proof(secret, request.number, names)});
@@ -143,7 +132,10 @@
     const bool accepted =
         proved && contact.is_lost(clock.now()) && discovery.is_awaited(from.name, reply.number);
     log(log_level::info, "control_replicas_named",
-        {{"by", from.name}, {"names", joined(reply.names)}, {"proved", proved}, {"accepted", accepted}});
+        {{"by", from.name},
+         {"names", joined_names(reply.names)},
+         {"proved", proved},
+         {"accepted", accepted}});
     if (accepted && control.on_named_by_entry(reply.names))
     {
         on_control_replicas_changed();
@@ -189,8 +181,8 @@
     const std::vector<std::string> reached = reachable_control_replicas();
     log(log_level::warning, "leader_contact_lost",
         {{"for_ms", contact.since_confirmation(now).ms()},
-         {"known", joined(names_of(control.addresses()))},
-         {"reachable", joined(reached)},
+         {"known", joined_names(names_of(control.addresses()))},
+         {"reachable", joined_names(reached)},
          {"reachable_peers", reachable.size()},
          {"revision", subscriber.revision()}});
 }
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -2,6 +2,7 @@
 
 #include "routing_frontend.hpp"
 
+#include "process/joined_names.hpp"
 #include "process/log.hpp"
 
 #include <flaxtiller/quarantine/request_fingerprint.hpp>
@@ -130,19 +131,6 @@
                                               : metrics::counter::refused_too_many_open;
 }
 
-/// @return the first few of @a names, separated by commas; limited to keep log lines short
-template <typename Name>
-std::string joined(const std::vector<Name>& names)
-{
-    constexpr std::size_t max_shown = 8;
-    std::string text;
-    for (std::size_t i = 0; i < names.size() && i < max_shown; ++i)
-    {
-        text += (text.empty() ? "" : ",") + names[i].str();
-    }
-    return names.size() > max_shown ? text + ",..." : text;
-}
-
 } // namespace
 
 void routing_frontend::execute_actions()
@@ -363,7 +351,7 @@
     log(log_level::info, "request_standing",
         {{"fingerprint", action.request.str()},
          {"standing", name_of(action.quarantine_state)},
-         {"crashed", joined(servers)},
+         {"crashed", joined_names(servers)},
          {"crashes", servers.size()},
          {"last_ms_ago", action.record.age.ms()},
          {"held", action.held}});
@@ -402,10 +390,10 @@
          {"parts", outcome.signatures.size()},
          {"top_records", outcome.top_records},
          {"missing", outcome.missing},
-         {"missing_services", joined(outcome.missing_services)},
+         {"missing_services", joined_names(outcome.missing_services)},
          {"reason", nlohmann::json(outcome.reason).get<std::string>()},
          {"fingerprint", outcome.crashes.empty() ? std::string() : outcome.crashes.front().request.str()},
-         {"elsewhere", joined(outcome.delegates)},
+         {"elsewhere", joined_names(outcome.delegates)},
          {"attempts", outcome.attempts},
          {"retry_after_ms", outcome.retry_after.ms()},
          {"revision", outcome.revision},
@@ -413,8 +401,8 @@
     log_unknown(from, outcome);
 }
 
-/// The configuration lacks the route or key. A leader confirmed it this long ago, by which the caller is told
-/// that the target doesn't exist, or is refused.
+/// Logs the age of the leader's confirmation by which a request whose route or key the configuration lacks is
+/// answered or refused.
 void routing_frontend::log_unknown(const caller& from, const routed_outcome& outcome) const
 {
     const bool is_unknown = outcome.end == routed_end::no_route || outcome.end == routed_end::unauthorized ||
