--- a/tests/faults/platform_stand_in.py
+++ b/tests/faults/platform_stand_in.py
@@ -116,6 +116,8 @@
         self.state, self.sequence, self.alive, self.beats = "ready", 0, True, True
         self.born, self.warmup_ms = int(time.time() * 1000), 0
         self.delay_s, self.served, self.expected_others = 0.0, [], 0
+        # The least size of an answer's body.
+        self.body_bytes = 0
         backend = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -172,7 +174,7 @@
 
     def answer(self, handler):
         request = handler.headers.get("X-Request-Id", "")
-        status, body = 200, b"".join(self.records()) + b"rest"
+        status, body = 200, (b"".join(self.records()) + b"rest").ljust(self.body_bytes, b".")
         self.arrivals.append((time.monotonic(), request))
         self.headers[request] = dict(handler.headers.items())
         if self.endless:
@@ -263,6 +265,7 @@
                 "listenAddrs": {"front": self.front, "readiness": self.readiness, "control": self.control},
                 "internalPortRange": [7380, 7395], "seeds": self.seeds or self.platform.seeds, "bootstrap": bootstrap,
                 "dataDir": self.folder, "heartbeatIntervalMs": int(HEARTBEAT_S * 1000),
+                "limits": self.platform.limits,
                 "faultTolerance": {"machines": (self.platform.core_size - 1) // 2, "zones": 0, "regions": 0},
                 "bounds": {"contactMs": 4000, "configApplyMs": 3000, "drainMs": 3000, "ackMs": 5000, "graceS": 6,
                            "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "retryWindowS": 10,
@@ -312,7 +315,9 @@
     """Machines with an entry each, the first of them the core, one after the other in @a zones availability zones,
     each a region of its own."""
 
-    def __init__(self, entries=2, zones=1, core=3, cuttable=False):
+    def __init__(self, entries=2, zones=1, core=3, cuttable=False, limits=None):
+        # What each process may use.
+        self.limits = limits or {"memoryMb": 160, "maxFds": 4100}
         # Whether entries outside the core may be cut off.
         self.cuttable = cuttable
         self.zones = {"zone-%d" % (i + 1): "region-%d" % (i + 1) for i in range(zones)}
