Requests without end are refused: a request reader bounds each line between chunks and the trailer

What callers and operators saw: a few connections that send a trailer, a trailer's field or a line between two chunks without end made a process hold all of it; the machine's memory was exceeded and the process killed.

Cause: the server read into a buffer without a largest size. The parser takes a head, a chunk line and a trailer only as a whole, and its header limit covers the head alone, so that the buffer grew until the end came.

Change: request_reader, the like of reply_reader: bytes in, state out, no socket and no clock. What the parser leaves is at most the header limit; more is 431. Bytes are read into a buffer that a thread's connections share, so that only what isn't parsed yet is held. The server is divided: accepting (http_server), one connection (server_connection), and the table of connections with the choice of who gives way, which nothing asks for yet. A refused caller may read the refusal for a second while its rest is discarded: a close with unread bytes resets the connection.

Why it works: what a request holds before it is whole is its head, its body within its limit, and one line.

--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -77,6 +77,8 @@
     m_sent = 0;
     m_reply_started = false;
     m_request = std::move(request);
+    // The text holds the body.
+    m_request.body = {};
     m_result = {};
     m_done = std::move(done);
     m_reader.begin();
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -2,6 +2,8 @@
 
 #include "address.hpp"
 #include "http_fields.hpp"
+#include "http_request.hpp"
+#include "request_reader.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -15,18 +17,6 @@
 namespace flaxtiller::shell
 {
 
-/// @brief An HTTP request: received by a server's handler, or sent by @ref http_call.
-struct http_request
-{
-    std::string method;
-    std::string target;
-    std::string body;
-    http_fields headers;
-    /// A callback that a server's handler may set before it returns. The server calls it on the connection's
-    /// strand if the caller closes the connection before the reply. A later reply is discarded.
-    std::shared_ptr<std::function<void()>> on_gone{};
-};
-
 /// @brief An HTTP reply. The server adds its `Content-Length`. The content type is JSON by default.
 struct http_reply
 {
@@ -59,12 +49,22 @@
         int idle_timeout_ms = 0;
         /// The maximum number of open connections; 0 for no limit.
         std::size_t most_connections = 0;
+        /// Whether a connection above the limit is closed at once. Otherwise one that waits for its caller
+        /// gives way.
+        bool refuses_connections = false;
+        /// The most unread bytes of a connection, about; 0 for what the system chooses. Takes effect when the
+        /// server starts to listen.
+        int receive_buffer_bytes = 0;
         /// The delay before the first request of a new connection is read. Test servers use it to simulate
         /// the cost of a new connection.
         int new_connection_cost_ms = 0;
     };
 
-    http_server(boost::asio::io_context& io, limits bounds, handler handle);
+    /// Called with the head of each request that is refused before it was read completely, and with the
+    /// status of the refusal; from any thread.
+    using refusal_handler = std::function<void(const http_request& head, int status)>;
+
+    http_server(boost::asio::io_context& io, limits bounds, handler handle, refusal_handler refused = {});
 
     /// @brief Accepts connections at the address @a at.
     /// @return an error if the address can't be listened on
@@ -92,9 +92,24 @@
     /// @return the number of connections that were closed on accept because the limit was reached
     std::size_t connections_refused() const noexcept;
 
-  private:
+    /// @brief What callers were refused so far because the limits of the process were reached.
+    struct pressure
+    {
+        /// Connections that gave way to others.
+        std::size_t evicted = 0;
+        /// Connections that were closed on accept.
+        std::size_t connections_refused = 0;
+        /// Requests for which there was no memory, or whose connections gave way.
+        std::size_t requests_refused = 0;
+
+        bool operator==(const pressure&) const = default;
+    };
+
+    pressure pressure_so_far() const noexcept;
+
     struct state;
 
+  private:
     std::shared_ptr<state> m_state;
 };
 
--- a/src/http/http_wire.cpp
+++ b/src/http/http_wire.cpp
@@ -68,17 +68,18 @@
 
 struct reply_reader::implementation
 {
-    explicit implementation(reply_memory& from) : memory(from), share(from)
+    explicit implementation(message_memory& from) : memory(from), share(from)
     {
     }
 
-    reply_memory& memory;
-    reply_memory::share share;
+    message_memory& memory;
+    message_memory::share share;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
-reply_reader::reply_reader(reply_memory& memory) : m_implementation(std::make_unique<implementation>(memory))
+reply_reader::reply_reader(message_memory& memory)
+    : m_implementation(std::make_unique<implementation>(memory))
 {
 }
 
@@ -88,7 +89,7 @@
 {
     m_implementation->buffer.clear();
     auto& parser = m_implementation->parser.emplace();
-    parser.body_limit(m_implementation->memory.most_bytes());
+    parser.body_limit(m_implementation->memory.bounds().lone_bytes);
     parser.eager(true);
     (void)m_implementation->share.resize(0);
 }
--- a/src/http/http_wire.hpp
+++ b/src/http/http_wire.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http_exchange.hpp"
-#include "reply_memory.hpp"
+#include "message_memory.hpp"
 
 #include <boost/asio/buffer.hpp>
 
@@ -32,7 +32,7 @@
     };
 
     /// @param memory the memory that the replies are accounted to
-    explicit reply_reader(reply_memory& memory = reply_memory::of_process());
+    explicit reply_reader(message_memory& memory = message_memory::of_replies());
     ~reply_reader();
     reply_reader(const reply_reader&) = delete;
     reply_reader& operator=(const reply_reader&) = delete;
--- a/tests/faults/crowd.py
+++ b/tests/faults/crowd.py
@@ -17,7 +17,8 @@
     size. A client that doesn't read leaves each reply where it is."""
 
     def __init__(self, beginning, filler=b"", total=0, piece=WRITE_BYTES, reads=True):
-        self.beginning, self.filler = beginning, filler
+        # Repeated, so that a piece is a slice or two.
+        self.beginning, self.filler = beginning, filler * (1 + WRITE_BYTES // max(1, len(filler)))
         self.total = max(total, len(beginning))
         self.piece, self.reads = piece, reads
 
--- a/tests/src/unit-http-wire.cpp
+++ b/tests/src/unit-http-wire.cpp
@@ -156,7 +156,8 @@
     constexpr std::size_t far_more = std::size_t{8} << 20U;
     const std::string filler(1024, 'a');
     const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    reply_memory memory(most_memory);
+    constexpr std::size_t small_reply = std::size_t{256} << 10U;
+    message_memory memory({most_memory, small_reply, most_memory});
     reply_reader reader(memory);
     reader.begin();
 
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -88,6 +88,7 @@
     }
     shell::http_server::limits limits;
     limits.most_connections = static_cast<std::size_t>(FLAGS_connection_limit);
+    limits.refuses_connections = true;
     limits.new_connection_cost_ms = FLAGS_connection_cost_ms;
     limits.request_timeout_ms = 600000;
     const auto behaviour = nlohmann::json::parse(FLAGS_behaviour).get<stand_in::behaviour>();
