--- a/tests/faults/test_misbehaving_clients.py
+++ b/tests/faults/test_misbehaving_clients.py
@@ -20,12 +20,16 @@
 # What the machines of these tests have; a crowd of a few hundred clients exceeds it.
 MEMORY_MB = 128
 DESCRIPTORS = 600
+# With these, the memory is exceeded before the descriptors.
+MANY_DESCRIPTORS = 4100
 # Descriptors that the users' pages keep for files outside the disk folder.
 FILE_DESCRIPTORS = 200
 BODY_BYTES = 262144
 ENDLESS_CLIENTS, CROWD = 12, 600
 ENDLESS_BYTES = 24 << 20
 LARGE_CHUNK, SMALL_CHUNK = 32768, 8
+# More than what the system buffers of a connection.
+ANSWER_BYTES = 8 << 20
 SAMPLE_S = 0.05
 
 POST = ("POST /one/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: crowd\r\nX-Deadline-Ms: 2000\r\n"
@@ -106,9 +110,11 @@
             time.sleep(SAMPLE_S)
 
 
-class MisbehavingClientsTest(unittest.TestCase):
+class CrowdTest(unittest.TestCase):
+    descriptors = DESCRIPTORS
+
     def setUp(self):
-        self.platform = Platform(entries=1, limits={"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS})
+        self.platform = Platform(entries=1, limits={"memoryMb": MEMORY_MB, "maxFds": self.descriptors})
         self.platform.__enter__()
         self.addCleanup(self.platform.__exit__)
         self.entry = self.platform.machines[0]
@@ -141,7 +147,7 @@
     def check(self, usage):
         self.assertIsNone(usage.process.handle.poll(), "the process has ended")
         self.assertLess(usage.peak_kb, MEMORY_MB * 1024)
-        self.assertLess(usage.most_descriptors, DESCRIPTORS - FILE_DESCRIPTORS)
+        self.assertLess(usage.most_descriptors, self.descriptors - FILE_DESCRIPTORS)
 
     def play(self, scripts, size):
         """A crowd comes, stays, and goes; an ordinary caller comes beside it and afterwards."""
@@ -153,6 +159,35 @@
             self.serves("largest", b"b" * BODY_BYTES)
         self.check(usage)
 
+    def play_slow(self):
+        """Whole bodies, while the backend servers take their time."""
+        for backend in self.backends:
+            backend.delay_s = 1.0
+        with self.usage() as usage:
+            with Crowd(self.entry.front, CROWD, [Script(LENGTH_HEAD + b"a" * BODY_BYTES)]) as crowd:
+                crowd.await_settled()
+                for backend in self.backends:
+                    backend.delay_s = 0.0
+                self.serves("beside")
+            self.serves("largest", b"b" * BODY_BYTES)
+        self.check(usage)
+
+    def play_unread(self):
+        """Answers that nobody reads."""
+        for backend in self.backends:
+            backend.body_bytes = ANSWER_BYTES
+        with self.usage() as usage:
+            with Crowd(self.entry.front, CROWD, [Script(GET, reads=False)]) as crowd:
+                crowd.await_settled()
+                eventually("many answers", lambda: sum(len(backend.served) for backend in self.backends) > CROWD // 20)
+                self.serves("beside")
+            for backend in self.backends:
+                backend.body_bytes = 0
+            self.serves("afterwards")
+        self.check(usage)
+
+
+class MisbehavingClientsTest(CrowdTest):
     def test_trailers_without_end(self):
         self.play([ENDLESS["trailers"]], ENDLESS_CLIENTS)
 
@@ -187,16 +222,7 @@
         self.play([Script(b"")], CROWD)
 
     def test_whole_bodies_while_backend_servers_are_slow(self):
-        for backend in self.backends:
-            backend.delay_s = 1.0
-        with self.usage() as usage:
-            with Crowd(self.entry.front, CROWD, [Script(LENGTH_HEAD + b"a" * BODY_BYTES)]) as crowd:
-                crowd.await_settled()
-                for backend in self.backends:
-                    backend.delay_s = 0.0
-                self.serves("beside")
-            self.serves("largest", b"b" * BODY_BYTES)
-        self.check(usage)
+        self.play_slow()
 
     def test_requests_ahead_of_their_answers(self):
         for backend in self.backends:
@@ -211,16 +237,7 @@
         self.check(usage)
 
     def test_answers_that_are_not_read(self):
-        for backend in self.backends:
-            backend.body_bytes = 1 << 20
-        with self.usage() as usage:
-            with Crowd(self.entry.front, CROWD, [Script(GET, reads=False)]) as crowd:
-                crowd.await_settled()
-                self.serves("beside")
-            for backend in self.backends:
-                backend.body_bytes = 0
-            self.serves("afterwards")
-        self.check(usage)
+        self.play_unread()
 
     def test_bodies_at_the_control_address(self):
         head = with_length(8 << 20, "/api/config/replace")
@@ -289,5 +306,32 @@
         self.check(usage)
 
 
+class ManyDescriptorsTest(CrowdTest):
+    """The same crowds where the memory is what they exceed first."""
+
+    descriptors = MANY_DESCRIPTORS
+
+    def test_bodies_that_stop_short_with_many_descriptors(self):
+        self.play([STOPPING["length"]], CROWD)
+
+    def test_bodies_in_pieces_that_stop_short_with_many_descriptors(self):
+        self.play([STOPPING["length_in_pieces"]], CROWD)
+
+    def test_large_chunks_that_stop_short_with_many_descriptors(self):
+        self.play([STOPPING["large_chunks"]], CROWD)
+
+    def test_small_chunks_that_stop_short_with_many_descriptors(self):
+        self.play([STOPPING["small_chunks"]], CROWD)
+
+    def test_a_mixed_crowd_with_many_descriptors(self):
+        self.play(list(STOPPING.values()) + list(ENDLESS.values()), CROWD)
+
+    def test_whole_bodies_while_backend_servers_are_slow_with_many_descriptors(self):
+        self.play_slow()
+
+    def test_answers_that_are_not_read_with_many_descriptors(self):
+        self.play_unread()
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
