The memory for requests is bounded over all connections, and those that stand still give way

What callers and operators saw: many large bodies of legal size at once, most stopping just short of their end, made a process exceed the memory of its machine and be killed; so did bodies of 8 MB at the control address. Each body was bounded, all of them weren't.

Cause: nothing counted what all connections hold together. reply_memory did so for replies only.

Change: message_memory, one type for both directions; what counts is what is held: capacities, the overhead of parsed fields, the length of a body from its head on, the unread bytes of a connection whose request is being answered. If a request doesn't fit, requests of more than 32 KB without 4 KB of progress for 250 ms are refused, the oldest first; if all make progress, the newcomer is refused, by its length before the first byte of its body. The refusal is 503 with Retry-After, and true: it hasn't run. Small requests always fit. A request above the bound for all fits while it is nearly alone; one that doesn't fit even so is 413, a finding where the settings state it, and a line in the log where a configuration does. The text of an attempt replaces its body, rather than being held beside it. unread_request_refused names the request.

Why it works: memory is counted before it grows, and a crowd that stands still holds it only until someone else wants it.

--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -61,7 +61,7 @@
 /// operators in control_operators.cpp, and the public functions of the process in control_process.cpp.
 struct control_process::implementation
 {
-    static http_server::limits http_limits_of(const control_settings& settings);
+    static http_server::limits http_limits_of(const control_settings& settings, std::size_t connections);
 
     implementation(control_settings requested, settings_source read_from)
         : settings(std::move(requested)), source(std::move(read_from)), strand(net::make_strand(io)),
@@ -103,7 +103,7 @@
               settings.registration_silence, clock.now()),
           crash_records(links, settings.data_folder + "/crash_records"),
           rate_limits(settings.limit_tolerance), membership(settings.keeper),
-          operators(io, http_limits_of(settings),
+          operators(io, http_limits_of(settings, bounds.other_connections),
                     [this](const http_request& request, http_server::respond respond)
                     {
                         net::post(strand,
@@ -113,9 +113,11 @@
                                   });
                     })
     {
+        set_message_memory(bounds);
     }
 
     control_settings settings;
+    const resource_bounds bounds = bounds_of(settings.process);
     settings_source source;
     net::io_context io;
     net::strand<net::io_context::executor_type> strand;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -7,11 +7,13 @@
 namespace flaxtiller::shell
 {
 
-http_server::limits control_process::implementation::http_limits_of(const control_settings& settings)
+http_server::limits control_process::implementation::http_limits_of(const control_settings& settings,
+                                                                    std::size_t connections)
 {
     http_server::limits limits;
     limits.most_body_bytes = static_cast<std::size_t>(settings.most_request_bytes);
     limits.request_timeout_ms = settings.request_timeout_ms;
+    limits.most_connections = connections;
     return limits;
 }
 
@@ -88,7 +90,7 @@
     implementation& self = *m_implementation;
     findings errors;
     self.gateway = std::make_unique<http_server>(
-        self.io, implementation::http_limits_of(self.settings),
+        self.io, implementation::http_limits_of(self.settings, self.bounds.caller_connections),
         [this, &self, handler = std::move(handler)](const http_request& request, http_server::respond respond)
         {
             net::post(self.strand,
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -60,7 +60,7 @@
 struct entry_process::implementation
 {
     static std::vector<std::string> names_of(const std::vector<named_address>& items);
-    static http_server::limits limits_of(const entry_settings& settings);
+    static http_server::limits limits_of(const entry_settings& settings, std::size_t connections);
     static service_coordinator::options options_of(const entry_settings& settings);
 
     implementation(entry_settings wanted, settings_source read_from)
@@ -95,7 +95,7 @@
           routed(settings.routed.port == 0
                      ? nullptr
                      : std::make_unique<routing_frontend>(
-                           io, counted, settings.routing, settings.routed_names,
+                           io, counted, bounds.caller_connections, settings.routing, settings.routed_names,
                            [this](const std::string& to, const link_message& message)
                            {
                                links.send(to, message);
@@ -124,20 +124,22 @@
                                              report_to_witnesses(report, coordinator);
                                          });
                            })),
-          callers(io, limits_of(settings),
+          callers(io, limits_of(settings, bounds.caller_connections),
                   [this](const http_request& request, http_server::respond respond)
                   {
                       on_caller(request, std::move(respond));
                   }),
-          operators(io, limits_of(settings),
+          operators(io, limits_of(settings, bounds.other_connections),
                     [this](const http_request& request, http_server::respond respond)
                     {
                         on_operator(request, std::move(respond));
                     })
     {
+        set_message_memory(bounds);
     }
 
     entry_settings settings;
+    const resource_bounds bounds = bounds_of(settings.process);
     settings_source source;
     const std::uint64_t run_id;
     net::io_context io;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -30,11 +30,13 @@
     return names;
 }
 
-http_server::limits entry_process::implementation::limits_of(const entry_settings& settings)
+http_server::limits entry_process::implementation::limits_of(const entry_settings& settings,
+                                                             std::size_t connections)
 {
     http_server::limits limits;
     limits.most_body_bytes = static_cast<std::size_t>(settings.most_request_bytes);
     limits.request_timeout_ms = settings.request_timeout_ms;
+    limits.most_connections = connections;
     return limits;
 }
 
@@ -277,7 +279,7 @@
     implementation& self = *m_implementation;
     findings found;
     self.gateway = std::make_unique<http_server>(
-        self.io, implementation::limits_of(self.settings),
+        self.io, implementation::limits_of(self.settings, self.bounds.other_connections),
         [this, handler = std::move(handler)](const http_request& request, const http_server::respond& respond)
         {
             respond(handler(*this, request));
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -21,6 +21,10 @@
 namespace
 {
 
+/// A connection isn't read while its request is answered. The requests of callers are small, so that a small
+/// window doesn't delay them.
+constexpr int caller_receive_buffer_bytes = 64 << 10;
+
 http_reply not_ready()
 {
     http_reply reply = error_reply(http_unavailable, errc::not_ready);
@@ -28,13 +32,15 @@
     return reply;
 }
 
-http_server::limits limits_of(const request_limits& declared)
+http_server::limits limits_of(const request_limits& declared, std::size_t most_connections)
 {
     http_server::limits limits;
     limits.most_header_bytes = declared.header_bytes;
     limits.most_body_bytes = declared.body_bytes;
     limits.request_timeout_ms = static_cast<int>(declared.header_timeout.ms());
     limits.idle_timeout_ms = static_cast<int>(declared.idle_timeout.ms());
+    limits.most_connections = most_connections;
+    limits.receive_buffer_bytes = caller_receive_buffer_bytes;
     return limits;
 }
 
@@ -61,18 +67,25 @@
 
 } // namespace
 
-routing_frontend::routing_frontend(net::io_context& io, metrics& counted, const router_options& options,
-                                   routed_header_names names, sender send, owners_handler owners,
-                                   crash_records_handler crashes, witness_report_handler witnesses)
-    : m_metrics(counted), m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)),
-      m_send(std::move(send)), m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
+routing_frontend::routing_frontend(net::io_context& io, metrics& counted, std::size_t most_connections,
+                                   const router_options& options, routed_header_names names, sender send,
+                                   owners_handler owners, crash_records_handler crashes,
+                                   witness_report_handler witnesses)
+    : m_metrics(counted), m_most_connections(most_connections), m_strand(net::make_strand(io)),
+      m_timer(m_strand), m_codec(std::move(names)), m_send(std::move(send)),
+      m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
       m_report_to_witnesses(std::move(witnesses)), m_admission(options.load, first_number_of_run()),
       m_router(with_new_numbers(options)), m_pools(m_strand, counted),
-      m_server(io, limits_of({}),
-               [this](const http_request& request, http_server::respond respond)
-               {
-                   on_request(request, std::move(respond));
-               })
+      m_server(
+          io, limits_of({}, most_connections),
+          [this](const http_request& request, http_server::respond respond)
+          {
+              on_request(request, std::move(respond));
+          },
+          [this](const http_request& head, int status)
+          {
+              on_refusal(head, status);
+          })
 {
 }
 
@@ -131,7 +144,8 @@
 
 void routing_frontend::update(const routing_view& view, const request_limits& limits)
 {
-    m_server.set_limits(limits_of(limits));
+    m_server.set_limits(limits_of(limits, m_most_connections));
+    report_body_limit(limits.body_bytes);
     net::dispatch(m_strand,
                   [this, view]
                   {
@@ -148,6 +162,18 @@
                   });
 }
 
+/// Logs once that the configuration allows a body for which this process has no memory.
+void routing_frontend::report_body_limit(std::size_t body_bytes)
+{
+    const std::size_t most_bytes = message_memory::of_requests().bounds().lone_bytes;
+    if (body_bytes > most_bytes && body_bytes != m_reported_body_bytes)
+    {
+        log(log_level::warning, "body_limit_exceeds_memory",
+            {{"configured_bytes", body_bytes}, {"accepted_bytes", most_bytes}});
+    }
+    m_reported_body_bytes = body_bytes;
+}
+
 void routing_frontend::configure_pools(const placement& placed)
 {
     for (const auto& [name, service] : placed.services)
@@ -283,6 +309,13 @@
                   });
 }
 
+void routing_frontend::on_refusal(const http_request& head, int status) const
+{
+    m_metrics.add(metrics::counter::unread_requests_refused);
+    log(log_level::info, "unread_request_refused",
+        {{"request", m_codec.request_id_of(head)}, {"target", head.target}, {"status", status}});
+}
+
 void routing_frontend::arrive_from_caller(request_number number, routed_request request,
                                           const std::string& key, caller from)
 {
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -50,9 +50,10 @@
     using witness_report_handler =
         std::function<void(const limit_report& report, const std::string& coordinator)>;
 
-    routing_frontend(boost::asio::io_context& io, metrics& counted, const router_options& options,
-                     routed_header_names names, sender send, owners_handler owners,
-                     crash_records_handler crashes, witness_report_handler witnesses);
+    /// @param most_connections maximum number of connections of callers
+    routing_frontend(boost::asio::io_context& io, metrics& counted, std::size_t most_connections,
+                     const router_options& options, routed_header_names names, sender send,
+                     owners_handler owners, crash_records_handler crashes, witness_report_handler witnesses);
 
     std::error_code listen(const address& at);
 
@@ -111,6 +112,12 @@
     /// @return the number of requests that aren't replied to yet
     std::size_t in_flight() const noexcept;
 
+    /// @return the server that callers connect to
+    const http_server& server() const noexcept
+    {
+        return m_server;
+    }
+
     /// @brief Calls @a done with a dump of the state of admission and router, on the strand of the frontend.
     void dump(std::function<void(nlohmann::json)> done);
 
@@ -126,6 +133,8 @@
         /// The entry that delegated the request; empty if the request arrived from a caller directly.
         std::string delegated_by;
         delegation_number delegation = 0;
+        /// The memory of a delegated request; that of a caller's request is accounted by its connection.
+        std::shared_ptr<message_memory::share> memory{};
     };
 
     /// The settings of the connection pool of a backend server.
@@ -146,6 +155,7 @@
     };
 
     void on_request(const http_request& request, http_server::respond respond);
+    void on_refusal(const http_request& head, int status) const;
     void arrive(request_number number, std::shared_ptr<const routed_request> request, caller from);
     void arrive_from_caller(request_number number, routed_request request, const std::string& key,
                             caller from);
@@ -175,6 +185,7 @@
     void on_reply(const start_routed_attempt& sent, time_point sent_at, http_exchange_result reply);
     void on_time();
     void schedule_timer();
+    void report_body_limit(std::size_t body_bytes);
     void configure_pools(const placement& placed);
     void configure_pool(const backend_server& server, int sharers);
     void release(const placed_service& service);
@@ -183,6 +194,9 @@
     nlohmann::json dump_state() const;
 
     metrics& m_metrics;
+    const std::size_t m_most_connections;
+    /// The limit of the configuration that was last checked against the memory; used by @ref update only.
+    std::size_t m_reported_body_bytes = 0;
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::steady_timer m_timer;
     time_point m_timer_expiry = time_point::never();
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -14,6 +14,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -55,6 +56,10 @@
     return std::chrono::microseconds(span.us());
 }
 
+/// The unread bytes that a connection is assumed to have in the system's buffer once some have arrived while
+/// it isn't read.
+constexpr std::size_t unread_bytes = std::size_t{64} << 10U;
+
 http::response<http::string_body> to_response(http_reply reply, bool keep_alive)
 {
     http::response<http::string_body> message(static_cast<http::status>(reply.status), http_version);
@@ -173,7 +178,10 @@
 net::awaitable<server_connection::read_end> server_connection::read_request(const http_server::limits& bounds)
 {
     const auto idle_ms = bounds.idle_timeout_ms > 0 ? bounds.idle_timeout_ms : bounds.request_timeout_ms;
-    request_reader::state state = m_reader.begin({bounds.most_header_bytes, bounds.most_body_bytes});
+    // A body that doesn't fit even alone is too large, whatever the limit for one body is.
+    const std::size_t lone_bytes = message_memory::of_requests().bounds().lone_bytes;
+    request_reader::state state =
+        m_reader.begin({bounds.most_header_bytes, std::min(bounds.most_body_bytes, lone_bytes)});
     bool has_started = m_reader.has_started();
     time_point now = m_server->clock.now();
     time_point deadline = now + duration::from_ms(has_started ? bounds.request_timeout_ms : idle_ms);
@@ -210,6 +218,12 @@
         }
         state = m_reader.arrived(std::string_view(buffer.data(), count));
         note_progress(count);
+        const bool is_refused =
+            state != request_reader::state::needs_more && state != request_reader::state::complete;
+        if (!is_refused && !has_memory())
+        {
+            co_return read_end::no_room;
+        }
     }
     switch (state)
     {
@@ -249,6 +263,15 @@
     return m_timed_out ? read_end::timed_out : read_end::closed;
 }
 
+/// @return whether the request fits into the memory for requests, which others may have to leave for it
+bool server_connection::has_memory()
+{
+    const message_memory::share& held = m_reader.memory();
+    m_tracked->set_held_bytes(held.bytes());
+    return held.fits() ||
+           m_server->table.make_room_for_message(held, connection_phase::reading, m_server->clock.now());
+}
+
 void server_connection::note_progress(std::size_t bytes)
 {
     m_unreported_bytes += bytes;
@@ -409,7 +432,12 @@
     {
         return true;
     }
-    return count > 0;
+    if (count <= 0)
+    {
+        return false;
+    }
+    // More may arrive before the reply, as much as the system's buffer takes.
+    return m_reader.add_unread(unread_bytes) || has_memory();
 }
 
 /// @return whether the reply was written completely
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -60,6 +60,7 @@
     boost::asio::awaitable<read_end> read_request(const http_server::limits& bounds);
     boost::asio::awaitable<bool> await_readable(time_point deadline);
     read_end end_of_wait() const;
+    bool has_memory();
     void note_progress(std::size_t bytes);
     boost::asio::awaitable<void> refuse(read_end reason);
     void write_at_once(const response& message);
--- a/src/process/control_settings.cpp
+++ b/src/process/control_settings.cpp
@@ -132,6 +132,7 @@
                  [&](json_reader& r)
                  {
                      r.number("request_bytes", settings.most_request_bytes, 1024, most_bytes);
+                     read_process_limits(r, settings.process, settings.most_request_bytes);
                      r.number("request_timeout_ms", settings.request_timeout_ms, 10, hour_ms);
                  });
     read_section(reader, "log", false,
--- a/src/process/entry_settings.cpp
+++ b/src/process/entry_settings.cpp
@@ -149,6 +149,7 @@
                  [&](json_reader& r)
                  {
                      r.number("request_bytes", settings.most_request_bytes, 1024, most_bytes);
+                     read_process_limits(r, settings.process, settings.most_request_bytes);
                      r.number("request_timeout_ms", settings.request_timeout_ms, 10, hour_ms);
                      r.number("queries_per_service", settings.most_queries_per_service, 1, most_bytes);
                      r.number("services", settings.most_services, 1, most_bytes);
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -43,6 +43,9 @@
         refused_too_many_open,
         /// Requests refused since the configuration lacks their target, and isn't confirmed.
         refused_unconfirmed,
+        /// Requests refused before they were read completely: too large, too slow, malformed, or beyond the
+        /// memory for requests.
+        unread_requests_refused,
         /// Requests that became suspect of crashing backend servers, and those that were found to.
         requests_suspected,
         requests_quarantined,
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -4,6 +4,7 @@
 #include "http/address.hpp"
 #include "links/link_timing.hpp"
 #include "log.hpp"
+#include "resource_bounds.hpp"
 
 #include <flaxtiller/core/findings.hpp>
 #include <flaxtiller/dispatch/scheduler_options.hpp>
@@ -62,6 +63,7 @@
     address platform_list;
     int platform_poll_interval_ms = 500;
     int threads = 4;
+    process_limits process;
     int most_request_bytes = 1 << 20;
     int request_timeout_ms = 10000;
     int most_queries_per_service = 10000;
@@ -105,6 +107,7 @@
     rate_tolerance limit_tolerance;
     std::string data_folder;
     quorum::timing timing;
+    process_limits process;
     int most_request_bytes = 16 << 20;
     int request_timeout_ms = 10000;
     log_level least_level = log_level::info;
--- a/src/process/settings_reading.cpp
+++ b/src/process/settings_reading.cpp
@@ -213,6 +213,22 @@
     }
 }
 
+void read_process_limits(json_reader& reader, process_limits& into, int request_bytes)
+{
+    constexpr int least_memory_mb = 64;
+    constexpr int most_memory_mb = 1 << 20;
+    constexpr int most_descriptors = 1 << 20;
+    reader.number("memory_mb", into.memory_mb, least_memory_mb, most_memory_mb);
+    reader.number("descriptors", into.descriptors, 0, most_descriptors);
+    const std::size_t most_request_bytes = bounds_of(into).requests.lone_bytes;
+    if (reader.has("request_bytes") && static_cast<std::size_t>(request_bytes) > most_request_bytes)
+    {
+        reader.found().error(errc::key_conflict, reader.at("request_bytes"),
+                             "must not exceed " + std::to_string(most_request_bytes) +
+                                 ", what memory_mb leaves for one request");
+    }
+}
+
 void read_zones(json_reader& reader, std::map<std::string, std::string>& into)
 {
     const nlohmann::json* zones = reader.take("availability_zones");
--- a/src/process/settings_reading.hpp
+++ b/src/process/settings_reading.hpp
@@ -48,6 +48,10 @@
 /// @brief Reads the least level of the log.
 void read_log(json_reader& reader, log_level& into);
 
+/// @brief Reads what the process may use of its machine. A request that wouldn't fit is a finding.
+/// @param request_bytes the maximum size of a request, read before
+void read_process_limits(json_reader& reader, process_limits& into, int request_bytes);
+
 /// @brief Reads the bounds of changes and the times of links, which follow from the bounds unless they are
 /// given.
 void read_link_times(json_reader& reader, distribution::change_bounds& bounds, link_timing& links);
--- /dev/null
+++ b/tests/src/unit-resource-bounds.cpp
@@ -0,0 +1,83 @@
+#include "process/resource_bounds.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace flaxtiller::shell;
+
+namespace
+{
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t megabyte = 1024 * kilobyte;
+
+} // namespace
+
+// Guards against messages of many peers that together exceed the memory of the process.
+TEST_CASE("message_memory bounds the memory of all messages", "[http]")
+{
+    message_memory memory({megabyte, 100 * kilobyte, 2 * megabyte});
+    message_memory::share first(memory);
+    message_memory::share second(memory);
+
+    SECTION("messages fit together up to the bound")
+    {
+        CHECK(first.resize(megabyte / 2));
+        CHECK(second.resize(megabyte / 2));
+        CHECK_FALSE(second.resize(megabyte / 2 + 1));
+        CHECK(second.resize(megabyte / 2));
+    }
+    SECTION("a small message always fits")
+    {
+        REQUIRE(first.resize(megabyte));
+        CHECK(second.resize(100 * kilobyte));
+        CHECK_FALSE(second.resize(100 * kilobyte + 1));
+    }
+    SECTION("a message above the bound fits while it is nearly alone, up to a bound of its own")
+    {
+        REQUIRE(second.resize(50 * kilobyte));
+        CHECK(first.resize(2 * megabyte));
+        CHECK_FALSE(first.resize(2 * megabyte + 1));
+        REQUIRE(first.resize(2 * megabyte));
+        CHECK_FALSE(second.resize(500 * kilobyte));
+        CHECK_FALSE(first.fits());
+    }
+    SECTION("what is about to be released counts no longer")
+    {
+        REQUIRE(first.resize(megabyte));
+        CHECK_FALSE(second.resize(megabyte / 2));
+        memory.add_leaving(megabyte);
+        CHECK(second.fits());
+        memory.remove_leaving(megabyte);
+        CHECK_FALSE(second.fits());
+    }
+    SECTION("memory is returned, and its peak is kept until it is taken")
+    {
+        {
+            message_memory::share third(memory);
+            CHECK(third.resize(megabyte));
+        }
+        CHECK(memory.used_bytes() == 0);
+        CHECK(memory.take_peak_bytes() == megabyte);
+        CHECK(memory.take_peak_bytes() == 0);
+    }
+}
+
+// Guards against bounds that exceed the memory of a small machine, or that an ordinary caller meets.
+TEST_CASE("bounds_of derives all bounds from the limits of the process", "[settings]")
+{
+    process_limits limits;
+    limits.memory_mb = GENERATE(64, 128, 160, 260, 4096);
+    const resource_bounds bounds = bounds_of(limits);
+    const std::size_t memory = limits.memory_bytes();
+
+    SECTION("the messages together leave a part of the memory")
+    {
+        const std::size_t messages =
+            bounds.requests.all_bytes + bounds.replies.all_bytes + bounds.answers.all_bytes;
+        CHECK(messages < memory * 3 / 5);
+    }
+    SECTION("a request that is held three times fits")
+    {
+        CHECK(3 * bounds.requests.lone_bytes < memory * 3 / 4);
+    }
+}
