Answers that nobody reads are bounded over all connections

What operators saw: callers that send requests and don't read the answers made a process hold all of them until their time was up.

Cause: the memory of a reply was counted while it arrived from the backend server, and no longer once it waited for its caller.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -445,9 +445,19 @@
                                                     const http_server::limits& bounds)
 {
     const time_point now = m_server->clock.now();
+    message_memory::share held(message_memory::of_answers());
+    const bool fits = held.resize(reply.body.capacity());
+    m_tracked->set_held_bytes(held.bytes());
     m_tracked->enter(connection_phase::writing, now);
+    if (!fits)
+    {
+        // The request has run, so its reply is written whether or not others give way.
+        (void)m_server->table.make_room_for_message(held, connection_phase::writing, now);
+    }
     response message = to_response(std::move(reply), keep_alive);
-    co_return co_await write(message, now + duration::from_ms(bounds.request_timeout_ms));
+    const bool is_written = co_await write(message, now + duration::from_ms(bounds.request_timeout_ms));
+    m_tracked->set_held_bytes(0);
+    co_return is_written;
 }
 
 net::awaitable<bool> server_connection::write(response& message, time_point deadline)
