Callers' connections are bounded by the descriptors and the memory; one that waits for its caller gives way

What callers saw: a few thousand connections without a byte took all descriptors of an entry until they idled out; nobody else was accepted meanwhile, and links and backend servers got none either. What operators saw: control was open to the same.

Cause: most_connections was 0 everywhere but in stand-ins, and a failed accept was tried again at once.

Change: three eighths of limits/descriptors (the system's limit if none is stated) are for callers, and not more than an eighth of the memory bears at 32 KB each; a thirty-second part for each other server of a process. At the bound a newcomer is accepted and another connection closed: first one whose refusal is being read, then the one that has waited longest for a request or its rest, then one whose answer hasn't been read for 250 ms. A connection whose request is being answered never gives way; if all are, the newcomer is closed. A failed accept waits 20 ms. Stand-ins still refuse above their limit.

Why it works: callers' connections leave five eighths of the descriptors, and a caller that sends its request when it connects is never the one that has waited longest.

--- a/tests/src/unit-resource-bounds.cpp
+++ b/tests/src/unit-resource-bounds.cpp
@@ -67,6 +67,7 @@
 {
     process_limits limits;
     limits.memory_mb = GENERATE(64, 128, 160, 260, 4096);
+    limits.descriptors = GENERATE(256, 600, 4100, 20000);
     const resource_bounds bounds = bounds_of(limits);
     const std::size_t memory = limits.memory_bytes();
 
@@ -80,4 +81,20 @@
     {
         CHECK(3 * bounds.requests.lone_bytes < memory * 3 / 4);
     }
+    SECTION("small messages of all callers fit")
+    {
+        const std::size_t small = bounds.requests.small_bytes + bounds.answers.small_bytes;
+        CHECK(bounds.caller_connections * small <= memory / 5);
+    }
+    SECTION("links, backend servers and files have descriptors beside the callers")
+    {
+        const auto descriptors = static_cast<std::size_t>(limits.descriptors);
+        CHECK(bounds.caller_connections + 3 * bounds.other_connections <= descriptors / 2);
+    }
+}
+
+// Guards against a process without a stated limit that takes no callers.
+TEST_CASE("bounds_of follows the system where no limit is stated", "[settings]")
+{
+    CHECK(bounds_of(process_limits{}).caller_connections > 100);
 }
