Memory of messages goes back to the system after a crowd, and a line each second says who gave way

What operators saw: the allocator kept most of what a crowd had made a process hold: 102 MB three seconds after 1,200 heads of 3,000 fields each, 56 MB after 900 whole bodies (trials with 260 MB and 4,100 descriptors), so that the next crowd would have started from there.

Change: each second, if requests and answers used at least a sixteenth of the memory since the last time and a quarter of that now, free memory is given back (malloc_trim). The log has `callers_press` (connections, who was evicted or refused, memory) in each second in which a connection gave way or a request was refused, and `memory_released`.

Tests: heap_release in unit-resource-bounds; test_the_memory_is_given_back_afterwards.

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -434,6 +434,11 @@
         maintain_membership(registers, register_log, now);
     }
     search_settings(now);
+    if (now >= next_caller_check_at)
+    {
+        next_caller_check_at = now + caller_watch_interval;
+        callers_watched.check(gateway ? *gateway : operators);
+    }
     registrations.tick(catalog.is_authoritative(now), now);
     if (crash_records.is_due(now))
     {
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -6,6 +6,7 @@
 #include "http/http_server.hpp"
 #include "leaderless_report.hpp"
 #include "links/peer_links.hpp"
+#include "process/caller_watch.hpp"
 #include "process/log.hpp"
 #include "process/suspension_watch.hpp"
 #include "process/system.hpp"
@@ -157,6 +158,8 @@
     quorum::membership_planner membership;
     http_server operators;
     std::unique_ptr<http_server> gateway;
+    caller_watch callers_watched{settings.process.memory_bytes()};
+    time_point next_caller_check_at{};
     time_point next_notice_at{};
     time_point next_membership_check_at{};
     /// The announcements of the reachable replicas about their log folders, by log and name.
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -5,6 +5,7 @@
 
 #include "http/pools_by_server.hpp"
 #include "links/peer_links.hpp"
+#include "process/caller_watch.hpp"
 #include "process/log.hpp"
 #include "process/suspension_watch.hpp"
 #include "process/system.hpp"
@@ -66,8 +67,8 @@
     implementation(entry_settings wanted, settings_source read_from)
         : settings(std::move(wanted)), source(std::move(read_from)), run_id(draw64()),
           strand(net::make_strand(io)), link_timer(strand), report_timer(strand), follow_check_timer(strand),
-          pools_timer(strand), crash_resend_timer(strand), drain_timer(strand), routing_update_timer(strand),
-          signals(io, SIGTERM, SIGINT, SIGHUP),
+          pools_timer(strand), caller_watch_timer(strand), crash_resend_timer(strand), drain_timer(strand),
+          routing_update_timer(strand), signals(io, SIGTERM, SIGINT, SIGHUP),
           links(hello{link_protocol_version, "entry", settings.instance.name, run_id,
                       settings.instance.region, settings.instance.availability_zone, settings.link.str()},
                 counted, settings.links, settings.links,
@@ -149,6 +150,7 @@
     /// Expires when the selection of a control replica is to be repeated.
     net::steady_timer follow_check_timer;
     net::steady_timer pools_timer;
+    net::steady_timer caller_watch_timer;
     net::steady_timer crash_resend_timer;
     net::steady_timer drain_timer;
     net::steady_timer routing_update_timer;
@@ -235,6 +237,7 @@
     std::map<std::string, time_point> answered_at;
     bool reports_unanswered = false;
     std::map<backend_server_name, bool> leaving_by_server;
+    caller_watch callers_watched{settings.process.memory_bytes()};
     std::thread platform_poller;
     std::atomic<bool> stopping{false};
     http_server callers;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -239,6 +239,11 @@
                         self.configure_pools(*snapshot->placed, nullptr);
                     }
                 });
+    self.repeat(self.caller_watch_timer, caller_watch_interval,
+                [&self]
+                {
+                    self.callers_watched.check(self.routed ? self.routed->server() : self.callers);
+                });
     self.on_signal();
     if (self.settings.platform_list.port != 0)
     {
--- a/tests/src/unit-resource-bounds.cpp
+++ b/tests/src/unit-resource-bounds.cpp
@@ -1,3 +1,4 @@
+#include "process/heap_release.hpp"
 #include "process/resource_bounds.hpp"
 
 #include <catch2/catch.hpp>
@@ -98,3 +99,26 @@
 {
     CHECK(bounds_of(process_limits{}).caller_connections > 100);
 }
+
+// Guards against memory that the allocator keeps for good after many large messages, and against giving it
+// back again and again.
+TEST_CASE("heap_release is due once messages have gone", "[settings]")
+{
+    heap_release release(10 * megabyte);
+
+    SECTION("not for few messages")
+    {
+        CHECK_FALSE(release.is_due(9 * megabyte, 0));
+    }
+    SECTION("not while they are there")
+    {
+        CHECK_FALSE(release.is_due(20 * megabyte, 20 * megabyte));
+        CHECK_FALSE(release.is_due(20 * megabyte, 6 * megabyte));
+    }
+    SECTION("once, after they have gone")
+    {
+        CHECK_FALSE(release.is_due(20 * megabyte, 20 * megabyte));
+        CHECK(release.is_due(0, megabyte));
+        CHECK_FALSE(release.is_due(megabyte, 0));
+    }
+}
