Delegated requests count against the memory of the entry that runs them

Found by reading: a request that another entry delegates was held without being counted, so that entries of one region together could make an entry of another one hold as much as all of them may. Now it counts like a caller's; one that doesn't fit is refused as not run at once (`delegation_refused`), and the delegating entry does with that what it does with any refusal.

No test of its own yet: the entries' own bounds keep a single delegating entry from showing it.

--- a/src/entry/routing_frontend_entries.cpp
+++ b/src/entry/routing_frontend_entries.cpp
@@ -26,8 +26,15 @@
     {
         m_send(from, routed_return{number, outcome});
     };
-    if (!m_open.load(std::memory_order_acquire))
+    requester.memory = std::make_shared<message_memory::share>(message_memory::of_requests());
+    const bool fits = requester.memory->resize(delegated->request.body.capacity());
+    if (!fits || !m_open.load(std::memory_order_acquire))
     {
+        if (!fits)
+        {
+            log(log_level::info, "delegation_refused",
+                {{"request", requester.id}, {"from", from}, {"reason", "memory for requests"}});
+        }
         requester.respond(routed_outcome{});
         return;
     }
