A sound, idle service is served again after its backend servers were slow

What callers saw: after backend servers had been slow for some seconds and were sound again, with nothing queued or in flight, an entry refused each request at once as overloaded, with Retry-After up to 30 s, for good: 0 of 119 served in 60 s.

Cause: the scheduler gives up a subquery that has less time left than the median of the latencies. Only attempts renew the median; once it is above the usual deadline no attempt begins, so that it never falls. Class: an estimate that decides whether an attempt begins, and that only attempts renew.

Change: a new subquery that the median gives no chance is started all the same if a slot is free, nothing else waits, and either an attempt has been fast enough since one last missed its deadline, or none has been tried like this for 500 ms. So one attempt, not hundreds of samples, shows that the service is sound, and while it is slow at most two attempts a second and shard are tried in vain. What waits in a queue is given up as before.

Ways weighed: estimates that age (they forget also while the service is slow; a half-life short enough for 5 s tries several times a second); the median of the last minute (a minute of refusals, where 5 s are wanted); nothing refused while a slot is free (every request to a slow service is tried in vain).

--- a/include/flaxtiller/dispatch/scheduler.hpp
+++ b/include/flaxtiller/dispatch/scheduler.hpp
@@ -234,6 +234,7 @@
     {
         subquery spec;
         std::vector<attempt_id> running;
+        time_point submitted_at;
         int attempts = 0;
         bool queued = false;
         /// Whether the subquery waits for the time @ref backoff, rather than for a slot.
@@ -267,6 +268,11 @@
     {
         std::vector<server_index> replicas;
         work_queue queue;
+        /// The least latency of an attempt since one was last not answered by its deadline, normalized by
+        /// size. Unlike the median, one attempt renews it.
+        std::optional<duration> fastest_answer{};
+        /// When an attempt that the estimates give no chance may be started next.
+        time_point next_probe_at{};
     };
 
     // Choice of a backend server.
@@ -309,6 +315,7 @@
     void remove_from_queue(pending_subquery& item);
     void run_queue_of(int shard, time_point now);
     void drop_unservable(int shard, time_point now);
+    bool is_worth_trying(const pending_subquery& item, time_point now);
     void run_queues_at(server_index index, time_point now);
     bool start_first_for(server_index index, time_point now);
     void start(pending_subquery& item, server_index index, time_point now, bool pipelined = false);
@@ -328,6 +335,7 @@
     bool try_elsewhere(pending_subquery& item, const attempt_result& result, time_point now);
     void observe(server_state& server, const attempt& ended, const attempt_result& result, time_point now);
     void observe_latency(server_state& server, const attempt& ended, bool answered, time_point now);
+    void note_fastest_answer(const server_state& server, duration latency);
     bool continues_as_sample(attempt_id loser, time_point now);
     void observe_failure(server_index index, time_point now);
     void give_up(pending_subquery& item, missing_reason reason, time_point now);
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -421,6 +421,10 @@
     if (found != m_pending.end())
     {
         const subquery& spec = found->second.spec;
+        if (!found->second.running.empty() && is_known_shard(spec.shard))
+        {
+            m_shards[static_cast<std::size_t>(spec.shard)].fastest_answer.reset();
+        }
         found->second.retry_after =
             estimated_wait(spec.shard, spec.priority, spec.team) + reported_wait(spec.shard, now);
         give_up(found->second, missing_reason::late, now);
--- a/src/dispatch/scheduler_detail.hpp
+++ b/src/dispatch/scheduler_detail.hpp
@@ -39,6 +39,9 @@
 inline constexpr duration min_backoff = duration::from_ms(2);
 inline constexpr duration max_backoff = duration::from_ms(100);
 
+/// How often an idle shard starts an attempt that its estimates give no chance.
+inline constexpr duration probe_interval = duration::from_ms(500);
+
 /// @return whether an attempt with this status was certainly not run
 inline bool was_not_run(attempt_status status) noexcept
 {
--- a/src/dispatch/scheduler_queue.cpp
+++ b/src/dispatch/scheduler_queue.cpp
@@ -15,6 +15,7 @@
 {
     pending_subquery& item = m_pending[spec.id];
     item.spec = spec;
+    item.submitted_at = now;
     item.held = spec.held;
     if (!is_known_shard(spec.shard))
     {
@@ -160,7 +161,7 @@
     while (!queue.empty())
     {
         pending_subquery& head = m_pending.at(queue.next_to_expire());
-        if (head.spec.deadline - now >= needed)
+        if (head.spec.deadline - now >= needed || is_worth_trying(head, now))
         {
             return;
         }
@@ -172,6 +173,32 @@
     }
 }
 
+/// Decides on a new subquery that the median gives no chance. Only attempts renew the median: if it alone
+/// decided, a service that was slow would be refused for good.
+/// @return whether the subquery is to be started: a slot is free, nothing else waits, and an attempt has been
+///         fast enough lately, or none has been tried for some time
+bool scheduler::is_worth_trying(const pending_subquery& item, time_point now)
+{
+    shard_state& shard = m_shards[static_cast<std::size_t>(item.spec.shard)];
+    if (item.submitted_at != now || shard.queue.size() > 1)
+    {
+        return false;
+    }
+    const auto index = free_server(item, now);
+    if (!index || is_waiting_faster(*index, item, now))
+    {
+        return false;
+    }
+    const bool is_fast =
+        shard.fastest_answer && *shard.fastest_answer * item.spec.size <= item.spec.deadline - now;
+    if (!is_fast && now < shard.next_probe_at)
+    {
+        return false;
+    }
+    shard.next_probe_at = is_fast ? shard.next_probe_at : now + probe_interval;
+    return true;
+}
+
 void scheduler::run_queues_at(server_index index, time_point now)
 {
     for (const int shard : m_servers[index].shards)
--- a/src/dispatch/scheduler_results.cpp
+++ b/src/dispatch/scheduler_results.cpp
@@ -145,6 +145,10 @@
         server.recent_samples = 0;
     }
     answered ? m_latency.add_answered(latency) : m_latency.add_censored(latency);
+    if (answered)
+    {
+        note_fastest_answer(server, latency);
+    }
     if (m_options.overdue_by_server)
     {
         answered ? server.latency.add_answered(latency) : server.latency.add_censored(latency);
@@ -160,6 +164,15 @@
     server.recent_latency = server.recent_latency + (counted - server.recent_latency) * weight;
 }
 
+void scheduler::note_fastest_answer(const server_state& server, duration latency)
+{
+    for (const int shard : server.shards)
+    {
+        auto& fastest = m_shards[static_cast<std::size_t>(shard)].fastest_answer;
+        fastest = std::min(fastest.value_or(latency), latency);
+    }
+}
+
 void scheduler::observe_failure(server_index index, time_point now)
 {
     server_state& server = m_servers[index];
