--- a/src/http/message_memory.cpp
+++ b/src/http/message_memory.cpp
@@ -15,8 +15,8 @@
                                                      std::size_t{51} << 20U};
 constexpr message_memory_bounds default_answer_bounds{std::size_t{42} << 20U, std::size_t{16} << 10U,
                                                       std::size_t{51} << 20U};
-/// A message counts as nearly alone while the others use at most one part in so many of the memory.
-constexpr std::size_t lone_divisor = 8;
+/// A message counts as nearly alone while the others use at most this part of the memory.
+constexpr std::size_t others_divisor = 8;
 
 } // namespace
 
@@ -94,7 +94,7 @@
     const message_memory_bounds bounds = m_from.bounds();
     const std::size_t used = m_from.used_bytes();
     const std::size_t others = used - std::min(used, m_bytes);
-    const bool is_alone = m_bytes <= bounds.lone_bytes && others <= bounds.all_bytes / lone_divisor;
+    const bool is_alone = m_bytes <= bounds.lone_bytes && others <= bounds.all_bytes / others_divisor;
     return m_bytes <= bounds.small_bytes || used <= bounds.all_bytes || is_alone;
 }
 
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -10,7 +10,9 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <system_error>
 
@@ -54,7 +56,12 @@
         no_room,
     };
 
+    /// The most bytes of one read.
+    static constexpr std::size_t read_buffer_bytes = std::size_t{64} << 10U;
+
+    static std::array<char, read_buffer_bytes>& read_buffer();
     static http_reply refusal_of(read_end reason);
+    static response to_response(http_reply reply, bool keep_alive);
 
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<read_end> read_request(const http_server::limits& bounds);
