A refusal closes a connection whose caller has sent its next requests ahead

Cause: a refused request was followed at once by the next one of its connection, so that the crowd took each slot that became free. Retry-After is no help where nobody waits for the reply.

Change: a reply 503 or 429 to a caller whose further bytes have already arrived closes the connection.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -161,10 +161,9 @@
         write_at_once(message);
         co_return;
     }
-    const time_point deadline = now + discard_timeout;
-    if (co_await write(message, deadline))
+    if (co_await write(message, now + discard_timeout))
     {
-        co_await discard_rest(deadline);
+        co_await discard_rest();
     }
 }
 
@@ -177,9 +176,13 @@
     m_socket.write_some(net::buffer(text.str()), ignored);
 }
 
-/// Reads what the caller still sends until it closes the connection.
-net::awaitable<void> server_connection::discard_rest(time_point deadline)
+/// Reads what the caller still sends until it closes the connection, for a limited time.
+net::awaitable<void> server_connection::discard_rest()
 {
+    const time_point now = m_server->clock.now();
+    const time_point deadline = now + discard_timeout;
+    m_reader.reset();
+    m_tracked->enter(connection_phase::closing, now);
     boost::system::error_code failed;
     m_socket.shutdown(tcp::socket::shutdown_send, failed);
     while ((!failed || failed == net::error::would_block) && co_await await_readable(deadline))
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -71,7 +71,7 @@
     void note_progress(std::size_t bytes);
     boost::asio::awaitable<void> refuse(read_end reason);
     void write_at_once(const response& message);
-    boost::asio::awaitable<void> discard_rest(time_point deadline);
+    boost::asio::awaitable<void> discard_rest();
     boost::asio::awaitable<bool> answer(const http_server::limits& bounds);
     bool hand_over(const std::shared_ptr<pending_reply>& pending);
     void watch_for_disconnect(const std::shared_ptr<pending_reply>& pending,
@@ -93,6 +93,8 @@
     time_point m_deadline = time_point::never();
     time_point m_timer_due = time_point::never();
     bool m_timed_out = false;
+    /// Whether bytes have arrived while the request is being answered.
+    bool m_has_unread = false;
     /// Bytes of the message in progress since its progress was last reported.
     std::size_t m_unreported_bytes = 0;
 };
--- a/src/http/server_connection_answers.cpp
+++ b/src/http/server_connection_answers.cpp
@@ -2,6 +2,8 @@
 
 #include "server_connection.hpp"
 
+#include "http_status.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +29,11 @@
 /// it isn't read.
 constexpr std::size_t unread_bytes = std::size_t{64} << 10U;
 
+bool is_refusal(const http_reply& reply)
+{
+    return reply.status == http_unavailable || reply.status == http_too_many;
+}
+
 } // namespace
 
 server_connection::response server_connection::to_response(http_reply reply, bool keep_alive)
@@ -69,18 +76,26 @@
         boost::system::error_code ignored;
         m_socket.cancel(ignored);
     }
+    // A caller that sends its next requests without waiting for the reply doesn't wait for `Retry-After`
+    // either. All its requests at once would keep other callers from the slots that become free.
+    const bool is_insisting = is_refusal(pending->reply) && (m_has_unread || m_reader.has_bytes_ahead());
     m_reader.release();
-    bool keep_alive = wants_keep_alive && !m_server->draining && !m_server->closing;
-    keep_alive = !pending->reply.close_connection &&
-                 co_await write_reply(std::move(pending->reply), keep_alive, bounds) && keep_alive;
+    const bool keep_alive = wants_keep_alive && !is_insisting && !m_server->draining && !m_server->closing;
+    const bool is_written = !pending->reply.close_connection &&
+                            co_await write_reply(std::move(pending->reply), keep_alive, bounds);
     --m_server->in_flight;
-    co_return keep_alive;
+    if (is_written && is_insisting)
+    {
+        co_await discard_rest();
+    }
+    co_return is_written&& keep_alive;
 }
 
 /// Calls the handler with the request.
 /// @return whether the connection is watched for its end
 bool server_connection::hand_over(const std::shared_ptr<pending_reply>& pending)
 {
+    m_has_unread = false;
     http_request request = m_reader.take();
     request.on_gone = std::make_shared<std::function<void()>>();
     m_server->handle(request,
@@ -139,6 +154,7 @@
     {
         return false;
     }
+    m_has_unread = true;
     // More may arrive before the reply, as much as the system's buffer takes.
     return m_reader.add_unread(unread_bytes) || has_memory();
 }
