Control replicas exchange heartbeats several times within the silence after which a backend server is lost

What callers saw: some 5 s after a control replica at a reused address had been refused, the route of a running backend server got 503; the leader had called the backend server lost.

Cause: backend servers send heartbeats to one replica, which passes on every 3 s which it received. That was a constant, said to be well below the time after which a backend server counts as lost; but that time is a setting (registration_silence_ms), and 3 s where heartbeats come every 300 ms. A leader that hears them only from another replica then decides between two of these messages. The other deployment has no part in it: the test is the one in which the replica that backend servers talk to isn't the leader.

Evidence: a run that failed, with its logs: the leader calls it lost at 15.163, with the sequence of 12.15, 3 s before; the follower, which receives the heartbeats, logs nothing.

Change: the interval is a quarter of the silence, and 3 s at most, so that settings of 12 s and more send as before.

--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -12,9 +12,11 @@
 namespace
 {
 
-/// The interval at which replicas exchange received heartbeats. It is well below the time without a heartbeat
-/// after which a backend server counts as lost.
-constexpr duration exchange_interval = duration::from_ms(3000);
+/// The longest interval at which replicas exchange received heartbeats.
+constexpr duration max_exchange_interval = duration::from_ms(3000);
+/// The same as a fraction of the time without a heartbeat after which a backend server counts as lost: a
+/// leader that receives none itself must know of several before.
+constexpr double exchange_silence_fraction = 0.25;
 /// The delay between the start and the restoration of saved registrations. Replicas that start at the same
 /// time are linked within this time, also between regions, and a replica that didn't restart has sent its
 /// registrations.
@@ -33,8 +35,9 @@
                                                    registration_file::saved_function on_saved,
                                                    duration silence, time_point now)
     : m_links(links), m_file(path, std::move(on_saved)), m_confirmer(links, m_file, std::move(self)),
-      m_silence(silence), m_started_at(now),
-      m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
+      m_silence(silence),
+      m_exchange_interval(std::min(max_exchange_interval, silence * exchange_silence_fraction)),
+      m_started_at(now), m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
 {
 }
 
@@ -57,7 +60,7 @@
 {
     const std::size_t count = m_registry.restore(std::exchange(m_saved, {}), now);
     log(log_level::info, "registrations_restored", {{"items", count}});
-    m_exchange_at = now + unconfirmed_exchange_interval;
+    m_exchange_at = now + std::min(unconfirmed_exchange_interval, m_exchange_interval);
     publish_changes(true, now);
     m_publisher.expedite_changes(now);
     send_due(now);
@@ -243,7 +246,9 @@
     {
         log(log_level::info, "registrations", {{"items", unlogged}, {"known", m_registry.size()}});
     }
-    m_exchange_at = now + (m_registry.has_unconfirmed() ? unconfirmed_exchange_interval : exchange_interval);
+    m_exchange_at =
+        now + (m_registry.has_unconfirmed() ? std::min(unconfirmed_exchange_interval, m_exchange_interval)
+                                            : m_exchange_interval);
     const registration_heard receipts{m_registry.take_heartbeat_receipts()};
     const registration_digest known{m_registry.digest()};
     const std::vector<std::string> others(m_publisher.replicas().begin(), m_publisher.replicas().end());
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -97,6 +97,7 @@
     /// The registrations saved by a previous run, until they are restored or discarded.
     std::vector<registration> m_saved;
     duration m_silence;
+    duration m_exchange_interval;
     time_point m_started_at;
     registry m_registry;
     registration_publisher m_publisher;
