Endless replies: the test waits for both backend servers with requests at once

Traced with a loop over its set-up (1 of 149): the entry knows both backend servers and answers 465 of 465 requests, each by the same one. The set-up sent one request after the other and waited until both backend servers had got one; an idle service may give all of them to the one that looks faster by a little, so that nothing was wrong with the entry. Latencies of 43 ms on a kept connection come from the stand-in, which writes head and body apart.

--- a/tests/faults/test_endless_replies.py
+++ b/tests/faults/test_endless_replies.py
@@ -25,12 +25,17 @@
         self.entry = self.platform.machines[0]
         self.endless, self.sound = [self.platform.add_backend("s0") for _ in range(2)]
         self.assertEqual(self.platform.put(configuration(7, shards=1)), 200)
-        eventually("both are known", lambda: self.status("warm-up") == 200 and
+        eventually("both are known", lambda: self.statuses("warm-up", CALLERS) == [200] * CALLERS and
                    self.endless.arrivals and self.sound.arrivals)
 
     def status(self, request):
         return self.platform.request(self.entry, "/one/x", request)[0]
 
+    def statuses(self, prefix, requests):
+        """Of requests that are sent at once, more than one backend server has slots for."""
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
+            return list(callers.map(self.status, ("%s-%d" % (prefix, i) for i in range(requests))))
+
     def peak_memory_kb(self):
         with open("/proc/%d/status" % self.entry.processes["entry"].handle.pid) as file:
             return int(re.search(r"VmHWM:\s+(\d+) kB", file.read()).group(1))
@@ -41,8 +46,7 @@
     def play(self, kind):
         self.endless.endless = kind
         reached_before = len(self.endless.arrivals)
-        with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
-            answers = list(callers.map(self.status, ("%s-%d" % (kind, i) for i in range(REQUESTS))))
+        answers = self.statuses(kind, REQUESTS)
         self.endless.endless = None
         reached = len(self.endless.arrivals) - reached_before
         self.assertGreater(reached, 0)
