--- a/tests/faults/crowd.py
+++ b/tests/faults/crowd.py
@@ -40,7 +40,6 @@
     def __init__(self, address, script):
         self.address, self.script = address, script
         self.socket, self.sent, self.closed_times = None, 0, 0
-        self.received = b""
 
     def open(self):
         self.socket = socket.socket()
@@ -79,9 +78,7 @@
 
     def read(self):
         try:
-            found = self.socket.recv(WRITE_BYTES)
-            self.received = (self.received + found)[-WRITE_BYTES:]
-            return bool(found)
+            return bool(self.socket.recv(WRITE_BYTES))
         except BlockingIOError:
             return True
         except OSError:
