--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""An invalid config of legal size makes one control process after the other exceed its memory."""
+"""Invalid configs make the control processes exceed their memory: one at the process that leads, one at all, for good."""
 
 import json
 import os
@@ -14,10 +14,17 @@
 # The size of a body that the deployment's limits and the site file (config.body_bytes) name.
 CONFIG_BYTES = 262144
 MEMORY_MB = 260
+# The second config gets as far as the replicated log: it has one route, whose split consists of zeros. The pages state no size for
+# a config.
+SECOND_BYTES = 600000
+# For how long the config is read back after the operator has given up, longer than recoveryS.
+READ_BACK_S = 20.0
 # A process that ended is started again after a short delay.
 RESTART_S = 0.5
 # For how long the operator sends the config again, as long as it gets no clear answer, and its longest pause.
-OPERATOR_S = 75.0
+OPERATOR_S = 45.0
+SECOND_OPERATOR_S = 10.0
+SETTLE_S = 5.0
 LONGEST_PAUSE_S = 2.0
 # The rule: on half of the core, processes end by themselves three times.
 ENDS = 3
@@ -65,19 +72,45 @@
     return (head + ",".join(["{}"] * count) + tail).encode()
 
 
-def valid_config():
-    """A valid config of the same size, as far as whole routes fit."""
+def second_config():
+    """A config with a split that can't be read; only the replicas themselves find that out."""
+    route = unsafe_route("r-refunds", "/refunds/", "refunds")
+    del route["service"]
+    route["trafficSplit"] = [0] * (SECOND_BYTES // 2)
+    return json.dumps(configuration(3, ["refunds"], [route]), separators=(",", ":")).encode()
+
+
+def valid_config(size, version):
+    """A valid config of this size, as far as whole routes fit."""
     def document(count):
         routes = [unsafe_route("r-%04d" % number, "/refunds/%04d/" % number, "refunds") for number in range(count)]
-        return json.dumps(configuration(2, ["refunds"], routes), separators=(",", ":")).encode()
+        return json.dumps(configuration(version, ["refunds"], routes), separators=(",", ":")).encode()
 
     size_of_one = len(document(11)) - len(document(10))
-    return document((CONFIG_BYTES - len(document(0))) // size_of_one - 1)
+    return document((size - len(document(0))) // size_of_one - 1)
+
+
+def read(platform):
+    """Reads the config at one node after the other; returns its version, or None if it doesn't come."""
+    until = time.monotonic() + READ_BACK_S
+    while time.monotonic() < until:
+        for machine in platform.core():
+            address = machine.control
+            for _ in range(3):
+                status, headers, text = call(address, "GET", "/api/config/get", timeout=1.0)
+                if status != 307:
+                    break
+                address = headers["Location"].split("/")[2]
+            platform.record.add("operator reads at %s: %s" % (address, status))
+            if status == 200:
+                return json.loads(text)["version"]
+        time.sleep(0.3)
+    return None
 
 
-def send(platform, body):
+def send(platform, body, for_s):
     """Sends the config to one node after the other, after growing pauses, until there is a clear answer."""
-    record, until, pause_s, number = platform.record, time.monotonic() + OPERATOR_S, 0.2, 0
+    record, until, pause_s, number = platform.record, time.monotonic() + for_s, 0.2, 0
     while time.monotonic() < until:
         address = platform.core()[number % 3].control
         number += 1
@@ -95,25 +128,41 @@
     return None
 
 
+def over_memory(provider, step):
+    """What breaks the rule: half of the core ended three times."""
+    ends = dict(provider.ends)
+    struck = sorted(number for number, count in ends.items() if count >= ENDS)
+    if len(struck) * 2 < len(provider.threads):
+        return []
+    return ["Fault, %s: control processes of machines %s of %d ended by themselves %s times, over %d MB" % (
+        step, struck, len(provider.threads), [ends[number] for number in struck], MEMORY_MB)]
+
+
 def case(record):
     with Platform(record, entries=3) as platform:
         platform.put(configuration(1, ["refunds"], [unsafe_route("r-refunds", "/refunds/", "refunds")]))
         platform.await_ready()
         time.sleep(2.0)
         provider = Provider(platform)
-        body = invalid_config() if trouble() else valid_config()
-        status = send(platform, body)
-        provider.stop()
-        print("config of %d bytes, answer %s, ends by machine %s, peak MB %s" % (
-            len(body), status, provider.ends, {number: round(peak) for number, peak in provider.peak_mb.items()}))
-        record.add("ends by machine %s" % provider.ends)
-        struck = [number for number, ends in provider.ends.items() if ends >= ENDS]
+        steps = (("first", CONFIG_BYTES, 2, invalid_config, OPERATOR_S), ("second", SECOND_BYTES, 3, second_config, SECOND_OPERATOR_S))
         broken = []
-        if len(struck) * 2 >= len(platform.core()):
-            broken.append("Fault: control processes of machines %s of %d ended by themselves %s times, over %d MB" % (
-                sorted(struck), len(platform.core()), [provider.ends[number] for number in sorted(struck)], MEMORY_MB))
-        if not platform.check_alive():
-            broken.append("processes ended by themselves")
+        for step, size, number, invalid, for_s in steps:
+            body = invalid() if trouble() else valid_config(size, number)
+            status = send(platform, body, for_s)
+            time.sleep(SETTLE_S)
+            version = read(platform)
+            text = "%s config, %d bytes: answer %s; ends by machine %s, peak MB %s; then version %s is read back" % (
+                step, len(body), status, provider.ends, {number: round(peak) for number, peak in provider.peak_mb.items()}, version)
+            print(text)
+            record.add(text)
+            broken += over_memory(provider, step)
+            if version is None:
+                broken.append("CONFIG, %s: the confirmed config isn't read back in %.0f s, from %.0f s after the operator gave up" % (
+                    step, READ_BACK_S, SETTLE_S))
+            provider.ends = {}
+        provider.stop()
+        if not all(machine.running("entry") for machine in platform.machines):
+            broken.append("entries ended by themselves")
         return broken
 
 
