A line of an answer's head that begins with a blank reaches no caller

Cause: Boost.Beast's parser unfolds such lines (obs-fold, RFC 9112, 5.2, which no sender may use), and its fields were handed on.

Change: reply_head reads the fields by itself, each line by the grammar of RFC 9112 (http_grammar): a token, a colon right after it, a value without control bytes. Any other line is a malformed reply, found when it arrives. The fields that reply_reader gives out are those, not the parser's.

Why this works: a line is read alone, so nothing can be joined to another one.

Unit tests: each byte at each place of a name and of a value.

--- /dev/null
+++ b/src/http/http_grammar.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace flaxtiller::shell
+{
+
+/// @brief A header or trailer field as it stands in a message.
+struct field_line
+{
+    std::string_view name;
+    /// Without the blanks around it.
+    std::string_view value;
+
+    bool operator==(const field_line&) const = default;
+};
+
+/// @return whether the text consists of bytes that values of fields and reason phrases may hold: visible
+/// characters, blanks, tabs, and bytes from 0x80 (RFC 9110, section 5.5)
+bool is_field_text(std::string_view text);
+
+/// @brief Reads one line of a head or a trailer (RFC 9112, section 5).
+/// @param line the line without its CRLF
+/// @return the field, which refers to the line, or nothing if the line isn't a field: its name isn't a token,
+/// its value holds a control byte, or it begins with a blank and so continues the line before it
+std::optional<field_line> parse_field_line(std::string_view line);
+
+} // namespace flaxtiller::shell
--- a/src/http/reply_fault.hpp
+++ b/src/http/reply_fault.hpp
@@ -11,7 +11,7 @@
     status_line,
     /// The status is below 100, above 599, or 101, which only answers a request for another protocol.
     status,
-    /// A line of the head doesn't end with CRLF.
+    /// A line of the head or of the trailer isn't a field.
     field,
     /// Where the body ends isn't clear: its length or its coding is missing, unknown, repeated or
     /// contradictory, or a chunk is malformed.
--- a/src/http/reply_head.cpp
+++ b/src/http/reply_head.cpp
@@ -1,9 +1,11 @@
 #include "reply_head.hpp"
 
+#include "http_grammar.hpp"
 #include "http_status.hpp"
 
 #include <algorithm>
 #include <optional>
+#include <string>
 
 namespace flaxtiller::shell
 {
@@ -51,7 +53,17 @@
     {
         return read_status_line(line);
     }
-    m_is_complete = line.empty();
+    if (line.empty())
+    {
+        m_is_complete = true;
+        return reply_fault::none;
+    }
+    const auto field = parse_field_line(line);
+    if (!field)
+    {
+        return reply_fault::field;
+    }
+    m_fields.add(std::string(field->name), std::string(field->value));
     return reply_fault::none;
 }
 
@@ -63,7 +75,8 @@
     constexpr std::size_t reason_at = status_at + 4;
     const bool has_shape = line.size() >= reason_at && may_begin_with(line) && line[status_at - 1] == ' ' &&
                            line[reason_at - 1] == ' ';
-    if (!has_shape || (line[version_at] != '0' && line[version_at] != '1'))
+    if (!has_shape || (line[version_at] != '0' && line[version_at] != '1') ||
+        !is_field_text(line.substr(reason_at)))
     {
         return reply_fault::status_line;
     }
--- a/src/http/reply_head.hpp
+++ b/src/http/reply_head.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_fields.hpp"
 #include "reply_fault.hpp"
 
 #include <string_view>
@@ -7,9 +8,10 @@
 namespace flaxtiller::shell
 {
 
-/// @brief The status line of an HTTP/1.1 reply, and the end of its head, read line by line.
+/// @brief The head of an HTTP/1.1 reply: status line and fields, read line by line.
 ///
-/// Parsers of libraries take any three digits as a status.
+/// It decides whether lines are the head of a reply at all, before anything else relies on them. Parsers of
+/// libraries take more: any three digits as a status, and lines that continue the one before.
 class reply_head
 {
   public:
@@ -35,12 +37,24 @@
         return m_status;
     }
 
+    const http_fields& fields() const noexcept
+    {
+        return m_fields;
+    }
+
+    /// @brief Moves the fields out.
+    http_fields take_fields()
+    {
+        return std::move(m_fields);
+    }
+
   private:
     reply_fault read_status_line(std::string_view line);
 
     bool m_is_complete = false;
     /// 0 before the status line.
     int m_status = 0;
+    http_fields m_fields;
 };
 
 } // namespace flaxtiller::shell
--- a/src/http/reply_reader.cpp
+++ b/src/http/reply_reader.cpp
@@ -202,12 +202,8 @@
 {
     implementation& self = *m_implementation;
     into.status = self.head.status();
-    auto& message = self.framing->get();
-    for (const auto& field : message)
-    {
-        into.headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    into.body = std::move(message.body());
+    into.headers = self.head.take_fields();
+    into.body = std::move(self.framing->get().body());
     (void)self.share.resize(0);
 }
 
--- a/tests/faults/test_broken_answers.py
+++ b/tests/faults/test_broken_answers.py
@@ -226,6 +226,19 @@
         empty = answer_of(status=b"103 Early Hints", framing=[], body=b"", identity=False)
         self.play({"bare": bare, "empty": empty}, silent=True)
 
+    def test_a_line_that_begins_with_a_blank_reaches_no_caller(self):
+        self.play({"blank": answer_of(extra=[b" " + BAD_LINE]), "tab": answer_of(extra=[b"\t" + BAD_LINE]),
+                   "after the status": answer_of(identity=False, extra=[
+                       b" " + BAD_LINE, b"X-Request-Id: {id}", b"X-Server-Stamp: {stamp}"]),
+                   "only blanks": answer_of(extra=[b"  "]),
+                   "in pieces": answer_of(extra=[b" " + BAD_LINE], pieces=7)})
+
+    def test_a_malformed_name_or_value_reaches_no_caller(self):
+        self.play({"blank within": answer_of(extra=[b"X Bad: v"]), "blank at the end": answer_of(extra=[b"X-Bad : v"]),
+                   "control byte": answer_of(extra=[b"X-\x01Bad: v"]), "no name": answer_of(extra=[b": X-Bad"]),
+                   "no colon": answer_of(extra=[b"X-Bad"]),
+                   "control byte in a value": answer_of(extra=[b"X-Bad: \x00v"])})
+
     def test_odd_but_legal_answers_arrive_whole(self):
         odd = b"!#$%&'*+-.^_`|~0aZ: \tv \xe4,;\"\t"
         cases = {
--- a/tests/src/unit-reply-reader.cpp
+++ b/tests/src/unit-reply-reader.cpp
@@ -87,6 +87,12 @@
     return result;
 }
 
+/// @return a reply with further lines in its head, each with its CRLF
+std::string reply_with(const std::string& lines)
+{
+    return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 5\r\n\r\nhello";
+}
+
 std::string three_digits(int status)
 {
     std::string digits = std::to_string(status);
@@ -341,3 +347,80 @@
         CHECK(reader.fault() == reply_fault::too_large);
     }
 }
+
+// Guards against lines that are passed on as they aren't meant, or that make the entry's own answer
+// malformed.
+TEST_CASE("reply_reader takes lines of a head that are fields only", "[http]")
+{
+    using state = reply_reader::state;
+
+    SECTION("each byte at each place of a name")
+    {
+        const std::string name = "X-Ab";
+        const std::string symbols = "!#$%&'*+-.^_`|~";
+        for (int value = 0; value < byte_values; ++value)
+        {
+            const char byte = static_cast<char>(value);
+            const bool is_alphanumeric = (value >= '0' && value <= '9') || (value >= 'A' && value <= 'Z') ||
+                                         (value >= 'a' && value <= 'z');
+            const bool is_token = is_alphanumeric || symbols.find(byte) != std::string::npos;
+            for (std::size_t at = 0; at <= name.size(); ++at)
+            {
+                CAPTURE(value, at);
+                std::string changed = name;
+                changed.insert(at, 1, byte);
+                // A colon within ends the name earlier.
+                const bool is_legal = is_token || (byte == ':' && at > 0);
+                const auto [reached, fault] = outcome_of(reply_with("X-First: v\r\n" + changed + ": w\r\n"));
+                CHECK(reached == (is_legal ? state::complete : state::malformed));
+                CHECK(fault == (is_legal ? reply_fault::none : reply_fault::field));
+            }
+        }
+    }
+    SECTION("each byte at each place of a value")
+    {
+        const std::string text = "a b";
+        for (int value = 0; value < byte_values; ++value)
+        {
+            const bool is_legal = value == '\t' || (value >= ' ' && value != 0x7f);
+            for (std::size_t at = 0; at <= text.size(); ++at)
+            {
+                CAPTURE(value, at);
+                std::string changed = text;
+                changed.insert(at, 1, static_cast<char>(value));
+                CHECK(outcome_of(reply_with("X-Ab:" + changed + "\r\n")).first ==
+                      (is_legal ? state::complete : state::malformed));
+            }
+        }
+    }
+    SECTION("a line that begins with a blank isn't joined to the one before")
+    {
+        for (const char* line : {" X-Bad: v", "\tX-Bad: v", " ", "\t", "  v", " \t"})
+        {
+            CAPTURE(line);
+            CHECK(fault_of(reply_with("X-Signature: s\r\n" + std::string(line) + "\r\n")) ==
+                  reply_fault::field);
+            CHECK(fault_of(reply_with(std::string(line) + "\r\n")) == reply_fault::field);
+        }
+    }
+    SECTION("other lines that aren't fields")
+    {
+        for (const char* line :
+             {"X-Bad", ":", ": v", "X Bad: v", "X-Bad : v", "HTTP/1.1 200 OK", "\rX-Bad: v"})
+        {
+            CAPTURE(line);
+            CHECK(fault_of(reply_with(std::string(line) + "\r\n")) == reply_fault::field);
+        }
+        CHECK(fault_of(reply_with("X-Bad: v\n")) == reply_fault::field);
+        CHECK(fault_of("HTTP/1.1 200 OK\r\nX-A: v\r\n\n") == reply_fault::field);
+    }
+    SECTION("odd but legal fields stay as they are, in their order")
+    {
+        const http_exchange_result reply =
+            reply_of(reply_with("!#$%&'*+-.^_`|~:\t \xe4 \t,;\"\t\r\nX-Empty:\r\nx-empty: \r\n"));
+        CHECK(reply.headers.items() == flaxtiller::header_list({{"!#$%&'*+-.^_`|~", "\xe4 \t,;\""},
+                                                                {"X-Empty", ""},
+                                                                {"x-empty", ""},
+                                                                {"Content-Length", "5"}}));
+    }
+}
