A body whose end isn't clear reaches no caller

What callers saw: bodies that weren't the backend server's: of an answer with two lengths, a list of lengths, or with `Transfer-Encoding: gzip, chunked`, whose inner coding nobody removes while the field is dropped; and answers with another coding or in chunks in HTTP/1.0, passed on as they came until the connection ended, chunk lines included.

Cause: Boost.Beast's parser takes several equal lengths, looks for `chunked` only as the last coding, and reads a body with any other coding until the end of the connection; nothing after it checked.

Change: a head has at most one length, of digits, or the coding `chunked`, once and not in HTTP/1.0. An interim head has neither. Else the reply is malformed.

Why this works: there is one way left to find the end of a body, and no coding that isn't removed.

--- a/src/http/http_fields.cpp
+++ b/src/http/http_fields.cpp
@@ -7,9 +7,6 @@
 namespace flaxtiller::shell
 {
 
-namespace
-{
-
 bool same_name(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
@@ -19,6 +16,9 @@
                                               });
 }
 
+namespace
+{
+
 /// @return whether the comma-separated @a list contains @a name
 bool list_contains(std::string_view list, std::string_view name)
 {
@@ -56,6 +56,15 @@
     return nullptr;
 }
 
+std::size_t http_fields::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(),
+                                                  [&](const auto& item)
+                                                  {
+                                                      return same_name(item.first, name);
+                                                  }));
+}
+
 std::string http_fields::value(std::string_view name) const
 {
     const std::string* found = find(name);
--- a/src/http/http_fields.hpp
+++ b/src/http/http_fields.hpp
@@ -2,12 +2,16 @@
 
 #include <flaxtiller/routing/backend_answer.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace flaxtiller::shell
 {
 
+/// @return whether two names of fields, or other words that are compared case-insensitively, are the same
+bool same_name(std::string_view a, std::string_view b);
+
 /// @brief The header fields of an HTTP message, in the order of the message. Names are compared
 /// case-insensitively, and several fields may have the same name.
 class http_fields
@@ -25,6 +29,9 @@
     /// @return the value of the first field with this name, or an empty string
     std::string value(std::string_view name) const;
 
+    /// @return the number of fields with this name
+    std::size_t count(std::string_view name) const;
+
     /// @brief Appends a field.
     void add(std::string name, std::string value);
 
--- a/src/http/reply_head.cpp
+++ b/src/http/reply_head.cpp
@@ -40,6 +40,12 @@
     return status;
 }
 
+/// @return whether the value is one length in bytes
+bool is_length(const std::string& value)
+{
+    return !value.empty() && std::all_of(value.begin(), value.end(), is_digit);
+}
+
 } // namespace
 
 bool reply_head::may_begin_with(std::string_view text)
@@ -56,7 +62,7 @@
     if (line.empty())
     {
         m_is_complete = true;
-        return reply_fault::none;
+        return has_clear_framing() ? reply_fault::none : reply_fault::framing;
     }
     const auto field = parse_field_line(line);
     if (!field)
@@ -89,6 +95,7 @@
     {
         return reply_fault::status;
     }
+    m_is_old_version = line[version_at] == '0';
     m_status = *status;
     return reply_fault::none;
 }
@@ -98,4 +105,25 @@
     return m_status < first_final_status;
 }
 
+/// A body has at most one length or the coding `chunked`. Other codings aren't removed, so the body would be
+/// passed on as it isn't meant. An interim head has no body (RFC 9112, section 6).
+bool reply_head::has_clear_framing() const
+{
+    const std::size_t lengths = m_fields.count("Content-Length");
+    const std::size_t codings = m_fields.count("Transfer-Encoding");
+    if (lengths + codings > 1)
+    {
+        return false;
+    }
+    if (is_interim() || (codings == 1 && m_is_old_version))
+    {
+        return lengths + codings == 0;
+    }
+    if (lengths == 1)
+    {
+        return is_length(m_fields.value("Content-Length"));
+    }
+    return codings == 0 || same_name(m_fields.value("Transfer-Encoding"), "chunked");
+}
+
 } // namespace flaxtiller::shell
--- a/src/http/reply_head.hpp
+++ b/src/http/reply_head.hpp
@@ -11,7 +11,7 @@
 /// @brief The head of an HTTP/1.1 reply: status line and fields, read line by line.
 ///
 /// It decides whether lines are the head of a reply at all, before anything else relies on them. Parsers of
-/// libraries take more: any three digits as a status, and lines that continue the one before.
+/// libraries take more: any three digits as a status, lines that continue the one before, several lengths.
 class reply_head
 {
   public:
@@ -20,7 +20,7 @@
 
     /// @brief Reads the next line.
     /// @param line the line without its CRLF; an empty line completes the head
-    /// @return what is wrong with the line
+    /// @return what is wrong with the line, or with the head that it completes
     reply_fault add_line(std::string_view line);
 
     /// @return whether the empty line after the fields was read
@@ -50,8 +50,11 @@
 
   private:
     reply_fault read_status_line(std::string_view line);
+    bool has_clear_framing() const;
 
     bool m_is_complete = false;
+    /// Whether the peer speaks HTTP/1.0, which has no transfer codings.
+    bool m_is_old_version = false;
     /// 0 before the status line.
     int m_status = 0;
     http_fields m_fields;
--- a/tests/faults/test_broken_answers.py
+++ b/tests/faults/test_broken_answers.py
@@ -239,6 +239,19 @@
                    "no colon": answer_of(extra=[b"X-Bad"]),
                    "control byte in a value": answer_of(extra=[b"X-Bad: \x00v"])})
 
+    def test_a_body_whose_end_is_unclear_reaches_no_caller(self):
+        body = b"X-Bad"
+        coded = b"5\r\nX-Bad\r\n0\r\n\r\n"
+        self.play({"two lengths": answer_of(body=body, framing=[b"Content-Length: 5", b"Content-Length: 5"]),
+                   "list of lengths": answer_of(body=body, framing=[b"Content-Length: 5, 5"]),
+                   "two codings": answer_of(body=coded, framing=[b"Transfer-Encoding: gzip, chunked"]),
+                   "coding twice": answer_of(body=coded, framing=CHUNKED + CHUNKED),
+                   "length and coding": answer_of(body=coded, framing=[b"Content-Length: 5"] + CHUNKED)})
+
+    def test_a_coding_that_ends_with_the_connection_reaches_no_caller(self):
+        self.play({"other coding": closed(answer_of(body=b"X-Bad", framing=[b"Transfer-Encoding: gzip"])),
+                   "old version": closed(answer_of(body=b"5\r\nX-Bad\r\n0\r\n\r\n", framing=CHUNKED, version=b"HTTP/1.0"))})
+
     def test_odd_but_legal_answers_arrive_whole(self):
         odd = b"!#$%&'*+-.^_`|~0aZ: \tv \xe4,;\"\t"
         cases = {
--- a/tests/src/unit-reply-reader.cpp
+++ b/tests/src/unit-reply-reader.cpp
@@ -338,6 +338,15 @@
         REQUIRE(feed(reader, interim, read_size) == reply_reader::state::needs_more);
         CHECK(reader.ended() == reply_reader::state::malformed);
     }
+    SECTION("which have no body")
+    {
+        for (const char* line : {"Content-Length: 0", "Content-Length: 5", "Transfer-Encoding: chunked"})
+        {
+            CHECK(fault_of("HTTP/1.1 100 Continue\r\n" + std::string(line) + "\r\n\r\n") ==
+                  reply_fault::framing);
+        }
+        CHECK(fault_of("HTTP/1.1 100 Continue\r\n\r\nhello") == reply_fault::status_line);
+    }
     SECTION("up to the limit of a head")
     {
         reply_reader reader;
@@ -424,3 +433,64 @@
                                                                 {"Content-Length", "5"}}));
     }
 }
+
+// Guards against a body that ends at another place than the peer means, or that is passed on encoded.
+TEST_CASE("reply_reader takes a body whose end is clear only", "[http]")
+{
+    const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+    const auto framed = [](const std::string& lines, const std::string& version = "1.1")
+    {
+        return "HTTP/" + version + " 200 OK\r\n" + lines + "\r\n";
+    };
+
+    SECTION("not with several lengths or codings, or both")
+    {
+        const std::string length = "Content-Length: 5\r\n";
+        const std::string coding = "Transfer-Encoding: chunked\r\n";
+        for (const std::string& lines :
+             {length + length, length + "content-length: 6\r\n", coding + coding, length + coding,
+              coding + length, "Transfer-Encoding: gzip\r\n" + coding, coding + "Transfer-Encoding: gzip\r\n",
+              "Transfer-Encoding: gzip\r\n" + length, "Transfer-Encoding:\r\n" + length})
+        {
+            CAPTURE(lines);
+            CHECK(fault_of(framed(lines) + chunks) == reply_fault::framing);
+        }
+    }
+    SECTION("not with a malformed length or another coding than chunks")
+    {
+        for (const char* line :
+             {"Content-Length:", "Content-Length: x", "Content-Length: 5, 5", "Content-Length: 5,",
+              "Content-Length: +5", "Content-Length: -5", "Content-Length: 0x5", "Content-Length: 5 5",
+              "Content-Length: 99999999999999999999", "Transfer-Encoding:", "Transfer-Encoding: gzip",
+              "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked",
+              "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+              "Transfer-Encoding: chunked;q=1", "Transfer-Encoding: xchunked"})
+        {
+            CAPTURE(line);
+            CHECK(fault_of(framed(std::string(line) + "\r\n") + chunks) == reply_fault::framing);
+        }
+    }
+    SECTION("not with a coding in HTTP/1.0, which has none")
+    {
+        CHECK(fault_of(framed("Transfer-Encoding: chunked\r\n", "1.0") + chunks) == reply_fault::framing);
+    }
+    SECTION("not with malformed chunks")
+    {
+        for (const char* body : {"x\r\n", "-5\r\nhello\r\n", "\r\n", "5\r\nhelloo\r\n0\r\n\r\n",
+                                 "5 5\r\nhello\r\n", "5;\r\nhello\r\n", "fffffffffffffffff\r\n"})
+        {
+            CAPTURE(body);
+            const auto [reached, fault] = outcome_of(framed("Transfer-Encoding: chunked\r\n") + body);
+            CHECK(reached == reply_reader::state::malformed);
+            CHECK(fault == reply_fault::framing);
+        }
+    }
+    SECTION("with one length or one coding, however written")
+    {
+        CHECK(reply_of(framed("CONTENT-LENGTH:005\t\r\n") + "hello").body == "hello");
+        CHECK(reply_of(framed("transfer-encoding:Chunked \r\n") + chunks).body == "hello");
+        CHECK(reply_of(framed("Transfer-Encoding: chunked\r\n") +
+                       "5 ; a=b;c=\"d \\\" e\"\r\nhello\r\n00;e\r\n\r\n")
+                  .body == "hello");
+    }
+}
