An answer that states its identity twice reaches no caller

What callers saw: answers with two ids, the second one of another request, or with two signatures were passed on as successes, both lines included.

Cause: the id is compared, and the signature read, at the first field of that name; nobody looked for a second one.

Change: an exchange names the header of the signature beside that of the id; reply_reader takes a head that has each at most once. Else the reply is malformed. A reply without the id, or with another one, is another request's, as before.

Why this works: one id and one signature leave no choice whose answer it is.

--- a/src/entry/routed_http_codec.cpp
+++ b/src/entry/routed_http_codec.cpp
@@ -173,6 +173,7 @@
     }
     exchange.id_header = m_names.request_id;
     exchange.id = attempt.sent->id;
+    exchange.signature_header = m_names.signature;
     return exchange;
 }
 
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -83,7 +83,7 @@
     m_request.body = {};
     m_result = {};
     m_done = std::move(done);
-    m_reader.begin();
+    m_reader.begin({m_request.id_header, m_request.signature_header});
     set_deadline(m_request.patience);
     write();
 }
--- a/src/http/http_exchange.hpp
+++ b/src/http/http_exchange.hpp
@@ -30,6 +30,8 @@
     /// another request.
     std::string id_header;
     std::string id;
+    /// The header of the peer's signature; empty if there is none. Like the id, a reply has it at most once.
+    std::string signature_header;
 };
 
 /// @brief How an exchange ended.
--- a/src/http/reply_fault.hpp
+++ b/src/http/reply_fault.hpp
@@ -16,6 +16,8 @@
     /// Where the body ends isn't clear: its length or its coding is missing, unknown, repeated or
     /// contradictory, or a chunk is malformed.
     framing,
+    /// A field that tells which reply this is occurs more than once.
+    repeated_field,
     /// A line or the reply is larger than it may be, or all replies together are.
     too_large,
 };
@@ -33,6 +35,8 @@
         return "field";
     case reply_fault::framing:
         return "framing";
+    case reply_fault::repeated_field:
+        return "repeated_field";
     case reply_fault::too_large:
         return "too_large";
     case reply_fault::none:
--- a/src/http/reply_reader.cpp
+++ b/src/http/reply_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -37,6 +38,7 @@
     state fail(reply_fault with);
     state read_head();
     state read_lines();
+    state end_head();
     state read_body();
     state check_trailer(const char* end);
     std::string_view unread() const;
@@ -44,6 +46,7 @@
     message_memory& memory;
     message_memory::share share;
     beast::flat_buffer buffer;
+    std::vector<std::string_view> single_fields;
     reply_fault fault = reply_fault::none;
     reply_head head;
     /// The bytes of the head at the front of the buffer whose lines were read.
@@ -60,10 +63,11 @@
 
 reply_reader::~reply_reader() = default;
 
-void reply_reader::begin()
+void reply_reader::begin(std::vector<std::string_view> single_fields)
 {
     implementation& self = *m_implementation;
     self.buffer.clear();
+    self.single_fields = std::move(single_fields);
     self.fault = reply_fault::none;
     self.head = {};
     self.head_bytes = 0;
@@ -155,7 +159,17 @@
         }
         head_bytes += line_bytes;
     }
-    return state::complete;
+    return end_head();
+}
+
+reply_reader::state reply_reader::implementation::end_head()
+{
+    const bool is_repeated = std::any_of(single_fields.begin(), single_fields.end(),
+                                         [this](std::string_view name)
+                                         {
+                                             return head.fields().count(name) > 1;
+                                         });
+    return is_repeated && !head.is_interim() ? fail(reply_fault::repeated_field) : state::complete;
 }
 
 /// Also parses the head, which is still in the buffer, since it tells where the body ends.
--- a/src/http/reply_reader.hpp
+++ b/src/http/reply_reader.hpp
@@ -8,6 +8,8 @@
 
 #include <cstddef>
 #include <memory>
+#include <string_view>
+#include <vector>
 
 namespace flaxtiller::shell
 {
@@ -38,7 +40,9 @@
     reply_reader& operator=(const reply_reader&) = delete;
 
     /// @brief Starts the next reply and discards bytes that arrived earlier.
-    void begin();
+    /// @param single_fields the names of fields that a reply has at most once, since they tell which reply it
+    ///        is; they must outlive the reply
+    void begin(std::vector<std::string_view> single_fields = {});
 
     /// @return the buffer into which the next bytes are to be read
     boost::asio::mutable_buffer space();
--- a/tests/faults/test_broken_answers.py
+++ b/tests/faults/test_broken_answers.py
@@ -269,6 +269,11 @@
                 else:
                     self.check_truthful(0, request, answer, repeatable=False)
 
+    def test_an_identity_stated_twice_reaches_no_caller(self):
+        self.play({"id": answer_of(extra=[b"X-Request-Id: {id}"]), "other id": answer_of(extra=[b"X-Request-Id: X-Bad"]),
+                   "signature": answer_of(extra=[b"X-Server-Stamp: {stamp}"]),
+                   "other signature": answer_of(extra=[b"X-Server-Stamp: X-Bad"])})
+
     def test_odd_but_legal_answers_arrive_whole(self):
         odd = b"!#$%&'*+-.^_`|~0aZ: \tv \xe4,;\"\t"
         cases = {
--- a/tests/src/unit-connection-pool.cpp
+++ b/tests/src/unit-connection-pool.cpp
@@ -209,7 +209,8 @@
         for (const auto& [head, fault] :
              {std::pair("HTTP/1.1 000 OK\r\n", reply_fault::status),
               std::pair("HTTP/1.1 200 OK\r\n X-Bad: v\r\n", reply_fault::field),
-              std::pair("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", reply_fault::framing)})
+              std::pair("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", reply_fault::framing),
+              std::pair("HTTP/1.1 200 OK\r\nX-Id: broken\r\n", reply_fault::repeated_field)})
         {
             bytes = head + body;
             pool_client.results.clear();
@@ -225,7 +226,7 @@
             CHECK(pool_client.results[1].end == exchange_end::replied);
             CHECK(pool_client.server.connections == ++connections + 1);
         }
-        CHECK(pool_client.counted.dump()["counters"]["malformed_answers"] == 3);
+        CHECK(pool_client.counted.dump()["counters"]["malformed_answers"] == 4);
     }
     SECTION("an exchange without a reply in time is cut, whatever the time limit of the previous exchange")
     {
--- a/tests/src/unit-reply-reader.cpp
+++ b/tests/src/unit-reply-reader.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cstring>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 using namespace flaxtiller::shell;
 
@@ -52,24 +54,25 @@
 constexpr int byte_values = 256;
 
 /// @return the state after the whole text, in a reader of its own, and what was wrong
-std::pair<reply_reader::state, reply_fault> outcome_of(const std::string& text)
+std::pair<reply_reader::state, reply_fault> outcome_of(const std::string& text,
+                                                       std::vector<std::string_view> single_fields = {})
 {
     reply_reader reader;
-    reader.begin();
+    reader.begin(std::move(single_fields));
     const reply_reader::state reached = feed(reader, text, read_size);
     return {reached, reader.fault()};
 }
 
 /// @return the fault of a text, which must be malformed in whatever pieces it arrives, and be found before
 /// bytes that never come
-reply_fault fault_of(const std::string& text)
+reply_fault fault_of(const std::string& text, const std::vector<std::string_view>& single_fields = {})
 {
-    const auto [reached, fault] = outcome_of(text);
+    const auto [reached, fault] = outcome_of(text, single_fields);
     CHECK(reached == reply_reader::state::malformed);
     for (std::size_t piece = 1; piece < text.size(); ++piece)
     {
         reply_reader reader;
-        reader.begin();
+        reader.begin(single_fields);
         CHECK(feed(reader, text, piece) == reply_reader::state::malformed);
         CHECK(reader.fault() == fault);
     }
@@ -319,7 +322,7 @@
             for (std::size_t piece = 1; piece <= text.size(); ++piece)
             {
                 reply_reader reader;
-                reader.begin();
+                reader.begin({"X-Request-Id"});
                 REQUIRE(feed(reader, text, piece) == reply_reader::state::complete);
                 http_exchange_result result;
                 reader.take(result);
@@ -508,7 +511,7 @@
         for (std::size_t piece = 1; piece <= text.size(); ++piece)
         {
             reply_reader reader;
-            reader.begin();
+            reader.begin({"X-Request-Id"});
             REQUIRE(feed(reader, text, piece) == reply_reader::state::complete);
             http_exchange_result result;
             reader.take(result);
@@ -542,3 +545,19 @@
         }
     }
 }
+
+// Guards against an answer of which it isn't clear whose it is.
+TEST_CASE("reply_reader takes an identity that is stated once only", "[http]")
+{
+    const std::vector<std::string_view> single_fields = {"X-Request-Id", "X-Signature", ""};
+    const std::string once = "X-Request-Id: r\r\nX-Signature: s\r\n";
+
+    CHECK(outcome_of(reply_with(once), single_fields).first == reply_reader::state::complete);
+    CHECK(outcome_of(reply_with(once + "X-Other: 1\r\nX-Other: 2\r\n"), single_fields).first ==
+          reply_reader::state::complete);
+    for (const char* line : {"X-Request-Id: r", "x-request-id: other", "X-Signature: s", "X-SIGNATURE:"})
+    {
+        CAPTURE(line);
+        CHECK(fault_of(reply_with(once + line + "\r\n"), single_fields) == reply_fault::repeated_field);
+    }
+}
--- a/tests/src/unit-routed-http-codec.cpp
+++ b/tests/src/unit-routed-http-codec.cpp
@@ -81,6 +81,9 @@
                                                   {"X-Other", "kept"},
                                                   {"X-Deadline-Ms", "200"},
                                                   {"X-Expect-Server", "i-1"}});
+        // The answer must state both once.
+        CHECK(sent.id_header == "X-Request-Id");
+        CHECK(sent.signature_header == "X-Signature");
     }
     SECTION("a request without an id or with a malformed deadline is refused")
     {
