The command line reads replies as an entry does

What operators saw: `flaxtiller dump` and the other commands showed bytes that aren't a reply as one (status 000 or 600, a line that begins with a blank, two lengths), and an interim head as the final reply.

Cause: http_call read by Boost.Beast on its own.

Change: http_call uses reply_reader, with a memory of its own for replies of up to 256 MB, as before. Bytes that aren't a reply count as no answer.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -1,12 +1,14 @@
 #include "http_call.hpp"
 
-#include <utility>
+#include "reply_reader.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <utility>
 
 namespace flaxtiller::shell
 {
@@ -38,7 +40,6 @@
         }
         m_request.body() = request.body;
         m_request.prepare_payload();
-        m_parser.body_limit(most_reply_bytes);
         m_stream.expires_after(std::chrono::milliseconds(m_timeout));
         m_stream.async_connect(tcp::endpoint(net::ip::make_address(at.ip), at.port),
                                [this](beast::error_code failed)
@@ -54,7 +55,7 @@
     }
 
   private:
-    static constexpr std::uint64_t most_reply_bytes = std::uint64_t{256} << 20U;
+    static constexpr std::size_t most_reply_bytes = std::size_t{256} << 20U;
 
     void on_connected(beast::error_code failed)
     {
@@ -72,28 +73,45 @@
     {
         if (!failed)
         {
-            http::async_read(m_stream, m_buffer, m_parser,
-                             [this](beast::error_code read_failed, std::size_t)
-                             {
-                                 on_read(read_failed);
-                             });
+            m_reader.begin();
+            read();
         }
     }
 
-    void on_read(beast::error_code failed)
+    void read()
+    {
+        m_stream.async_read_some(m_reader.space(),
+                                 [this](beast::error_code failed, std::size_t bytes)
+                                 {
+                                     on_read(failed, bytes);
+                                 });
+    }
+
+    void on_read(beast::error_code failed, std::size_t bytes)
     {
-        if (failed)
+        if (failed && failed != net::error::eof)
         {
             return;
         }
-        const auto& message = m_parser.get();
-        http_reply reply;
-        reply.status = message.result_int();
-        reply.body = message.body();
-        for (const auto& field : message)
+        const reply_reader::state reader_state = failed ? m_reader.ended() : m_reader.arrived(bytes);
+        if (reader_state == reply_reader::state::needs_more)
         {
-            reply.headers.add(std::string(field.name_string()), std::string(field.value()));
+            read();
         }
+        else if (reader_state == reply_reader::state::complete)
+        {
+            take_reply();
+        }
+    }
+
+    void take_reply()
+    {
+        http_exchange_result result;
+        m_reader.take(result);
+        http_reply reply;
+        reply.status = result.status;
+        reply.body = std::move(result.body);
+        reply.headers = std::move(result.headers);
         m_reply = std::move(reply);
     }
 
@@ -101,8 +119,8 @@
     beast::tcp_stream m_stream;
     int m_timeout;
     http::request<http::string_body> m_request;
-    beast::flat_buffer m_buffer;
-    http::response_parser<http::string_body> m_parser;
+    message_memory m_memory{{most_reply_bytes, most_reply_bytes, most_reply_bytes}};
+    reply_reader m_reader{m_memory};
     std::optional<http_reply> m_reply;
 };
 
--- a/tests/faults/test_commands.py
+++ b/tests/faults/test_commands.py
@@ -1,9 +1,11 @@
 """Exit statuses and messages of the command line, as docs/commands.md lists them."""
 
 import os
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -15,6 +17,22 @@
     return done.returncode, done.stdout + done.stderr
 
 
+def dump_from(reply):
+    """Lets `dump` ask a process that sends these bytes, and closes the connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(reply)
+
+        server = threading.Thread(target=serve)
+        server.start()
+        done = run("dump", "--at=127.0.0.1:%d" % listener.getsockname()[1], "--timeout_ms=5000")
+        server.join()
+        return done
+
+
 class CommandTest(unittest.TestCase):
     def test_wrong_use(self):
         for arguments in ((), ("frobnicate",), ("entry",), ("entry", "--nonsense"), ("apply", "--settings=x", "f"),
@@ -26,6 +44,21 @@
         self.assertEqual(run("status", *nobody)[0], 3)
         self.assertEqual(run("dump", "--at=127.0.0.1:1", "--timeout_ms=100")[0], 3)
 
+    def test_bytes_that_are_no_reply_are_not_shown_as_one(self):
+        body = b'Content-Length: 9\r\n\r\n{"bad":1}'
+        for head in (b"HTTP/1.1 000 OK\r\n", b"HTTP/1.1 600 OK\r\n", b"HTTP/1.1 200 OK\r\nX-A: b\r\n X-Bad: v\r\n",
+                     b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", b"HTTP/1.1 100 Continue\r\n"):
+            status, text = dump_from(head + body)
+            self.assertEqual(status, 3, head)
+            self.assertNotIn("bad", text, head)
+
+    def test_the_reply_after_an_interim_one_is_shown(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        for framing in (b"Content-Length: 10\r\n\r\n", b"\r\n"):
+            status, text = dump_from(interim + b"HTTP/1.1 200 OK\r\n" + framing + b'{"good":1}')
+            self.assertEqual(status, 0, text)
+            self.assertIn("good", text)
+
     def test_help(self):
         status, text = run("query", "--help")
         self.assertEqual(status, 0)
