Several wrong things at once in an answer reach no caller

A test only: statuses, lines, lengths and signatures that are wrong together, in pieces, after and within an interim head.

--- a/tests/faults/test_broken_answers.py
+++ b/tests/faults/test_broken_answers.py
@@ -274,6 +274,13 @@
                    "signature": answer_of(extra=[b"X-Server-Stamp: {stamp}"]),
                    "other signature": answer_of(extra=[b"X-Server-Stamp: X-Bad"])})
 
+    def test_several_wrong_things_at_once_reach_no_caller(self):
+        extra = [b" " + BAD_LINE, b"X-Server-Stamp: X-Bad", b"Content-Length: 1"]
+        self.play({"whole": answer_of(status=b"000 OK", extra=extra),
+                   "in pieces": answer_of(status=b"100 OK", extra=extra, pieces=5),
+                   "after an interim head": answer_of(before=INTERIM, status=b"099 OK", extra=extra),
+                   "within an interim head": answer_of(before=INTERIM[:-2] + b" " + BAD_LINE + b"\r\n\r\n")})
+
     def test_odd_but_legal_answers_arrive_whole(self):
         odd = b"!#$%&'*+-.^_`|~0aZ: \tv \xe4,;\"\t"
         cases = {
