A head that isn't complete counts as memory for replies

Cause: since reply_reader reads the head by itself, it returned for more bytes of a head without accounting for those that it holds, up to 16 KB a connection.

Change: one function waits for more bytes and accounts, for heads and bodies; read_lines is divided.

--- a/src/http/reply_reader.cpp
+++ b/src/http/reply_reader.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t most_unparsed_bytes = std::size_t{16} << 10U;
 /// The size of one read. The reply of one shard, headers and body, usually fits.
 constexpr std::size_t read_bytes = 4096;
+constexpr std::string_view line_end = "\r\n";
 
 } // namespace
 
@@ -41,7 +42,9 @@
     state end_head();
     state read_body();
     state check_trailer(const char* end);
-    std::string_view unread() const;
+    state await_more();
+    std::string_view next_line() const;
+    reply_fault check_line(std::string_view line) const;
 
     message_memory& memory;
     message_memory::share share;
@@ -93,7 +96,7 @@
         const state head_state = self.read_head();
         if (head_state != state::complete)
         {
-            return head_state;
+            return head_state == state::needs_more ? self.await_more() : head_state;
         }
     }
     return self.read_body();
@@ -105,13 +108,6 @@
     return state::malformed;
 }
 
-/// @return the bytes of the buffer whose lines weren't read yet
-std::string_view reply_reader::implementation::unread() const
-{
-    const auto bytes = buffer.data();
-    return std::string_view(static_cast<const char*>(bytes.data()), bytes.size()).substr(head_bytes);
-}
-
 /// @return `complete` once the head of the actual reply is complete
 reply_reader::state reply_reader::implementation::read_head()
 {
@@ -133,35 +129,51 @@
 {
     while (!head.is_complete())
     {
-        const std::string_view rest = unread();
-        const auto end = rest.find('\n');
-        const std::size_t line_bytes = end == std::string_view::npos ? rest.size() : end + 1;
-        if (interim_bytes + head_bytes + line_bytes > most_unparsed_bytes)
-        {
-            return fail(reply_fault::too_large);
-        }
-        if (head_bytes == 0 && !reply_head::may_begin_with(rest))
-        {
-            return fail(reply_fault::status_line);
-        }
-        if (end == std::string_view::npos)
-        {
-            return state::needs_more;
-        }
-        if (end == 0 || rest[end - 1] != '\r')
+        const std::string_view line = next_line();
+        reply_fault found = check_line(line);
+        if (found == reply_fault::none)
         {
-            return fail(head_bytes == 0 ? reply_fault::status_line : reply_fault::field);
+            if (!line.ends_with('\n'))
+            {
+                return state::needs_more;
+            }
+            found = head.add_line(line.substr(0, line.size() - line_end.size()));
         }
-        const reply_fault found = head.add_line(rest.substr(0, end - 1));
         if (found != reply_fault::none)
         {
             return fail(found);
         }
-        head_bytes += line_bytes;
+        head_bytes += line.size();
     }
     return end_head();
 }
 
+/// @return the next line with its end, or what has arrived of it
+std::string_view reply_reader::implementation::next_line() const
+{
+    const auto bytes = buffer.data();
+    std::string_view line(static_cast<const char*>(bytes.data()), bytes.size());
+    line.remove_prefix(head_bytes);
+    const auto end = line.find('\n');
+    return end == std::string_view::npos ? line : line.substr(0, end + 1);
+}
+
+/// @return what is wrong with a line beside its text
+reply_fault reply_reader::implementation::check_line(std::string_view line) const
+{
+    if (interim_bytes + head_bytes + line.size() > most_unparsed_bytes)
+    {
+        return reply_fault::too_large;
+    }
+    const bool is_first = head_bytes == 0;
+    const bool has_wrong_end = line.ends_with('\n') && !line.ends_with(line_end);
+    if (is_first && (has_wrong_end || !reply_head::may_begin_with(line)))
+    {
+        return reply_fault::status_line;
+    }
+    return has_wrong_end ? reply_fault::field : reply_fault::none;
+}
+
 reply_reader::state reply_reader::implementation::end_head()
 {
     const bool is_repeated = std::any_of(single_fields.begin(), single_fields.end(),
@@ -195,10 +207,12 @@
             return fail(failed == http::error::body_limit ? reply_fault::too_large : reply_fault::framing);
         }
     }
-    if (framing->is_done())
-    {
-        return state::complete;
-    }
+    return framing->is_done() ? state::complete : await_more();
+}
+
+/// @return `needs_more`, unless what has arrived takes too much memory
+reply_reader::state reply_reader::implementation::await_more()
+{
     const bool fits = share.resize(framing->body().size() + buffer.size());
     return fits && buffer.size() <= most_unparsed_bytes ? state::needs_more : fail(reply_fault::too_large);
 }
--- a/tests/src/unit-reply-reader.cpp
+++ b/tests/src/unit-reply-reader.cpp
@@ -237,6 +237,12 @@
         small.begin();
         CHECK(feed(small, with_length, 7) == reply_reader::state::complete);
     }
+    SECTION("and counts a head that stops short while it is held")
+    {
+        const std::string beginning = "HTTP/1.1 200 OK\r\nX-Filler: " + filler;
+        CHECK(feed(reader, beginning, read_size) == reply_reader::state::needs_more);
+        CHECK(memory.used_bytes() >= beginning.size());
+    }
     reader.begin();
     CHECK(memory.used_bytes() == 0);
 }
