A document with many errors needs no memory for each of them

Cause: every reader of configurations kept one finding, with its place and its text, for each wrong value. The same list was made into text for the log line, into JSON for the answer, and into CBOR at every replica. `{}` as a route is 3 bytes and eight findings.

Change: `findings` lists 50 errors and 50 warnings at most, each text cut to 256 bytes, and tells by a last item (108) that there are more. Readers of lists stop when it is full. What is valid and what isn't stays the same, so that a log is replayed as before.

--- a/include/flaxtiller/core/error.hpp
+++ b/include/flaxtiller/core/error.hpp
@@ -19,6 +19,8 @@
     out_of_range = 105,
     missing_key = 106,
     key_conflict = 107,
+    /// A list of findings ends here, although there are more.
+    findings_omitted = 108,
 
     // 2xx: configuration catalog
     duplicate_name = 201,
--- a/include/flaxtiller/core/findings.hpp
+++ b/include/flaxtiller/core/findings.hpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -11,9 +12,17 @@
 {
 
 /// @brief The findings of one check, which are reported together.
+///
+/// The list is bounded, since a document may hold as many errors as values. A last item tells that further
+/// findings aren't listed.
 class findings
 {
   public:
+    /// The number of errors, and of warnings, that are listed.
+    static constexpr std::size_t max_listed = 50;
+    /// The maximum size of a place and of a message; longer ones are cut.
+    static constexpr std::size_t max_text_bytes = 256;
+
     /// @brief Adds an error at @a place.
     void error(errc code, std::string place, std::string message);
 
@@ -26,6 +35,9 @@
     /// @return whether at least one finding is an error
     bool has_errors() const noexcept;
 
+    /// @return whether no further error is listed, so that a reader may stop
+    bool is_full() const noexcept;
+
     /// @return all findings in the order in which they were added
     const std::vector<finding>& items() const noexcept;
 
@@ -35,7 +47,11 @@
     bool operator==(const findings&) const = default;
 
   private:
+    void add(severity level, errc code, std::string place, std::string message);
+
     std::vector<finding> m_items;
+    std::size_t m_errors = 0;
+    std::size_t m_warnings = 0;
 };
 
 void to_json(nlohmann::json& j, const findings& value);
--- a/include/flaxtiller/core/json_reader.hpp
+++ b/include/flaxtiller/core/json_reader.hpp
@@ -156,6 +156,10 @@
         }
         for (const auto& [key, value] : m_object.items())
         {
+            if (m_found.is_full())
+            {
+                return;
+            }
             if (m_read.count(key) == 0)
             {
                 m_found.error(errc::unknown_key, at(key), "isn't a key of this object");
--- a/src/catalog/configuration.cpp
+++ b/src/catalog/configuration.cpp
@@ -180,7 +180,7 @@
         return;
     }
     std::set<typename Map::key_type> seen;
-    for (std::size_t i = 0; i < list->size(); ++i)
+    for (std::size_t i = 0; i < list->size() && !reader.found().is_full(); ++i)
     {
         const std::string place = reader.at(key) + "/" + std::to_string(i);
         typename Map::mapped_type item;
@@ -241,7 +241,7 @@
 void remove_names(json_reader& reader, const char* key, Map& from)
 {
     const nlohmann::json* list = reader.names(key);
-    for (std::size_t i = 0; list != nullptr && i < list->size(); ++i)
+    for (std::size_t i = 0; list != nullptr && i < list->size() && !reader.found().is_full(); ++i)
     {
         const auto name = typename Map::key_type((*list)[i].template get<std::string>());
         if (from.erase(name) == 0)
--- a/src/catalog/configuration_check.cpp
+++ b/src/catalog/configuration_check.cpp
@@ -65,7 +65,7 @@
 {
     const auto check = [&](const service_name& service)
     {
-        if (value.services.count(service) == 0)
+        if (!found.is_full() && value.services.count(service) == 0)
         {
             found.error(errc::unknown_name, std::string("/") + routes_key + "/" + item.name,
                         "service " + service.str() + " isn't declared");
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -26,6 +26,8 @@
         return "missing key";
     case errc::key_conflict:
         return "keys contradict one another";
+    case errc::findings_omitted:
+        return "further findings aren't listed";
     case errc::duplicate_name:
         return "name declared twice";
     case errc::selector_matches_nothing:
--- a/src/core/findings.cpp
+++ b/src/core/findings.cpp
@@ -3,33 +3,85 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <utility>
 
 namespace flaxtiller
 {
 
+namespace
+{
+
+/// @return whether the byte is not the first one of a character in UTF-8
+bool continues_character(char byte)
+{
+    constexpr unsigned kind_bits = 0xC0U;
+    constexpr unsigned continuation = 0x80U;
+    return (static_cast<unsigned char>(byte) & kind_bits) == continuation;
+}
+
+/// @return the text, or its beginning in whole characters and dots if it is too long
+std::string cut(std::string text)
+{
+    if (text.size() <= findings::max_text_bytes)
+    {
+        return text;
+    }
+    constexpr const char* dots = "...";
+    std::size_t end = findings::max_text_bytes - std::char_traits<char>::length(dots);
+    while (end > 0 && continues_character(text[end]))
+    {
+        --end;
+    }
+    // A copy, because the long text would keep its memory.
+    return text.substr(0, end) + dots;
+}
+
+} // namespace
+
+void findings::add(severity level, errc code, std::string place, std::string message)
+{
+    std::size_t& listed = level == severity::error ? m_errors : m_warnings;
+    if (listed > max_listed)
+    {
+        return;
+    }
+    if (listed == max_listed)
+    {
+        m_items.push_back({level, errc::findings_omitted, "", "further findings of this severity exist"});
+    }
+    else
+    {
+        m_items.push_back({level, code, cut(std::move(place)), cut(std::move(message))});
+    }
+    ++listed;
+}
+
 void findings::error(errc code, std::string place, std::string message)
 {
-    m_items.push_back({severity::error, code, std::move(place), std::move(message)});
+    add(severity::error, code, std::move(place), std::move(message));
 }
 
 void findings::warning(errc code, std::string place, std::string message)
 {
-    m_items.push_back({severity::warning, code, std::move(place), std::move(message)});
+    add(severity::warning, code, std::move(place), std::move(message));
 }
 
 void findings::append(const findings& other)
 {
-    m_items.insert(m_items.end(), other.m_items.begin(), other.m_items.end());
+    for (const finding& item : other.m_items)
+    {
+        add(item.level, item.code, item.place, item.message);
+    }
 }
 
 bool findings::has_errors() const noexcept
 {
-    return std::any_of(m_items.begin(), m_items.end(),
-                       [](const finding& item)
-                       {
-                           return item.level == severity::error;
-                       });
+    return m_errors > 0;
+}
+
+bool findings::is_full() const noexcept
+{
+    return m_errors > max_listed;
 }
 
 const std::vector<finding>& findings::items() const noexcept
--- a/src/routing/route.cpp
+++ b/src/routing/route.cpp
@@ -38,7 +38,7 @@
         reader.found().error(errc::wrong_type, reader.at("targets"), "must be a list");
         return;
     }
-    for (std::size_t i = 0; i < list->size(); ++i)
+    for (std::size_t i = 0; i < list->size() && !reader.found().is_full(); ++i)
     {
         weighted_service target;
         json_reader inner((*list)[i], reader.at("targets") + "/" + std::to_string(i), reader.found());
