A document from outside is bounded before anything is built of it

A configuration nested 131,000 deep ended the leader by signal 11, then the next one. And what is valid or malformed had no bound but 16 MB of text: 1 MB of small values, or 4 MB of valid services, needed several times the memory of a control process, and of each entry (4 MB: 258 MB and more of 160).

Cause: a document was decoded first and judged afterwards. Copies, dumps and comparisons of a decoded document recurse, and a value needs many times its text; the only limit counted the bytes of a request.

Change: `check_document` reads the text once without building anything, and ends at the first limit: depth 32, texts of 512 bytes in configurations, and a memory that is added up by what the text holds. For a configuration this is half of the memory of the smallest process that will hold it: a process states its memory in the handshake of its links (optional; older builds neither send nor need it). What is too large gets 413. It is used for the platform's configurations, the product's own changes, queries, deregistrations and the platform's list.

--- a/include/flaxtiller/core/error.hpp
+++ b/include/flaxtiller/core/error.hpp
@@ -21,6 +21,9 @@
     key_conflict = 107,
     /// A list of findings ends here, although there are more.
     findings_omitted = 108,
+    document_too_deep = 109,
+    document_too_large = 110,
+    text_too_long = 111,
 
     // 2xx: configuration catalog
     duplicate_name = 201,
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -67,8 +67,15 @@
     implementation(control_settings requested, settings_source read_from)
         : settings(std::move(requested)), source(std::move(read_from)), strand(net::make_strand(io)),
           timer(strand), signals(strand, SIGTERM, SIGINT, SIGHUP),
-          links(hello{link_protocol_version, "control", settings.replica.name, draw64(),
-                      settings.replica.region, settings.replica.availability_zone, settings.link.str()},
+          links(hello{link_protocol_version,
+                      "control",
+                      settings.replica.name,
+                      draw64(),
+                      settings.replica.region,
+                      settings.replica.availability_zone,
+                      settings.link.str(),
+                      {},
+                      settings.process.memory_mb},
                 counted, link_timing_between_replicas(settings.links, settings.timing), settings.links,
                 {[this](const std::shared_ptr<const hello>& from,
                         const std::shared_ptr<const link_message>& message)
@@ -363,7 +370,10 @@
 
     http_reply not_leader() const;
 
-    static std::optional<change> read_change(const http_request& request, http_reply& refusal);
+    /// @return the limits on a configuration, which must fit into the smallest process that holds it
+    document_bounds configuration_bounds() const;
+
+    std::optional<change> read_change(const http_request& request, http_reply& refusal) const;
 
     /// @return whether the settings contain this availability zone; true for any name if they contain none
     bool knows_zone(const std::string& zone) const;
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -62,10 +62,31 @@
     return reply;
 }
 
+document_bounds control_process::implementation::configuration_bounds() const
+{
+    process_limits smallest = settings.process;
+    for (const std::string& name : links.reachable())
+    {
+        const auto peer = links.identity(name);
+        if (peer && peer->memory_mb > 0)
+        {
+            smallest.memory_mb = std::min(smallest.memory_mb, peer->memory_mb);
+        }
+    }
+    return bounds_of(smallest).configuration;
+}
+
 std::optional<change> control_process::implementation::read_change(const http_request& request,
-                                                                   http_reply& refusal)
+                                                                   http_reply& refusal) const
 {
-    const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+    std::error_code failed;
+    const nlohmann::json j = parse_document(request.body, configuration_bounds(), failed);
+    if (failed)
+    {
+        refusal = error_reply(failed == errc::document_too_large ? http_too_large : http_bad_request,
+                              static_cast<errc>(failed.value()));
+        return std::nullopt;
+    }
     try
     {
         change requested = j.get<change>();
@@ -307,7 +328,8 @@
 void control_process::implementation::on_members(const http_request& request,
                                                  const http_server::respond& respond)
 {
-    const nlohmann::json j = nlohmann::json::parse(request.body, nullptr, false);
+    std::error_code failed;
+    const nlohmann::json j = parse_document(request.body, bounds.document, failed);
     const std::string action = j.is_object() ? j.value("action", std::string()) : std::string();
     const std::string name = j.is_object() ? j.value("name", std::string()) : std::string();
     if (name.empty() || (action != "add" && action != "replace" && action != "remove"))
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -112,6 +112,11 @@
     m_implementation->submit(std::move(requested), std::move(done));
 }
 
+document_bounds control_process::configuration_bounds() const
+{
+    return m_implementation->configuration_bounds();
+}
+
 const configuration* control_process::current() const
 {
     const implementation& self = *m_implementation;
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -48,6 +48,9 @@
     /// and may call the functions below.
     findings serve(const address& at, gateway_handler handler);
 
+    /// @return the limits on a configuration that an operator sends
+    document_bounds configuration_bounds() const;
+
     /// @brief Proposes a change to the catalog log.
     /// @param done is called when the change is committed, or with an error when that is uncertain
     void submit(change requested, std::function<void(std::error_code, const change_result&)> done);
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -28,6 +28,12 @@
         return "keys contradict one another";
     case errc::findings_omitted:
         return "further findings aren't listed";
+    case errc::document_too_deep:
+        return "the document is nested too deeply";
+    case errc::document_too_large:
+        return "the document needs more memory than a process may use for it";
+    case errc::text_too_long:
+        return "a text is too long";
     case errc::duplicate_name:
         return "name declared twice";
     case errc::selector_matches_nothing:
--- a/src/entry/entry_callers.cpp
+++ b/src/entry/entry_callers.cpp
@@ -92,10 +92,11 @@
 {
     counted.add(metrics::counter::queries);
     findings found;
-    const nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
-    if (document.is_discarded())
+    std::error_code failed;
+    const nlohmann::json document = parse_document(request.body, bounds.document, failed);
+    if (failed)
     {
-        found.error(errc::document_malformed, "", "the body must be JSON");
+        found.error(static_cast<errc>(failed.value()), "", "the body must be JSON that describes a query");
     }
     query_request query = document.is_discarded() ? query_request{} : parse_query_request(document, found);
     if (found.has_errors())
--- a/src/entry/entry_platform_list.cpp
+++ b/src/entry/entry_platform_list.cpp
@@ -20,8 +20,9 @@
     {
         const auto reply =
             http_call(settings.platform_list, http_request{"GET", "/instances", "", {}}, platform_timeout_ms);
+        std::error_code failed;
         const nlohmann::json list =
-            reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+            reply ? parse_document(reply->body, bounds.document, failed) : nlohmann::json();
         if (list.is_array())
         {
             net::post(strand,
--- a/src/links/link_message.cpp
+++ b/src/links/link_message.cpp
@@ -52,7 +52,7 @@
     value.received_nothing_for = duration::from_ms(j.is_number() ? j.get<double>() : 0.0);
 }
 
-// The last key of each of these is optional. An older process ignores it.
+// The last keys of each of these are optional. An older process ignores it.
 
 static void to_json(nlohmann::json& j, const hello& value)
 {
@@ -62,7 +62,8 @@
          {"run", value.run},
          {"region", value.region},
          {"zone", value.zone},
-         {"address", value.address}};
+         {"address", value.address},
+         {"memory_mb", value.memory_mb}};
     if (value.deployment)
     {
         j["deployment"] = value.deployment->str();
@@ -78,6 +79,7 @@
     value.region = j.at("region").get<std::string>();
     value.zone = j.at("zone").get<std::string>();
     value.address = j.at("address").get<std::string>();
+    value.memory_mb = j.value("memory_mb", 0);
     if (j.contains("deployment"))
     {
         value.deployment = deployment_id(j.at("deployment").get<std::string>());
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -41,6 +41,8 @@
     /// The deployment of the sender, unknown before it has a configuration with a secret. A process sends its
     /// handshake again when it learns its deployment. Older processes don't know the key.
     std::optional<deployment_id> deployment{};
+    /// The memory that the sender may use, in MB; 0 if it isn't known. Older processes don't know the key.
+    int memory_mb = 0;
 };
 
 /// @brief Shows that the sender is alive; sent on a link that carried no other message for a heartbeat
--- a/src/process/resource_bounds.cpp
+++ b/src/process/resource_bounds.cpp
@@ -21,6 +21,16 @@
 /// A request is held up to three times while its attempt starts.
 constexpr std::size_t lone_divisor = 5;
 
+constexpr std::size_t configuration_divisor = 2;
+constexpr std::size_t document_divisor = 10;
+/// What a configuration takes of the process that needs most for it, while it is decoded, replicated,
+/// checked, kept in two revisions, and followed by entries. A service has labels, a placement rule and a
+/// scheduler.
+constexpr document_cost configuration_cost = {12, 320, 512, 7 * kilobyte, "services"};
+
+/// A host name has 253 bytes at most. The history keeps a number of items, whatever the size of their texts.
+constexpr std::size_t configuration_text_bytes = 512;
+
 constexpr std::size_t small_request_bytes = 32 * kilobyte;
 constexpr std::size_t small_reply_bytes = 256 * kilobyte;
 constexpr std::size_t small_answer_bytes = 16 * kilobyte;
@@ -65,6 +75,10 @@
     const std::size_t by_memory = memory / connection_divisor / connection_bytes;
     bounds.caller_connections = std::max(min_connections, std::min(by_descriptors, by_memory));
     bounds.other_connections = std::max(min_connections, descriptors / other_descriptors_divisor);
+    bounds.configuration.memory_bytes = memory / configuration_divisor;
+    bounds.configuration.cost = configuration_cost;
+    bounds.configuration.text_bytes = configuration_text_bytes;
+    bounds.document.memory_bytes = memory / document_divisor;
     return bounds;
 }
 
--- a/src/process/resource_bounds.hpp
+++ b/src/process/resource_bounds.hpp
@@ -2,6 +2,8 @@
 
 #include "http/message_memory.hpp"
 
+#include <flaxtiller/core/bounded_document.hpp>
+
 #include <cstddef>
 
 namespace flaxtiller::shell
@@ -36,6 +38,10 @@
     std::size_t caller_connections = 0;
     /// The connections that may be open to each of the other servers of the process.
     std::size_t other_connections = 0;
+    /// A configuration that an operator sends.
+    document_bounds configuration;
+    /// Any other JSON document from outside.
+    document_bounds document;
 
     bool operator==(const resource_bounds&) const = default;
 };
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -47,6 +47,19 @@
         CHECK(greeting.deployment->str().find("secret") == std::string::npos);
         CHECK_FALSE(deployment_id::of_secret("").is_known());
     }
+    SECTION("a handshake, with the sender's memory and as older processes send it")
+    {
+        hello greeting;
+        greeting.memory_mb = 160;
+        CHECK(encode_and_decode(greeting).memory_mb == 160);
+        nlohmann::json older = nlohmann::json::from_cbor(encode(greeting));
+        REQUIRE(older.at("v").erase("memory_mb") == 1);
+        std::string bytes;
+        nlohmann::json::to_cbor(older, bytes);
+        const auto read = decode(bytes);
+        REQUIRE(read);
+        CHECK(std::get<hello>(*read).memory_mb == 0);
+    }
     SECTION("a delegated request whose body is not valid UTF-8")
     {
         routed_ask asked;
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -33,7 +33,7 @@
 change_result apply_document(catalog_state& state, const json& document)
 {
     findings found;
-    const change requested_change = platform::read_configuration(document.dump(), found);
+    const change requested_change = platform::read_configuration(document.dump(), {}, found);
     if (found.has_errors())
     {
         return {change_status::invalid, state.revision(), {}, found};
@@ -135,6 +135,6 @@
 {
     const std::string text = example().dump();
     findings found;
-    platform::read_configuration(text.substr(0, text.size() / 2), found);
+    platform::read_configuration(text.substr(0, text.size() / 2), {}, found);
     CHECK(found.has_errors());
 }
--- a/tests/src/unit-resource-bounds.cpp
+++ b/tests/src/unit-resource-bounds.cpp
@@ -1,8 +1,13 @@
 #include "process/heap_release.hpp"
 #include "process/resource_bounds.hpp"
 
+#include <flaxtiller/core/error.hpp>
+
+#include <nlohmann/json.hpp>
+
 #include <catch2/catch.hpp>
 
+using namespace flaxtiller;
 using namespace flaxtiller::shell;
 
 namespace
@@ -94,6 +99,52 @@
     }
 }
 
+// Guards against configurations that end a process, and against a bound that a large deployment's own
+// configuration meets.
+TEST_CASE("bounds_of leaves room for a configuration", "[settings]")
+{
+    process_limits limits;
+    limits.memory_mb = 160;
+    const document_bounds bounds = bounds_of(limits).configuration;
+    const auto list_of = [](const nlohmann::json& item, std::size_t count)
+    {
+        return nlohmann::json(count, item);
+    };
+    const nlohmann::json service = {
+        {"name", "service-1"}, {"healthCheckPath", "/health"}, {"maxConnections", 30}};
+    const nlohmann::json fan_out = {{"name", "route-1"},
+                                    {"host", "host.example"},
+                                    {"pathPrefix", "/some/"},
+                                    {"type", "safe"},
+                                    {"timeoutMs", 500},
+                                    {"priority", 2},
+                                    {"targetLatencyMs", 80},
+                                    {"maxAttempts", 2},
+                                    {"minSuccessShare", 0.75},
+                                    {"topK", 5},
+                                    {"fanoutServices", list_of("service-1", 20)}};
+    const auto check = [&](const nlohmann::json& document)
+    {
+        return check_document(document.dump(), bounds);
+    };
+
+    SECTION("twice the routes and ten times the services of a large deployment fit")
+    {
+        CHECK_FALSE(check({{"routes", list_of(fan_out, 2800)}, {"services", list_of(service, 1000)}}));
+    }
+    SECTION("what a process can't hold doesn't fit, however little text states it")
+    {
+        CHECK(check({{"services", list_of({{"name", "s"}}, 20000)}}) == errc::document_too_large);
+        CHECK(check({{"routes", list_of(fan_out, 20000)}}) == errc::document_too_large);
+        CHECK(check({{"others", list_of(nullptr, 500000)}}) == errc::document_too_large);
+    }
+    SECTION("it grows with the memory")
+    {
+        limits.memory_mb = 320;
+        CHECK(bounds_of(limits).configuration.memory_bytes == 2 * bounds.memory_bytes);
+    }
+}
+
 // Guards against a process without a stated limit that takes no callers.
 TEST_CASE("bounds_of follows the system where no limit is stated", "[settings]")
 {
--- a/tests/src/unit-teams.cpp
+++ b/tests/src/unit-teams.cpp
@@ -284,7 +284,7 @@
                    {"name":"tb","apiKeys":[]}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
     findings found;
-    change wanted = platform::read_configuration(document.dump(), found);
+    change wanted = platform::read_configuration(document.dump(), {}, found);
     REQUIRE_FALSE(found.has_errors());
     add_key_secret(wanted);
     catalog_state state;
@@ -297,14 +297,14 @@
         json shared = document;
         shared["version"] = 4;
         shared["tenants"][1]["apiKeys"] = {"k1"};
-        change refused = platform::read_configuration(shared.dump(), found);
+        change refused = platform::read_configuration(shared.dump(), {}, found);
         CHECK(state.apply(refused).status == change_status::invalid);
     }
     SECTION("tenants that aren't a list are refused")
     {
         json bad = document;
         bad["tenants"] = 3;
-        (void)platform::read_configuration(bad.dump(), found);
+        (void)platform::read_configuration(bad.dump(), {}, found);
         CHECK(found.has_errors());
     }
 }
