A change that every replica would refuse doesn't get into the log

Cause: the leader proposed what it had only converted, and each replica found the errors by itself, also at each later start.

Change: the leader checks a change against its state before it proposes it (`catalog_state::check`), by the same evaluation that applies it. It refuses only when it holds the lease and has applied all that is committed; otherwise it answers that the outcome isn't known, since the same change may have been taken before.

The unit test doesn't compile before this change.

--- a/include/flaxtiller/catalog/catalog_state.hpp
+++ b/include/flaxtiller/catalog/catalog_state.hpp
@@ -26,6 +26,11 @@
     static constexpr std::size_t max_history_items = 50000;
     static constexpr std::size_t min_history_revisions = 2;
 
+    /// @brief Checks a change that isn't in the log yet, so that one that would be refused doesn't get there.
+    /// @return what @ref apply would find wrong in the change; nothing if the change would be accepted, or
+    /// would have no effect for another reason
+    findings check(const change& requested) const;
+
     /// @brief Applies a committed change. A repeated change has no effect and receives its first result.
     change_result apply(const change& requested);
 
@@ -61,6 +66,7 @@
         bool operator==(const revision_record&) const = default;
     };
 
+    bool is_superseded(const change& requested) const;
     change_result evaluate(const change& requested, configuration& next) const;
     configuration next_configuration(const change& requested, findings& found) const;
     configuration configuration_at_revision(const nlohmann::json& body, findings& found) const;
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -40,6 +40,21 @@
     }
 }
 
+bool catalog_state::is_superseded(const change& requested) const
+{
+    return requested.version > 0 && requested.version <= m_current.version;
+}
+
+findings catalog_state::check(const change& requested) const
+{
+    if (m_results.count(requested.id) > 0 || is_superseded(requested))
+    {
+        return {};
+    }
+    configuration next;
+    return evaluate(requested, next).found;
+}
+
 change_result catalog_state::apply(const change& requested)
 {
     const auto known = m_results.find(requested.id);
@@ -47,7 +62,7 @@
     {
         return known->second;
     }
-    if (requested.version > 0 && requested.version <= m_current.version)
+    if (is_superseded(requested))
     {
         return {change_status::superseded, m_revision, {}, {}};
     }
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -388,6 +388,8 @@
     /// Proposes a change to the catalog log. @a done is called when the change is committed, or with an error
     /// when that is uncertain.
     void submit(change requested, std::function<void(std::error_code, const change_result&)> done);
+    void refuse(const change& requested, const findings& errors,
+                const std::function<void(std::error_code, const change_result&)>& done);
 
     void on_signal();
 
--- a/src/control/control_operators.cpp
+++ b/src/control/control_operators.cpp
@@ -192,6 +192,12 @@
         done({}, {change_status::superseded, catalog.state().revision(), {}, {}});
         return;
     }
+    const findings errors = leads(catalog) ? catalog.state().check(requested) : findings{};
+    if (errors.has_errors())
+    {
+        refuse(requested, errors, done);
+        return;
+    }
     if (catalog.state().current().key_secret.empty())
     {
         add_key_secret(requested);
@@ -219,6 +225,26 @@
     schedule_pump();
 }
 
+/// Every replica would find the same errors, at each of its starts. A replica that may not have applied all
+/// committed changes can't tell whether the change was taken before, so that it doesn't refuse it.
+void control_process::implementation::refuse(
+    const change& requested, const findings& errors,
+    const std::function<void(std::error_code, const change_result&)>& done)
+{
+    const std::int64_t revision = catalog.state().revision();
+    if (!catalog.is_authoritative(clock.now()))
+    {
+        done(errc::not_committed, {});
+        return;
+    }
+    log(log_level::info, "change",
+        {{"id", requested.id.str()},
+         {"version", requested.version},
+         {"status", "invalid"},
+         {"revision", revision}});
+    done({}, {change_status::invalid, revision, {}, errors});
+}
+
 void control_process::implementation::on_signal()
 {
     signals.async_wait(
--- a/tests/src/unit-catalog.cpp
+++ b/tests/src/unit-catalog.cpp
@@ -245,3 +245,38 @@
         }
     }
 }
+
+// Guards against changes that every replica finds wrong again at each of its starts.
+TEST_CASE("a change is checked before it is proposed", "[catalog]")
+{
+    catalog_state state;
+    REQUIRE(state.apply(replacement("first", 0, document())).status == change_status::accepted);
+    const catalog_state before = state;
+    auto broken = document();
+    broken["services"][0]["shards"] = 0;
+    change wanted = replacement("second", 1, broken);
+
+    SECTION("the check finds what the application finds, and changes nothing")
+    {
+        const findings found = state.check(wanted);
+        CHECK(found.has_errors());
+        CHECK(state == before);
+        CHECK(state.apply(wanted).found == found);
+        CHECK_FALSE(state.check(replacement("third", 1, document())).has_errors());
+    }
+    SECTION("a change that has no effect anyway isn't refused")
+    {
+        wanted.id = change_id("first");
+        CHECK_FALSE(state.check(wanted).has_errors());
+        wanted.id = change_id("second");
+        wanted.base_revision = 0;
+        CHECK_FALSE(state.check(wanted).has_errors());
+        change numbered = replacement("numbered", 0, document());
+        numbered.version = 5;
+        REQUIRE(state.apply(numbered).status == change_status::accepted);
+        wanted.version = 5;
+        CHECK_FALSE(state.check(wanted).has_errors());
+        wanted.version = 6;
+        CHECK(state.check(wanted).has_errors());
+    }
+}
