Registrations hold no texts of any length

What callers could do: 400 heartbeats with a version of 240 KB were acknowledged, and each entry kept them: 392 MB of 260 (with the zone 650 MB); ids of 7 KB, too.

Change: an id, service, address, zone and version have 256 bytes at most (400; an id in a path 404), and a heartbeat 8 KB (413).

Evidence: the new case of test_large_documents failed on the build before, and passes.

--- a/include/flaxtiller/core/json_reader.hpp
+++ b/include/flaxtiller/core/json_reader.hpp
@@ -44,6 +44,20 @@
             "must be a string");
     }
 
+    /// @brief Reads a string of at most @a max_bytes. If the key is missing, @a into is unchanged.
+    void text(const char* key, std::string& into, std::size_t max_bytes)
+    {
+        std::string given = into;
+        text(key, given);
+        if (given.size() > max_bytes)
+        {
+            m_found.error(errc::text_too_long, at(key),
+                          "must have at most " + std::to_string(max_bytes) + " bytes");
+            return;
+        }
+        into = std::move(given);
+    }
+
     /// @brief Reads the key `name`, which is required and must not be empty.
     template <typename Name>
     void name(Name& into)
--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -30,6 +30,9 @@
 /// lasts from the start of its process to the end of it.
 struct registration
 {
+    /// The maximum size of the id and of each other text. Every process keeps all registrations.
+    static constexpr std::size_t max_text_bytes = 256;
+
     backend_server_name id;
     service_name service;
     /// IP address and port.
--- a/tests/faults/test_large_documents.py
+++ b/tests/faults/test_large_documents.py
@@ -22,6 +22,11 @@
 ORDERS = 8
 # Large bodies take longer than an operator's usual second.
 ANSWER_S = 10.0
+# Backend servers with long texts, and a text as long as a body may be.
+HEARTBEATS = 400
+LONG_TEXT = "v" * 240000
+# The longest id that the server's limit on heads lets through.
+LONG_ID = "i" * 7000
 REFUSED = (400, 413)
 
 
@@ -167,6 +172,27 @@
     def test_valid_routes_are_taken_or_too_large(self):
         self.take("valid routes", routes)
 
+    # Guards against entries and control processes that keep texts of any length for each id that somebody names.
+    def test_long_texts_of_heartbeats_are_not_kept(self):
+        address = self.platform.backends[0].address
+        sound = {"service": "s0", "address": address, "zone": "zone-1", "version": "v1", "capacity": 4, "state": "ready",
+                 "warmupRemainingMs": 0, "sequence": 1}
+
+        def say(number, body, prefix="i-long-"):
+            machine = self.platform.core()[number % 3]
+            return call(machine.control, "POST", "/api/instances/%s%d/heartbeat" % (prefix, number), body, timeout=ANSWER_S)[0]
+
+        for key in ("version", "zone", "service"):
+            answers = {say(number, dict(sound, **{key: LONG_TEXT})) for number in range(HEARTBEATS)}
+            self.assertLessEqual(answers, set(REFUSED), key)
+            self.assertEqual(say(0, dict(sound, **{key: LONG_TEXT[:1000]})), 400, key)
+        self.assertEqual({say(number, sound, LONG_ID) for number in range(HEARTBEATS)}, {404})
+        self.assertEqual(say(0, b"[" * MEDIUM), 413)
+        time.sleep(1.0)
+        self.check_processes("heartbeats with long texts")
+        self.assertEqual(self.platform.machines[0].dump("entry")["registered_backend_servers"], len(self.platform.backends))
+        self.assertTrue(self.platform.backends[0].say("heartbeat"))
+
     def test_orders_at_the_same_time_share_the_memory(self):
         sent = []
 
