A route whose host states a port serves this port only

Cause: `route_table` dropped the port of a route's host and of a request's, and of routes that were then alike kept the first one by name. The check of a configuration compared hosts as they were written, so that nothing was reported.

Change: `route_host` decides once which hosts are the same: case doesn't count, nor an empty port; ports and a final dot do. The table looks for the host as the request states it first, and then for a route without a port, which serves each port that has no fitting route of its own, as before.

--- a/include/flaxtiller/routing/route_table.hpp
+++ b/include/flaxtiller/routing/route_table.hpp
@@ -14,15 +14,18 @@
 
 /// @brief Finds the route of a request: among the routes of its host, the one with the longest path prefix
 /// that matches.
+///
+/// A route whose host states a port serves requests that state this port, and no others. A route whose host
+/// states none serves requests with any port or none, except those that a route with their port fits.
 class route_table
 {
   public:
     route_table() = default;
 
-    /// @param routes the routes by name; no two routes have the same host and prefix
+    /// @param routes the routes by name; of several with the same host and prefix, the first one is in force
     explicit route_table(const std::map<std::string, route>& routes);
 
-    /// @param host the Host header field; its port and its case are ignored
+    /// @param host the Host header field, see @ref comparable_host
     /// @param target the request target: a path with an optional query
     /// @return the route, or null if none matches
     /// @complexity O(slashes in @a target)
@@ -43,6 +46,10 @@
   private:
     using by_prefix = std::unordered_map<std::string, std::shared_ptr<const route>>;
 
+    /// @param host a host as returned by @ref comparable_host
+    /// @return the route of exactly this host
+    std::shared_ptr<const route> find_at(const std::string& host, std::string_view path) const;
+
     std::unordered_map<std::string, by_prefix> m_hosts;
     std::unordered_map<std::string, std::shared_ptr<const route>> m_by_name;
     std::vector<std::shared_ptr<const route>> m_fan_outs;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -1,30 +1,12 @@
 #include <flaxtiller/routing/route_table.hpp>
 
-#include <algorithm>
-#include <cctype>
+#include <flaxtiller/routing/route_host.hpp>
+
 #include <utility>
 
 namespace flaxtiller
 {
 
-namespace
-{
-
-std::string host_key(std::string_view host)
-{
-    const auto colon = host.rfind(':');
-    const bool has_port = colon != std::string_view::npos && host.back() != ']';
-    std::string key(host.substr(0, has_port ? colon : host.size()));
-    std::transform(key.begin(), key.end(), key.begin(),
-                   [](unsigned char c)
-                   {
-                       return static_cast<char>(std::tolower(c));
-                   });
-    return key;
-}
-
-} // namespace
-
 route_table::route_table(const std::map<std::string, route>& routes)
 {
     for (const auto& [name, item] : routes)
@@ -40,7 +22,7 @@
             m_shortest_objective = item.objective;
         }
         m_by_name.emplace(name, shared);
-        m_hosts[host_key(item.host)].emplace(item.path_prefix, std::move(shared));
+        m_hosts[comparable_host(item.host)].emplace(item.path_prefix, std::move(shared));
     }
 }
 
@@ -57,12 +39,20 @@
 
 std::shared_ptr<const route> route_table::find(std::string_view host, std::string_view target) const
 {
-    const auto prefixes = m_hosts.find(host_key(host));
+    const std::string stated = comparable_host(host);
+    const std::string_view path = target.substr(0, target.find('?'));
+    std::shared_ptr<const route> found = find_at(stated, path);
+    const std::string_view name = without_port(stated);
+    return found || name.size() == stated.size() ? found : find_at(std::string(name), path);
+}
+
+std::shared_ptr<const route> route_table::find_at(const std::string& host, std::string_view path) const
+{
+    const auto prefixes = m_hosts.find(host);
     if (prefixes == m_hosts.end())
     {
         return nullptr;
     }
-    std::string_view path = target.substr(0, target.find('?'));
     for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/'))
     {
         const auto found = prefixes->second.find(std::string(path.substr(0, slash + 1)));
