Hosts that are the same for requests are refused before the log

What callers saw: two routes whose hosts differ in case only were confirmed, and one of them was never in force. A time-out of 0.2 ms was confirmed, and no request of its route could be answered.

Cause: the check compared hosts as text, the table without case; a time-out only had to be above a microsecond.

Change: `check_new` asks `comparable_host`, as the table does, and wants a time-out of a millisecond. It runs at the process that takes the order, before the log. `validate`, which every replica runs on what is in the log, stays as it was: a configuration that an earlier build confirmed stays confirmed, and patches of other items stay possible.

--- a/include/flaxtiller/catalog/configuration.hpp
+++ b/include/flaxtiller/catalog/configuration.hpp
@@ -79,6 +79,15 @@
 /// @brief Checks the relations between items, such as references to undeclared services, routes with the same
 /// host and path prefix, keys shared by teams, selectors without a match, and shards without a backend
 /// server.
+///
+/// Every replica applies this check to each change in the log, also to those that earlier versions accepted.
+/// It must not become stricter; see @ref check_new.
 findings validate(const configuration& value);
 
+/// @brief Checks what only new configurations must fulfil, before they get into the log: routes with the same
+/// path prefix have hosts that differ as @ref comparable_host compares them, and a time-out isn't too short
+/// for any answer.
+/// @return the errors
+findings check_new(const configuration& value);
+
 } // namespace flaxtiller
--- a/src/catalog/catalog_state.cpp
+++ b/src/catalog/catalog_state.cpp
@@ -52,7 +52,15 @@
         return {};
     }
     configuration next;
-    return evaluate(requested, next).found;
+    findings found = evaluate(requested, next).found;
+    // A patch may concern other items than those that earlier versions accepted.
+    const bool is_new = requested.kind == change_kind::replace ||
+                        (requested.kind == change_kind::patch && !check_new(m_current).has_errors());
+    if (is_new)
+    {
+        found.append(check_new(next));
+    }
+    return found;
 }
 
 change_result catalog_state::apply(const change& requested)
--- a/src/catalog/configuration_check.cpp
+++ b/src/catalog/configuration_check.cpp
@@ -7,6 +7,7 @@
 #include "shard_label.hpp"
 
 #include <flaxtiller/catalog/placement.hpp>
+#include <flaxtiller/routing/route_host.hpp>
 
 #include <map>
 #include <set>
@@ -20,6 +21,9 @@
 namespace
 {
 
+/// No answer arrives within less.
+constexpr duration min_timeout = duration::from_ms(1);
+
 /// Checks the selectors and shard labels of a rule. The items are found by label, because a comparison of
 /// each rule with each item took 50,000 steps for 225 services with one rule each.
 void check_rule(const placement_rule& rule, label_index<const service>& services,
@@ -117,6 +121,28 @@
 
 } // namespace
 
+findings check_new(const configuration& value)
+{
+    findings found;
+    std::map<std::pair<std::string, std::string>, std::string> route_by_place;
+    for (const auto& [name, item] : value.routes)
+    {
+        const std::string place = std::string("/") + routes_key + "/" + name;
+        const auto [other, is_first] =
+            route_by_place.emplace(std::pair(comparable_host(item.host), item.path_prefix), name);
+        if (!is_first)
+        {
+            found.error(errc::duplicate_name, place,
+                        "route " + other->second + " has the same host and path prefix");
+        }
+        if (item.timeout < min_timeout)
+        {
+            found.error(errc::out_of_range, place, "the time-out must be at least a millisecond");
+        }
+    }
+    return found;
+}
+
 findings validate(const configuration& value)
 {
     findings found;
--- a/tests/faults/test_route_hosts.py
+++ b/tests/faults/test_route_hosts.py
@@ -78,6 +78,15 @@
                 self.assertEqual(self.served_by("desk.example:%d" % port), {(200, "s0")})
                 self.assertEqual(self.served_by("desk.example:%d" % other), {(404,)})
 
+    # Guards against a confirmed configuration of which one route is never in force.
+    def test_hosts_that_are_the_same_for_requests_are_refused(self):
+        self.put(with_routes(2, route("r-a", "desk.example", "s0")))
+        confirmed = self.platform.read()
+        for same in ("Desk.Example", "desk.example:"):
+            refused = with_routes(3, route("r-a", "desk.example", "s0"), route("r-b", same, "s1"))
+            self.assertEqual(self.platform.put(refused), 400)
+        self.assertEqual(self.platform.read(), confirmed)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/src/unit-catalog.cpp
+++ b/tests/src/unit-catalog.cpp
@@ -280,3 +280,74 @@
         CHECK(state.check(wanted).has_errors());
     }
 }
+
+// Guards against a stricter check that takes away what earlier versions accepted, or lets new mistakes in.
+TEST_CASE("only new configurations must fulfil the rules of check_new", "[catalog]")
+{
+    const auto with_hosts = [](const std::string& first, const std::string& second)
+    {
+        auto body = document();
+        for (const std::string& host : {first, second})
+        {
+            body["routes"].push_back({{"name", "r" + std::to_string(body["routes"].size())},
+                                      {"host", host},
+                                      {"path_prefix", "/a/"},
+                                      {"targets", {{{"service", "dispatch"}}}}});
+        }
+        return body;
+    };
+    catalog_state state;
+    change wanted = replacement("new", 0, with_hosts("a.example", "A.example"));
+
+    SECTION("a change in the log is applied as earlier versions did")
+    {
+        CHECK(state.check(wanted).has_errors());
+        CHECK(state.apply(wanted).status == change_status::accepted);
+        CHECK(catalog_state::deserialize(state.serialize()) == state);
+        wanted.id = change_id("next");
+        wanted.base_revision = 1;
+        CHECK(state.check(wanted).has_errors());
+
+        SECTION("and doesn't hold up changes of other items")
+        {
+            wanted.kind = change_kind::patch;
+            wanted.body = {{"upsert", {{"services", {{{"name", "other"}}}}}}};
+            CHECK_FALSE(state.check(wanted).has_errors());
+            CHECK_FALSE(state.check(evacuation_order(change_id("e"), "z", true)).has_errors());
+        }
+    }
+    SECTION("hosts are the same if requests with them are")
+    {
+        for (const char* same : {"a.example", "A.EXAMPLE", "a.example:"})
+        {
+            wanted.body = with_hosts("a.example", same);
+            CHECK(state.check(wanted).has_errors());
+        }
+        for (const char* other : {"a.example:8443", "a.example.", "b.example", "[::1]"})
+        {
+            wanted.body = with_hosts("a.example", other);
+            CHECK_FALSE(state.check(wanted).has_errors());
+        }
+        wanted.body = with_hosts("a.example:8443", "a.example:9443");
+        CHECK_FALSE(state.check(wanted).has_errors());
+    }
+    SECTION("a patch must not make them wrong")
+    {
+        REQUIRE(state.apply(replacement("first", 0, with_hosts("a.example", "b.example"))).status ==
+                change_status::accepted);
+        wanted.kind = change_kind::patch;
+        wanted.base_revision = 1;
+        wanted.body = {{"upsert", {{"routes", with_hosts("B.example", "c.example")["routes"]}}}};
+        wanted.body["upsert"]["routes"][0]["name"] = "r8";
+        wanted.body["upsert"]["routes"][1]["name"] = "r9";
+        CHECK(state.check(wanted).has_errors());
+    }
+    SECTION("a time-out lets an answer arrive")
+    {
+        wanted.body = with_hosts("a.example", "b.example");
+        wanted.body["routes"][0]["timeout_ms"] = 0.2;
+        CHECK(state.check(wanted).has_errors());
+        wanted.body["routes"][0]["timeout_ms"] = 1;
+        CHECK_FALSE(state.check(wanted).has_errors());
+    }
+}
