Configurations that can't be read whole are refused

What callers saw: configurations with `"limits": []`, `5` or `null`, a `null` in place of a value, `"tls": "no"`, or a split that is no list were confirmed and read back as other ones (a time-out of `null` as 1000). Of a route with a service and a split, only the split was read back.

Cause: the conversion took `null` for a missing key, and passed over values of another type.

Change: a key that is there must have a value of its type. An order that an earlier build took and that is sent again is known by its id, and acknowledged.

--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace flaxtiller::shell
 {
 
@@ -112,6 +114,22 @@
     m_implementation->submit(std::move(requested), std::move(done));
 }
 
+bool control_process::has_made(const change_id& id) const
+{
+    const implementation& self = *m_implementation;
+    const std::map<std::int64_t, change_id> kept = self.catalog.state().history();
+    return self.catalog.is_authoritative(self.clock.now()) && std::any_of(kept.begin(), kept.end(),
+                                                                          [&](const auto& item)
+                                                                          {
+                                                                              return item.second == id;
+                                                                          });
+}
+
+std::int64_t control_process::revision() const
+{
+    return m_implementation->catalog.state().revision();
+}
+
 document_bounds control_process::configuration_bounds() const
 {
     return m_implementation->configuration_bounds();
--- a/src/control/control_process.hpp
+++ b/src/control/control_process.hpp
@@ -55,6 +55,12 @@
     /// @param done is called when the change is committed, or with an error when that is uncertain
     void submit(change requested, std::function<void(std::error_code, const change_result&)> done);
 
+    /// @return whether this replica is sure that the change has made one of the revisions that are kept
+    bool has_made(const change_id& id) const;
+
+    /// @return the revision that this replica holds
+    std::int64_t revision() const;
+
     /// @return the current configuration, or null if this replica can't be sure that its configuration is
     /// current
     const configuration* current() const;
--- a/tests/faults/test_large_documents.py
+++ b/tests/faults/test_large_documents.py
@@ -41,9 +41,10 @@
 
 
 def with_route(**changes):
-    """A valid configuration of one route and one service, with some keys of its route changed."""
+    """A valid configuration of one route and one service, with some keys of its route changed, or left out if None."""
     document = configuration(2, shards=1)
-    document["routes"] = [dict(document["routes"][1], **changes)]
+    route = dict(document["routes"][1], **changes)
+    document["routes"] = [{key: value for key, value in route.items() if value is not None}]
     return document
 
 
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -38,7 +38,9 @@
     {
         return {change_status::invalid, state.revision(), {}, found};
     }
-    return state.apply(requested_change);
+    const findings refused = state.check(requested_change);
+    return refused.has_errors() ? change_result{change_status::invalid, state.revision(), {}, refused}
+                                : state.apply(requested_change);
 }
 
 } // namespace
@@ -121,6 +123,37 @@
     {
         invalid_document.erase("routes");
     }
+    // Guards against a configuration that is confirmed and reads back as another one.
+    SECTION("a key has a value that can't be read")
+    {
+        const auto& [key, value] = GENERATE(table<std::string, json>({
+            {"/limits", json::array()},
+            {"/limits", 5},
+            {"/limits", nullptr},
+            {"/limits/maxBodyBytes", nullptr},
+            {"/tenants", nullptr},
+            {"/routes/0/name", nullptr},
+            {"/routes/0/timeoutMs", nullptr},
+            {"/routes/0/timeoutMs", 0.2},
+            {"/routes/0/targetLatencyMs", nullptr},
+            {"/routes/0/priority", nullptr},
+            {"/routes/0/topK", nullptr},
+            {"/routes/0/fanoutServices", nullptr},
+            {"/routes/0/type", nullptr},
+            {"/routes/0/allowedRegions", nullptr},
+            {"/routes/1/service", nullptr},
+            {"/routes/2/trafficSplit", nullptr},
+            {"/routes/2/trafficSplit", 3},
+            {"/routes/2/service", "s1"},
+            {"/services/0/tls", "no"},
+            {"/services/0/tls", nullptr},
+            {"/services/0/maxConnections", nullptr},
+            {"/services/0/healthCheckPath", nullptr},
+            {"/services/0/warmupS", nullptr},
+        }));
+        CAPTURE(key, value);
+        invalid_document[json::json_pointer(key)] = value;
+    }
     SECTION("the version is missing")
     {
         invalid_document.erase("version");
