--- a/tests/faults/test_large_documents.py
+++ b/tests/faults/test_large_documents.py
@@ -167,6 +167,22 @@
                 self.refuse("%s of nested %s" % (name, opening), lambda size: nested(size, document, opening, closing))
         self.refuse("brackets that stay open", lambda size: b"[" * size)
 
+    # The product's own interface for operators takes the same documents.
+    def test_changes_of_operators_are_bounded_too(self):
+        change = {"id": "c-1", "base_revision": 0, "kind": "replace", "body": "MARK"}
+        bodies = {"nested lists": nested(MEDIUM, change, b"[", b"]"), "nested objects": nested(MEDIUM, change, b'{"a":', b"}"),
+                  "services of {}": holding(MEDIUM, dict(change, body={"services": "MARK"}), b"{}"),
+                  "a patch of zeros": holding(MEDIUM, dict(change, kind="patch", body={"upsert": {"routes": "MARK"}}), b"0"),
+                  "brackets that stay open": b"[" * LARGE}
+        for name, body in bodies.items():
+            for path in ("/changes", "/changes/preview", "/members"):
+                for machine in self.platform.core():
+                    status = call(machine.ip + ":7385", "POST", path, body, timeout=ANSWER_S)[0]
+                    self.check_processes("%s to %s, answer %s" % (name, path, status))
+                    # What isn't refused by its size is refused by who isn't the leader.
+                    self.assertIn(status, REFUSED + (421,), "%s to %s" % (name, path))
+        self.assertEqual(self.platform.read(), self.confirmed)
+
     def test_valid_services_are_taken_or_too_large(self):
         self.take("valid services", services)
 
