--- a/tests/faults/test_large_documents.py
+++ b/tests/faults/test_large_documents.py
@@ -17,6 +17,8 @@
 MEMORY_MB = 160
 # The largest body that the deployment's limits name, and bodies above what its configurations need.
 SMALL, MEDIUM, LARGE = 262144, 1 << 20, 4 << 20
+# Services of this size are just taken.
+NEAR_THE_BOUND = 600000
 SIZES = (SMALL, MEDIUM, LARGE)
 # An operator's calls that may be under way together.
 ORDERS = 8
@@ -210,21 +212,27 @@
         self.assertEqual(self.platform.machines[0].dump("entry")["registered_backend_servers"], len(self.platform.backends))
         self.assertTrue(self.platform.backends[0].say("heartbeat"))
 
-    def test_orders_at_the_same_time_share_the_memory(self):
+    def order_together(self, what, make, size, first):
+        """Sends ORDERS configurations at the same time; all are taken or too large, and the highest one is read."""
         sent = []
 
         def order(version):
-            sent.append((version, self.send(routes(MEDIUM, version))))
+            sent.append((version, self.send(make(size, version))))
 
-        orders = [threading.Thread(target=order, args=(2 + number,)) for number in range(ORDERS)]
+        orders = [threading.Thread(target=order, args=(first + number,)) for number in range(ORDERS)]
         for thread in orders:
             thread.start()
         for thread in orders:
             thread.join()
-        self.check_processes("%d orders at the same time, answers %s" % (ORDERS, sorted(sent)))
+        eventually("the entry follows", lambda: self.platform.machines[0].dump("entry").get("revision") == self.revision())
+        self.check_processes("%d orders of %s at the same time, answers %s" % (ORDERS, what, sorted(sent)))
         self.assertLessEqual({status for _, status in sent}, {200, 413})
         self.assertEqual(self.platform.read()["version"], max([version for version, status in sent if status == 200] + [1]))
 
+    def test_orders_at_the_same_time_share_the_memory(self):
+        self.order_together("routes", routes, MEDIUM, 2)
+        self.order_together("services", services, NEAR_THE_BOUND, 2 + ORDERS)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
