--- a/include/flaxtiller/catalog/catalog_state.hpp
+++ b/include/flaxtiller/catalog/catalog_state.hpp
@@ -27,9 +27,8 @@
     static constexpr std::size_t min_history_revisions = 2;
 
     /// @brief Checks a change that isn't in the log yet, so that one that would be refused doesn't get there.
-    /// @return what @ref apply would find wrong in the change, and what only new configurations must fulfil,
-    /// see
-    /// @ref check_new; nothing if the change would be accepted, or would have no effect for another reason
+    /// @return the findings of @ref apply and of @ref check_new; nothing if the change would have no effect
+    /// whatever it contains
     findings check(const change& requested) const;
 
     /// @brief Applies a committed change. A repeated change has no effect and receives its first result.
