Checks and previews of a configuration say what its order will be told

What callers saw: `flaxtiller check configuration` and a preview passed a configuration with hosts that are the same for requests, which a control replica then refuses.

Change: both ask `check_new`, the preview by `catalog_state::check` as the order does.

Evidence: a case of test_commands (exit status 0 in place of 1) and one of test_route_hosts (200 in place of 400) failed before.

--- a/src/command/check.cpp
+++ b/src/command/check.cpp
@@ -39,6 +39,7 @@
         {
             const configuration parsed = parse_configuration(document, found);
             found.append(validate(parsed));
+            found.append(check_new(parsed));
         }
     }
     else if (!found.has_errors())
--- a/src/control/control_changes.cpp
+++ b/src/control/control_changes.cpp
@@ -210,7 +210,10 @@
         return;
     }
     catalog_state preview_state = catalog.state();
-    const change_result outcome = preview_state.apply(*requested);
+    const findings errors = preview_state.check(*requested);
+    const change_result outcome =
+        errors.has_errors() ? change_result{change_status::invalid, preview_state.revision(), {}, errors}
+                            : preview_state.apply(*requested);
     nlohmann::json body = outcome;
     body["difference"] = diff(catalog.state().current(), preview_state.current());
     body["moved_shards"] = moved_shards(catalog.state().current(), preview_state.current());
--- a/tests/faults/test_commands.py
+++ b/tests/faults/test_commands.py
@@ -1,5 +1,6 @@
 """Exit statuses and messages of the command line, as docs/commands.md lists them."""
 
+import json
 import os
 import socket
 import subprocess
@@ -74,6 +75,18 @@
         for place in ("/instance/name", "/threads", "/thread", "/listen/callers", "/listen/link", "/control"):
             self.assertIn(" at " + place + ":", text)
 
+    # Guards against a check that passes what a control replica will refuse.
+    def test_a_configuration_is_checked_as_a_new_one(self):
+        routes = [{"name": name, "host": host, "path_prefix": "/a/", "targets": [{"service": "s"}]}
+                  for name, host in (("r-a", "a.example"), ("r-b", "A.example"))]
+        document = {"services": [{"name": "s"}], "routes": routes}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(document, file)
+            file.flush()
+            status, text = run("check", "configuration", file.name)
+        self.assertEqual(status, 1)
+        self.assertIn(" at /routes/r-b:", text)
+
     def test_malformed_text_is_placed_by_its_line(self):
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             file.write('{\n  // a comment\n  "threads": ,\n}')
--- a/tests/faults/test_route_hosts.py
+++ b/tests/faults/test_route_hosts.py
@@ -1,5 +1,6 @@
 """Routes whose hosts differ in their port or their case: on a stand-in of the users' platform, in real processes."""
 
+import json
 import os
 import sys
 import time
@@ -7,7 +8,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import eventually
-from platform_stand_in import Platform, configuration
+from platform_stand_in import Platform, call, configuration
 
 # Within this a confirmed configuration is in force.
 APPLIED_S = 3.0
@@ -86,6 +87,19 @@
             refused = with_routes(3, route("r-a", "desk.example", "s0"), route("r-b", same, "s1"))
             self.assertEqual(self.platform.put(refused), 400)
         self.assertEqual(self.platform.read(), confirmed)
+        self.preview("Desk.Example", 400)
+        self.preview("other.example", 200)
+
+    def preview(self, host, wanted):
+        """What the product's own interface says of a change that adds a route with this host."""
+        found = [json.loads(body) for status, _, body in
+                 (call(machine.ip + ":7385", "GET", "/configuration") for machine in self.platform.core()) if status == 200]
+        self.assertEqual(len(found), 1)
+        routes = found[0]["configuration"]["routes"]
+        added = dict(routes[0], name="r-b", host=host)
+        change = {"id": "c-" + host, "base_revision": found[0]["revision"], "kind": "patch", "body": {"upsert": {"routes": [added]}}}
+        answers = {call(machine.ip + ":7385", "POST", "/changes/preview", change)[0] for machine in self.platform.core()}
+        self.assertEqual(answers, {wanted, 421})
 
 
 if __name__ == "__main__":
