What a control replica sends of its registrations is decided without links, files and clocks

Cause: registration_distributor decided when changes, receipts, digests and full lists leave, and sent them in the same steps, so that no test in virtual time could play the order of these steps.

replicated_registry now decides; the distributor sends, saves and logs. The messages on registrations are types of the core.

Ruled out: a copy of the steps in the test, which would go on passing when the product's order changes.

--- a/src/control/control_decisions.cpp
+++ b/src/control/control_decisions.cpp
@@ -380,9 +380,10 @@
     }
     crash_records.on_reachable(name, clock.now());
     const auto identity = links.identity(name);
-    if (identity && identity->role == "control")
+    const bool is_replica = identity && identity->role == "control";
+    registrations.on_reachable(name, is_replica, clock.now());
+    if (is_replica)
     {
-        registrations.on_reachable(name, clock.now());
         send_notices({name});
         replica_places[quorum::replica_name(name)] = {identity->zone, identity->region};
     }
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -5,8 +5,7 @@
 #include "registration_file.hpp"
 
 #include <flaxtiller/core/token_bucket.hpp>
-#include <flaxtiller/registration/registration_publisher.hpp>
-#include <flaxtiller/registration/registry.hpp>
+#include <flaxtiller/registration/replicated_registry.hpp>
 
 #include <set>
 #include <string>
@@ -15,12 +14,8 @@
 namespace flaxtiller::shell
 {
 
-/// @brief Maintains the registry of backend servers on a control replica and distributes its changes.
-///
-/// Backend servers register with any control replica by heartbeats. The distributor applies the heartbeats to
-/// the registry, sends changes to all linked processes, exchanges received heartbeats with the other control
-/// replicas, and reports a backend server as lost if no replica received its heartbeats. It also saves the
-/// registrations for the next start of the process. Not thread-safe.
+/// @brief Distributes the registrations of backend servers on a control replica: has a @ref
+/// replicated_registry decide, sends its messages, and logs and saves what changes. Not thread-safe.
 class registration_distributor
 {
   public:
@@ -57,8 +52,9 @@
     /// some time, all registrations are sent to this process.
     void on_digest(const std::string& from, const registration_digest& received, time_point now);
 
-    /// @brief Sends all registrations to a replica whose link was established, since it may have none.
-    void on_reachable(const std::string& peer, time_point now);
+    /// @brief Handles the link to a peer that was established.
+    /// @param is_replica whether the peer is a control replica
+    void on_reachable(const std::string& peer, bool is_replica, time_point now);
 
     /// @brief Handles the loss of the link to a peer.
     void on_lost(const std::string& peer, time_point now);
@@ -75,33 +71,22 @@
     /// @return the registry of backend servers
     const registry& known() const noexcept
     {
-        return m_registry;
+        return m_registry.known();
     }
 
   private:
     static constexpr double max_log_lines_per_s = 64.0;
 
-    /// @brief Saves, logs and sends the changes of the registry.
-    /// @param received_here whether the changes were caused on this replica, not by another replica's message
-    void publish_changes(bool received_here, time_point now);
+    /// @brief Saves and logs the changes of the registry, and sends its messages.
+    void publish(time_point now);
     void log_changes(const std::vector<registration>& changes, time_point now);
-    void send_due(time_point now);
-    bool is_settled(time_point now) const;
-    void apply_settled_list(const registration_update& update, time_point now);
-    void restore(time_point now);
-    void correct_sender(const std::string& from, const std::vector<registration>& received);
 
     peer_links& m_links;
     registration_file m_file;
     deregistration_confirmer m_confirmer;
-    /// The registrations saved by a previous run, until they are restored or discarded.
-    std::vector<registration> m_saved;
-    duration m_silence;
-    duration m_exchange_interval;
-    time_point m_started_at;
-    registry m_registry;
-    registration_publisher m_publisher;
-    time_point m_exchange_at{};
+    replicated_registry m_registry;
+    /// When the number of changes without a log line is logged next.
+    time_point m_shared_line_at{};
     /// Limits the log lines for single registrations. Changes above the limit are counted and share one line.
     token_bucket m_log_line_budget;
     /// Number of changes without a log line since the last shared line.
--- a/src/links/link_message.cpp
+++ b/src/links/link_message.cpp
@@ -16,7 +16,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(abandon_message, service, numbers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_call, number, command)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_return, number, leads, reply)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(registration_digest, digest)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(control_members, names)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_list, whole, items, gone)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_ask, number, request)
@@ -86,41 +85,6 @@
     }
 }
 
-static void to_json(nlohmann::json& j, const registration_update& value)
-{
-    j = {{"whole", value.whole}, {"items", value.items}, {"settled", value.settled}};
-    if (value.confirm)
-    {
-        j["confirm"] = *value.confirm;
-    }
-}
-
-static void from_json(const nlohmann::json& j, registration_update& value)
-{
-    value.whole = j.at("whole").get<bool>();
-    value.items = j.at("items").get<std::vector<registration>>();
-    value.settled = j.at("settled").get<bool>();
-    if (j.contains("confirm"))
-    {
-        value.confirm = j.at("confirm").get<deregistration_number>();
-    }
-}
-
-static void to_json(nlohmann::json& j, const registration_heard& value)
-{
-    j = {{"items", value.items}};
-    if (!value.saved.empty())
-    {
-        j["saved"] = value.saved;
-    }
-}
-
-static void from_json(const nlohmann::json& j, registration_heard& value)
-{
-    value.items = j.at("items").get<std::vector<heartbeat_receipt>>();
-    value.saved = j.value("saved", std::vector<deregistration_number>{});
-}
-
 namespace
 {
 
--- a/src/links/link_message.hpp
+++ b/src/links/link_message.hpp
@@ -8,8 +8,7 @@
 #include <flaxtiller/quorum/message.hpp>
 #include <flaxtiller/register/register_command.hpp>
 #include <flaxtiller/register/register_reply.hpp>
-#include <flaxtiller/registration/deregistration_confirmations.hpp>
-#include <flaxtiller/registration/registry.hpp>
+#include <flaxtiller/registration/registration_messages.hpp>
 #include <flaxtiller/routing/entry_peer.hpp>
 #include <flaxtiller/routing/router_action.hpp>
 #include <flaxtiller/teams/limit_message.hpp>
@@ -108,38 +107,6 @@
     register_reply reply;
 };
 
-/// @brief Registrations of backend servers that register themselves: either those that changed, or the full
-/// list of those that the sender knows.
-struct registration_update
-{
-    /// True if @ref items is the full list, and the sender has received registrations for long enough to know
-    /// every backend server.
-    bool whole = false;
-    std::vector<registration> items;
-    /// True if the sender has received registrations for long enough to know every backend server, whether or
-    /// not @ref items is the full list.
-    bool settled = false;
-    /// Asks the receiver, a control replica, to answer with @ref registration_heard::saved once it has saved
-    /// @ref items. Older processes don't know the key, and don't answer.
-    std::optional<deregistration_number> confirm{};
-};
-
-/// @brief Backend servers from which the sender recently received a heartbeat directly.
-struct registration_heard
-{
-    std::vector<heartbeat_receipt> items;
-    /// The numbers of those requests of the receiver, see @ref registration_update::confirm, whose
-    /// registrations the sender has saved.
-    std::vector<deregistration_number> saved{};
-};
-
-/// @brief The hash of the registrations that the sender knows. A receiver whose own hash stays different for
-/// a while sends its full list.
-struct registration_digest
-{
-    std::uint64_t digest = 0;
-};
-
 /// @brief The link addresses of the control replicas that are members of the sender's replicated log.
 struct control_members
 {
