Reports on backend servers that are refused leave a line, and lines say how old an entry's knowledge is

A change that is refused as not newer leaves no line, an entry writes one line without names for more than 32 changes, and the line of an attempt doesn't tell whether the entry had just learned of a change.

- registration_refused, at control replicas within their lines a second and at entries 32 a message: what is known, what was refused, both sequences.
- registrations of an entry names who gets no new work; that of a replica counts refused reports.

--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/registration/refused_report.hpp>
 #include <flaxtiller/registration/registration.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -48,6 +51,9 @@
     /// The interval at which @ref forget looks through the registry.
     static constexpr duration forget_interval = duration::from_ms(5000);
 
+    /// @ref take_refused returns this many reports at most.
+    static constexpr std::size_t max_refused_reports = 32;
+
     /// @brief Handles a heartbeat that a backend server sent to this process.
     /// @return whether the registration changed
     bool on_heartbeat(const registration& report, time_point now);
@@ -101,6 +107,19 @@
     /// @return the changes since the last call, for other processes
     std::vector<registration> take_changes();
 
+    /// @return reports since the last call that were refused as not newer, and that state something else than
+    /// is known. A few are usual: late heartbeats, and lists that were sent before a change.
+    std::vector<refused_report> take_refused();
+
+    /// @return the number of such reports since the start
+    std::uint64_t refused_count() const noexcept
+    {
+        return m_refused_count;
+    }
+
+    /// @return the time since the last report on a backend server was accepted; nothing if it is unknown
+    std::optional<duration> age_of(const backend_server_name& id, time_point now) const;
+
     /// @return a receipt for each backend server that sent a heartbeat to this process since the last call
     std::vector<heartbeat_receipt> take_heartbeat_receipts();
 
@@ -146,12 +165,15 @@
 
     bool accept(registered_server& item, const registration& report, time_point now);
     void confirm(registered_server& item) noexcept;
+    void note_refused(const registration& known, const registration& refused);
     void mark_lost(registered_server& item);
     template <typename Condition>
     bool mark_lost_if(Condition is_lost);
 
     std::map<backend_server_name, registered_server> m_servers;
     std::vector<registration> m_changes;
+    std::vector<refused_report> m_refused;
+    std::uint64_t m_refused_count = 0;
     time_point m_forget_at{};
     std::uint64_t m_digest = 0;
     std::size_t m_unconfirmed_count = 0;
--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -101,6 +101,9 @@
     /// @return the registrations that changed since the last call
     std::vector<registration> take_changes();
 
+    /// @return reports that were refused since the last call, see @ref registry::take_refused
+    std::vector<refused_report> take_refused();
+
     /// @return the messages to send since the last call, in their order
     std::vector<outgoing> take_messages();
 
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -1,6 +1,7 @@
 #include "registration_distributor.hpp"
 
 #include "process/log.hpp"
+#include "process/registration_lines.hpp"
 #include "process/system.hpp"
 
 #include <utility>
@@ -36,6 +37,7 @@
 void registration_distributor::on_heartbeat(const registration& received, time_point now)
 {
     m_registry.on_heartbeat(received, now);
+    log_refused(received.id.str(), now);
     publish(now);
 }
 
@@ -57,6 +59,7 @@
                                          time_point now)
 {
     const std::size_t missed_by_sender = m_registry.on_update(from, update, now);
+    log_refused(from, now);
     publish(now);
     if (missed_by_sender > 0)
     {
@@ -135,6 +138,17 @@
     }
 }
 
+void registration_distributor::log_refused(const std::string& from, time_point now)
+{
+    std::vector<refused_report> refused = m_registry.take_refused();
+    std::erase_if(refused,
+                  [&](const refused_report&)
+                  {
+                      return !m_log_line_budget.take(now);
+                  });
+    log_refused_reports(refused, from);
+}
+
 void registration_distributor::set_replicas(std::set<std::string> others)
 {
     m_registry.set_replicas(std::move(others));
@@ -160,7 +174,8 @@
     m_shared_line_at = now + shared_line_interval;
     if (const std::size_t unlogged = std::exchange(m_unlogged_changes, 0); unlogged > 0)
     {
-        log(log_level::info, "registrations", {{"items", unlogged}, {"known", known().size()}});
+        log(log_level::info, "registrations",
+            {{"items", unlogged}, {"known", known().size()}, {"refused", known().refused_count()}});
     }
 }
 
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -80,6 +80,7 @@
     /// @brief Saves and logs the changes of the registry, and sends its messages.
     void publish(time_point now);
     void log_changes(const std::vector<registration>& changes, time_point now);
+    void log_refused(const std::string& from, time_point now);
 
     peer_links& m_links;
     registration_file m_file;
--- a/src/entry/entry_implementation.hpp
+++ b/src/entry/entry_implementation.hpp
@@ -103,7 +103,8 @@
           routed(settings.routed.port == 0
                      ? nullptr
                      : std::make_unique<routing_frontend>(
-                           io, counted, bounds.caller_connections, settings.routing, settings.routed_names,
+                           io, counted, registered_at, bounds.caller_connections, settings.routing,
+                           settings.routed_names,
                            [this](const std::string& to, const link_message& message)
                            {
                                links.send(to, message);
@@ -193,6 +194,8 @@
     std::set<std::string> reachable;
     known_control_replicas control;
     const shared_value<std::map<std::string, std::string>> region_of_zone;
+    /// Used by the frontend, which is destroyed before.
+    registration_times registered_at;
     std::unique_ptr<routing_frontend> routed;
     registry registered;
     warmup_tracker warmups;
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -1,4 +1,5 @@
 #include "entry_implementation.hpp"
+#include "process/registration_lines.hpp"
 
 #include <flaxtiller/core/hash.hpp>
 
@@ -160,11 +161,13 @@
     {
         changed = registered.mark_unlisted_lost(update.items, now) || changed;
     }
+    log_refused_reports(registered.take_refused(), from.name);
     if (!changed)
     {
         return;
     }
     const std::vector<registration> changes = registered.take_changes();
+    registered_at.on_changes(changes, now);
     changes_since_update += changes.size();
     routed_placement.apply(changes);
     for (const registration& item : changes)
@@ -182,7 +185,8 @@
     constexpr std::size_t max_lines = 32;
     if (changes.size() > max_lines)
     {
-        log(log_level::info, "registrations", {{"items", changes.size()}, {"from", from.name}});
+        log(log_level::info, "registrations",
+            {{"items", changes.size()}, {"from", from.name}, {"unavailable", unavailable_names(changes)}});
         return;
     }
     for (const registration& item : changes)
--- a/src/entry/routing_frontend.cpp
+++ b/src/entry/routing_frontend.cpp
@@ -67,12 +67,13 @@
 
 } // namespace
 
-routing_frontend::routing_frontend(net::io_context& io, metrics& counted, std::size_t most_connections,
+routing_frontend::routing_frontend(net::io_context& io, metrics& counted,
+                                   const registration_times& registered_at, std::size_t most_connections,
                                    const router_options& options, routed_header_names names, sender send,
                                    owners_handler owners, crash_records_handler crashes,
                                    witness_report_handler witnesses)
-    : m_metrics(counted), m_most_connections(most_connections), m_strand(net::make_strand(io)),
-      m_timer(m_strand), m_codec(std::move(names)), m_send(std::move(send)),
+    : m_metrics(counted), m_registered_at(registered_at), m_most_connections(most_connections),
+      m_strand(net::make_strand(io)), m_timer(m_strand), m_codec(std::move(names)), m_send(std::move(send)),
       m_report_owners(std::move(owners)), m_report_crash_records(std::move(crashes)),
       m_report_to_witnesses(std::move(witnesses)), m_admission(options.load, first_number_of_run()),
       m_router(with_new_numbers(options)), m_pools(m_strand, counted),
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -4,6 +4,7 @@
 #include "http/http_server.hpp"
 #include "http/pools_by_server.hpp"
 #include "links/link_message.hpp"
+#include "registration_times.hpp"
 #include "routed_http_codec.hpp"
 
 #include <flaxtiller/catalog/configuration.hpp>
@@ -50,10 +51,12 @@
     using witness_report_handler =
         std::function<void(const limit_report& report, const std::string& coordinator)>;
 
+    /// @param registered_at states in the lines of attempts how old the knowledge of a backend server is
     /// @param most_connections maximum number of connections of callers
-    routing_frontend(boost::asio::io_context& io, metrics& counted, std::size_t most_connections,
-                     const router_options& options, routed_header_names names, sender send,
-                     owners_handler owners, crash_records_handler crashes, witness_report_handler witnesses);
+    routing_frontend(boost::asio::io_context& io, metrics& counted, const registration_times& registered_at,
+                     std::size_t most_connections, const router_options& options, routed_header_names names,
+                     sender send, owners_handler owners, crash_records_handler crashes,
+                     witness_report_handler witnesses);
 
     std::error_code listen(const address& at);
 
@@ -175,6 +178,7 @@
     void execute_actions();
     void execute(const delegate_shards& action);
     void execute(const abandon_delegation& action);
+    double known_for_ms(const backend_server_name& server, time_point at) const;
     void execute(const start_routed_attempt& action);
     void execute(const cancel_routed_attempt& action);
     void execute(const answer_request& action);
@@ -194,6 +198,7 @@
     nlohmann::json dump_state() const;
 
     metrics& m_metrics;
+    const registration_times& m_registered_at;
     const std::size_t m_most_connections;
     /// The limit of the configuration that was last checked against the memory; used by @ref update only.
     std::size_t m_reported_body_bytes = 0;
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -208,6 +208,13 @@
     m_report_to_witnesses(action.report, m_rate_limit_coordinator);
 }
 
+/// @return how old the knowledge of a backend server was at a time; -1 if it isn't registered
+double routing_frontend::known_for_ms(const backend_server_name& server, time_point at) const
+{
+    const std::optional<duration> age = m_registered_at.age_of(server, at);
+    return age ? age->ms() : -1.0;
+}
+
 void routing_frontend::execute(const start_routed_attempt& action)
 {
     m_metrics.add(metrics::counter::attempts);
@@ -219,7 +226,8 @@
              {"service", action.service.str()},
              {"backend_server", action.server.str()},
              {"ordinal", action.ordinal},
-             {"on_trial", action.on_trial}});
+             {"on_trial", action.on_trial},
+             {"known_for_ms", known_for_ms(action.server, now)}});
     }
     const auto pool = m_pools.find(action.server);
     if (!pool)
@@ -271,6 +279,7 @@
              {"on_trial", sent.on_trial},
              {"status", status},
              {"after_ms", (now - sent_at).ms()},
+             {"known_for_ms", known_for_ms(sent.server, sent_at)},
              {"failure_rate", scheduler == nullptr ? 0.0 : scheduler->failure_rate_of(sent.server, now)},
              {"allowance", scheduler == nullptr ? 0.0 : scheduler->budget()}});
     }
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -66,6 +66,7 @@
         const bool deregisters = same_run && is_gone(report) && !is_gone(item.report);
         if (!deregisters)
         {
+            note_refused(item.report, report);
             return false;
         }
     }
@@ -94,6 +95,19 @@
     return changed;
 }
 
+void registry::note_refused(const registration& known, const registration& refused)
+{
+    if (known.state == refused.state || known.born_ms != refused.born_ms)
+    {
+        return;
+    }
+    ++m_refused_count;
+    if (m_refused.size() < max_refused_reports)
+    {
+        m_refused.push_back({known.id, known.state, known.sequence, refused.state, refused.sequence});
+    }
+}
+
 bool registry::on_heartbeat(const registration& report, time_point now)
 {
     registered_server& item = m_servers[report.id];
@@ -265,6 +279,17 @@
     return std::exchange(m_changes, {});
 }
 
+std::vector<refused_report> registry::take_refused()
+{
+    return std::exchange(m_refused, {});
+}
+
+std::optional<duration> registry::age_of(const backend_server_name& id, time_point now) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? std::nullopt : std::optional(now - found->second.last_heartbeat_at);
+}
+
 std::vector<heartbeat_receipt> registry::take_heartbeat_receipts()
 {
     std::vector<heartbeat_receipt> receipts;
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -194,6 +194,11 @@
     return std::exchange(m_changes, {});
 }
 
+std::vector<refused_report> replicated_registry::take_refused()
+{
+    return m_registry.take_refused();
+}
+
 std::vector<replicated_registry::outgoing> replicated_registry::take_messages()
 {
     return std::exchange(m_messages, {});
