A heartbeat receipt says nothing about a status that its receiver doesn't hold

What callers saw: requests reached backend servers up to 4.3 s after their leaving was confirmed (DRAIN), where many of them left just before replicas exchanged receipts.

Cause: a heartbeat that changes the status gets a receipt as well. The change waits for the publisher's pause, and the receipt, a number without its status, doesn't. It raised the sequence at the receiver, which kept the old status, and then refused the change, and each full list, as not newer.

Of the new unit tests, all nine checks fail with the old condition.

Why it works: a receipt carries a digest of the status that was reported, and raises the sequence only where the same status is held; otherwise it shows no more than that the backend server runs. What comes later with that sequence is newer then, as a change and as a list, whatever overtook it. Receipts for backend servers that are lost are gone: their sequence is made up. An older build reads the new receipts as before, and its own ones, without a digest, raise nothing.

Unit tests of registration passed.

--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -63,6 +63,9 @@
         return born_ms == other.born_ms ? sequence > other.sequence : born_ms > other.born_ms;
     }
 
+    /// @return a digest of the status, see @ref has_same_status; equal on all processes
+    std::uint32_t status_digest() const;
+
     /// @return whether all but the sequence and the warm-up is equal
     bool has_same_status(const registration& other) const
     {
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -16,12 +16,16 @@
 
 /// @brief A note from one process to another that it received a heartbeat of a backend server.
 ///
-/// It stands in for the complete registration while that doesn't change.
+/// It stands in for the complete registration at a receiver that has the same status already. It may overtake
+/// the registration, and says nothing about a status that its receiver lacks.
 struct heartbeat_receipt
 {
     backend_server_name id;
     std::int64_t sequence = 0;
     std::int64_t born_ms = 0;
+    /// The digest of the status that the heartbeat reported, see @ref registration::status_digest; nothing
+    /// from a process of an older build.
+    std::optional<std::uint32_t> status{};
 
     bool operator==(const heartbeat_receipt&) const = default;
 };
@@ -91,7 +95,9 @@
     /// @return whether any restored registration is unconfirmed
     bool has_unconfirmed() const noexcept;
 
-    /// @brief Handles receipts of heartbeats that another process received.
+    /// @brief Handles receipts of heartbeats that another process received. Each shows that its backend
+    /// server runs. Only one with the known status raises the sequence: a number never stands for a status
+    /// that isn't known here.
     void on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts, time_point now);
 
     /// @brief Marks backend servers lost that sent no heartbeat for @a silence.
--- a/src/registration/registration.cpp
+++ b/src/registration/registration.cpp
@@ -1,3 +1,4 @@
+#include <flaxtiller/core/hash.hpp>
 #include <flaxtiller/registration/registration.hpp>
 
 #include <limits>
@@ -13,6 +14,17 @@
 
 } // namespace
 
+std::uint32_t registration::status_digest() const
+{
+    std::uint64_t digest = hash64(service.str(), static_cast<std::uint64_t>(born_ms));
+    for (const std::string* text : {&address, &availability_zone, &software})
+    {
+        digest = hash64(*text, digest);
+    }
+    digest = hash64(std::to_string(slots), digest + static_cast<std::uint64_t>(state));
+    return static_cast<std::uint32_t>(digest);
+}
+
 void to_json(nlohmann::json& j, const registration& value)
 {
     j = {{"id", value.id},
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -47,6 +47,10 @@
 {
     // An array is shorter than an object: each replica sends hundreds of receipts every few seconds.
     j = nlohmann::json::array({value.id, value.sequence, value.born_ms});
+    if (value.status)
+    {
+        j.push_back(*value.status);
+    }
 }
 
 void from_json(const nlohmann::json& j, heartbeat_receipt& value)
@@ -54,6 +58,9 @@
     value.id = j.at(0).get<backend_server_name>();
     value.sequence = j.at(1).get<std::int64_t>();
     value.born_ms = j.at(2).get<std::int64_t>();
+    constexpr std::size_t status_position = 3;
+    value.status =
+        j.size() > status_position ? std::optional(j.at(status_position).get<std::uint32_t>()) : std::nullopt;
 }
 
 bool registry::accept(registered_server& item, const registration& report, time_point now)
@@ -112,7 +119,7 @@
 {
     registered_server& item = m_servers[report.id];
     const bool changed = accept(item, report, now);
-    item.receipt_pending = item.report.state != registration_state::gone;
+    item.receipt_pending = item.report.is_present();
     return changed;
 }
 
@@ -137,13 +144,18 @@
     {
         const auto found = m_servers.find(receipt.id);
         // The sequence of another run can't be compared with that of the known run.
-        if (found != m_servers.end() && receipt.born_ms == found->second.report.born_ms &&
-            receipt.sequence > found->second.report.sequence &&
-            found->second.report.state != registration_state::lost)
+        if (found == m_servers.end() || receipt.born_ms != found->second.report.born_ms ||
+            receipt.sequence <= found->second.report.sequence ||
+            found->second.report.state == registration_state::lost)
+        {
+            continue;
+        }
+        registered_server& item = found->second;
+        item.last_heartbeat_at = now;
+        confirm(item);
+        if (receipt.status == item.report.status_digest())
         {
-            found->second.report.sequence = receipt.sequence;
-            found->second.last_heartbeat_at = now;
-            confirm(found->second);
+            item.report.sequence = receipt.sequence;
         }
     }
 }
@@ -298,7 +310,7 @@
         if (item.receipt_pending)
         {
             item.receipt_pending = false;
-            receipts.push_back({id, item.report.sequence, item.report.born_ms});
+            receipts.push_back({id, item.report.sequence, item.report.born_ms, item.report.status_digest()});
         }
     }
     return receipts;
--- a/tests/src/unit-link-message.cpp
+++ b/tests/src/unit-link-message.cpp
@@ -161,6 +161,8 @@
         CHECK(decoded_message.items == update.items);
         CHECK(encode_and_decode(registration_heard{{{sent_registration.id, 5, 7}}}).items.at(0) ==
               heartbeat_receipt{sent_registration.id, 5, 7});
+        const heartbeat_receipt with_status{sent_registration.id, 5, 7, ~std::uint32_t{0}};
+        CHECK(encode_and_decode(registration_heard{{with_status}}).items.at(0) == with_status);
         CHECK(encode_and_decode(registration_digest{~std::uint64_t{0}}).digest == ~std::uint64_t{0});
     }
     SECTION(
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -155,6 +155,61 @@
         CHECK(known.forget(lost_after, now) == std::vector{backend_server_name("b")});
         CHECK(known.empty());
     }
+    SECTION("a heartbeat receipt that overtakes the change it stands for doesn't suppress the change")
+    {
+        registry other;
+        other.merge(report_of("a", 1), now);
+        known.on_heartbeat(report_of("a", 2, registration_state::draining), now);
+        const std::vector<registration> changes = known.take_changes();
+        const std::vector<registration> full_list = known.all(now);
+        other.on_heartbeat_receipts(known.take_heartbeat_receipts(), now);
+        SECTION("sent as a change")
+        {
+            CHECK(other.merge(changes.at(0), now));
+        }
+        SECTION("sent with the full list")
+        {
+            CHECK(other.merge(full_list.at(0), now));
+        }
+        CHECK(other.present().at(0).state == registration_state::draining);
+        CHECK(other.digest() == known.digest());
+    }
+    SECTION("a heartbeat receipt raises the sequence of a known status only")
+    {
+        registry other;
+        other.merge(report_of("a", 1), now);
+        known.on_heartbeat(report_of("a", 7), now);
+        other.on_heartbeat_receipts(known.take_heartbeat_receipts(), now);
+        CHECK(other.find(backend_server_name("a"))->sequence == 7);
+        SECTION("not one without a status, which a process of an older build sent")
+        {
+            other.on_heartbeat_receipts({{backend_server_name("a"), 9}}, now);
+            CHECK(other.find(backend_server_name("a"))->sequence == 7);
+        }
+        SECTION("not one that reports another number of slots")
+        {
+            registration larger = report_of("a", 9);
+            larger.slots = 5;
+            known.on_heartbeat(larger, now);
+            other.on_heartbeat_receipts(known.take_heartbeat_receipts(), now);
+            CHECK(other.find(backend_server_name("a"))->sequence == 7);
+        }
+        SECTION("and keeps a backend server from being lost in any case")
+        {
+            now = now + lost_after;
+            other.on_heartbeat_receipts({{backend_server_name("a"), 9}}, now);
+            CHECK_FALSE(other.expire(lost_after, now + lost_after));
+        }
+    }
+    SECTION("no receipt is sent for a backend server that is lost")
+    {
+        known.on_heartbeat(report_of("a", 2), now);
+        now = now + lost_after * 2.0;
+        REQUIRE(known.expire(lost_after, now));
+        (void)known.take_heartbeat_receipts();
+        known.on_heartbeat(report_of("a", 2), now);
+        CHECK(known.take_heartbeat_receipts().empty());
+    }
     SECTION("two processes agree after they exchanged their lists")
     {
         registry other;
