A heartbeat takes precedence over a loss that was given its sequence

What callers could see: a backend server that runs got no requests at some entries, and its leaving didn't reach others, until the lists of the replicas were exchanged (up to 15 s while registrations change).

Cause: a loss gets a made-up sequence, one more than the last heartbeat. A real heartbeat of that number arrives at another replica at the same time. Each refused the other's report as not newer, also in a full list.

registration::supersedes decides now for all: run, final deregistration, sequence, and under one sequence gone, draining, ready, lost. It is a total order of what is reported, so that all processes end with the same whatever the order.

--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -57,11 +57,11 @@
         return state == registration_state::ready || state == registration_state::draining;
     }
 
-    /// @return whether this report is newer than @a other: from a later run, or later in the same run
-    bool is_newer_than(const registration& other) const noexcept
-    {
-        return born_ms == other.born_ms ? sequence > other.sequence : born_ms > other.born_ms;
-    }
+    /// @return whether this report takes precedence over @a known, by rules under which all processes end
+    /// with the same one of any reports, in whatever order they arrive. A later run takes precedence; in a
+    /// run, `gone` is final, and else the greater sequence counts. The sequence of a loss is made up, one
+    /// more than that of the last heartbeat, so that a heartbeat with the same one takes precedence.
+    bool supersedes(const registration& known) const noexcept;
 
     /// @return a digest of the status, see @ref has_same_status; equal on all processes
     std::uint32_t status_digest() const;
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -39,9 +39,8 @@
 /// isn't, since a backend server that deregistered says nothing more; see @ref restore.
 ///
 /// Processes exchange only changes (@ref take_changes, @ref merge). For an unchanged backend server they
-/// exchange heartbeat receipts (@ref take_heartbeat_receipts, @ref on_heartbeat_receipts). Of two reports
-/// with the same id, the report of the later run takes precedence, and within a run the report with the
-/// greater sequence. The state `gone` is final for a run.
+/// exchange heartbeat receipts (@ref take_heartbeat_receipts, @ref on_heartbeat_receipts). Which of two
+/// reports with the same id counts, @ref registration::supersedes decides.
 class registry
 {
   public:
--- a/src/registration/registration.cpp
+++ b/src/registration/registration.cpp
@@ -9,11 +9,42 @@
 namespace
 {
 
+/// @return the order of precedence of states that are reported under one sequence
+int precedence_of(registration_state state) noexcept
+{
+    switch (state)
+    {
+    case registration_state::lost:
+        return 0;
+    case registration_state::ready:
+        return 1;
+    case registration_state::draining:
+        return 2;
+    case registration_state::gone:
+        break;
+    }
+    return 3;
+}
+
 /// The connection limit of a backend server whose service sets none.
 constexpr int unlimited_connections = 1 << 16;
 
 } // namespace
 
+bool registration::supersedes(const registration& known) const noexcept
+{
+    if (born_ms != known.born_ms)
+    {
+        return born_ms > known.born_ms;
+    }
+    const bool is_final = state == registration_state::gone || known.state == registration_state::gone;
+    if (!is_final && sequence != known.sequence)
+    {
+        return sequence > known.sequence;
+    }
+    return precedence_of(state) > precedence_of(known.state);
+}
+
 std::uint32_t registration::status_digest() const
 {
     std::uint64_t digest = hash64(service.str(), static_cast<std::uint64_t>(born_ms));
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -67,15 +67,10 @@
 {
     const bool first_report = item.report.id.empty();
     const bool same_run = report.born_ms == item.report.born_ms;
-    if (!first_report && !(report.is_newer_than(item.report) && !(same_run && is_gone(item.report))))
+    if (!first_report && !report.supersedes(item.report))
     {
-        // A deregistration needs no greater sequence, but must belong to the known run.
-        const bool deregisters = same_run && is_gone(report) && !is_gone(item.report);
-        if (!deregisters)
-        {
-            note_refused(item.report, report);
-            return false;
-        }
+        note_refused(item.report, report);
+        return false;
     }
     confirm(item);
     const time_point warmup_ends_at = now + report.warmup_left;
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace flaxtiller;
 
 namespace
@@ -201,6 +203,40 @@
             CHECK_FALSE(other.expire(lost_after, now + lost_after));
         }
     }
+    SECTION("a heartbeat that bears the sequence of a loss elsewhere counts on both processes")
+    {
+        const registration_state reported = GENERATE(registration_state::ready, registration_state::draining);
+        registry leader;
+        leader.merge(report_of("a", 1), now);
+        now = now + lost_after * 2.0;
+        REQUIRE(leader.expire(lost_after, now));
+        const registration lost = leader.take_changes().back();
+        known.on_heartbeat(report_of("a", lost.sequence, reported), now);
+        known.merge(lost, now);
+        leader.merge(known.all(now).at(0), now);
+        REQUIRE(known.present().size() == 1);
+        CHECK(known.present().at(0).state == reported);
+        REQUIRE(leader.present().size() == 1);
+        CHECK(leader.present().at(0).state == reported);
+        CHECK(leader.digest() == known.digest());
+    }
+    SECTION(
+        "of reports that differ under one sequence, all processes keep the same, in whatever order they come")
+    {
+        const std::vector<registration> reports{report_of("x", 5),
+                                                report_of("x", 5, registration_state::draining),
+                                                report_of("x", 5, registration_state::lost)};
+        std::vector<std::size_t> order{0, 1, 2};
+        do
+        {
+            registry other;
+            for (const std::size_t index : order)
+            {
+                other.merge(reports.at(index), now);
+            }
+            CHECK(other.find(backend_server_name("x"))->state == registration_state::draining);
+        } while (std::next_permutation(order.begin(), order.end()));
+    }
     SECTION("no receipt is sent for a backend server that is lost")
     {
         known.on_heartbeat(report_of("a", 2), now);
