A replica that missed a change gets it with the next exchange of receipts

What callers could see: entries that follow a replica which lacks a change go on sending requests until the digests of the replicas have differed for 15 s, where registrations change all the time.

Cause: a receipt that shows a status which its receiver lacks led to nothing, and a replica that was told an older status corrected its sender only where the backend server had deregistered.

Such a receipt is answered with what the receiver knows, as an ordinary update; who knows better answers with that.

--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -97,7 +97,10 @@
     /// @brief Handles receipts of heartbeats that another process received. Each shows that its backend
     /// server runs. Only one with the known status raises the sequence: a number never stands for a status
     /// that isn't known here.
-    void on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts, time_point now);
+    /// @return what is known here of those backend servers whose status the sender of the receipts knows
+    /// better
+    std::vector<registration> on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts,
+                                                    time_point now);
 
     /// @brief Marks backend servers lost that sent no heartbeat for @a silence.
     /// @return whether any registration changed
@@ -139,9 +142,9 @@
     /// @return the registration under this id, or nothing if it is unknown
     std::optional<registration> find(const backend_server_name& id) const;
 
-    /// @return the registrations of those reported backend servers that are known to be gone; a process that
-    /// reports them as present has missed their deregistration
-    std::vector<registration> gone_among(const std::vector<registration>& reported) const;
+    /// @return what the process that sent these reports has missed: the registrations of those backend
+    /// servers of which another status is known here that takes precedence
+    std::vector<registration> missed_among(const std::vector<registration>& reported, time_point now) const;
 
     /// @return the backend servers that are neither gone nor lost
     std::vector<registration> present() const;
@@ -168,6 +171,9 @@
         bool unconfirmed = false;
     };
 
+    /// @return the registration with the warm-up as of now
+    static registration report_at(const registered_server& item, time_point now);
+
     bool accept(registered_server& item, const registration& report, time_point now);
     void confirm(registered_server& item) noexcept;
     void note_refused(const registration& known, const registration& refused);
--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -73,11 +73,13 @@
     void on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now);
 
     /// @brief Handles registrations that another control replica sent.
-    /// @return the number of deregistrations that the sender had missed, and is sent
+    /// @return the number of registrations that the sender had missed, and is sent
     std::size_t on_update(const std::string& from, const registration_update& update, time_point now);
 
     /// @brief Handles receipts of heartbeats that another control replica received.
-    void on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts, time_point now);
+    /// @return the number of registrations that are outdated here, and that the sender is asked for
+    std::size_t on_heartbeat_receipts(const std::string& from, const std::vector<heartbeat_receipt>& receipts,
+                                      time_point now);
 
     /// @brief Handles the digest of another process's registrations. If it differs from the own digest for
     /// some time, all registrations are sent to this process.
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -58,12 +58,12 @@
 void registration_distributor::on_update(const std::string& from, const registration_update& update,
                                          time_point now)
 {
-    const std::size_t missed_by_sender = m_registry.on_update(from, update, now);
+    const std::size_t missed_count = m_registry.on_update(from, update, now);
     log_refused(from, now);
     publish(now);
-    if (missed_by_sender > 0)
+    if (missed_count > 0)
     {
-        log(log_level::info, "deregistrations_resent", {{"to", from}, {"items", missed_by_sender}});
+        log(log_level::info, "missed_registrations_sent", {{"to", from}, {"items", missed_count}});
     }
     if (update.confirm)
     {
@@ -74,7 +74,12 @@
 void registration_distributor::on_heartbeat_receipts(const std::string& from,
                                                      const registration_heard& receipts, time_point now)
 {
-    m_registry.on_heartbeat_receipts(receipts.items, now);
+    const std::size_t outdated_count = m_registry.on_heartbeat_receipts(from, receipts.items, now);
+    if (outdated_count > 0)
+    {
+        log(log_level::info, "outdated_registrations", {{"known_by", from}, {"items", outdated_count}});
+        publish(now);
+    }
     m_confirmer.on_saved_elsewhere(from, receipts.saved, now);
 }
 
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -133,26 +133,33 @@
     return accept(m_servers[report.id], report, now);
 }
 
-void registry::on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts, time_point now)
+std::vector<registration> registry::on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts,
+                                                          time_point now)
 {
+    std::vector<registration> outdated;
     for (const heartbeat_receipt& receipt : receipts)
     {
         const auto found = m_servers.find(receipt.id);
         // The sequence of another run can't be compared with that of the known run.
         if (found == m_servers.end() || receipt.born_ms != found->second.report.born_ms ||
-            receipt.sequence <= found->second.report.sequence ||
-            found->second.report.state == registration_state::lost)
+            receipt.sequence < found->second.report.sequence || is_gone(found->second.report))
         {
             continue;
         }
         registered_server& item = found->second;
-        item.last_heartbeat_at = now;
-        confirm(item);
-        if (receipt.status == item.report.status_digest())
+        const bool same_status = receipt.status == item.report.status_digest();
+        if (receipt.status && !same_status)
         {
-            item.report.sequence = receipt.sequence;
+            outdated.push_back(item.report);
+        }
+        if (receipt.sequence > item.report.sequence && item.report.state != registration_state::lost)
+        {
+            item.last_heartbeat_at = now;
+            confirm(item);
+            item.report.sequence = same_status ? receipt.sequence : item.report.sequence;
         }
     }
+    return outdated;
 }
 
 void registry::confirm(registered_server& item) noexcept
@@ -317,12 +324,18 @@
     items.reserve(m_servers.size());
     for (const auto& [id, item] : m_servers)
     {
-        items.push_back(item.report);
-        items.back().warmup_left = std::max(item.warmup_ends_at - now, duration{});
+        items.push_back(report_at(item, now));
     }
     return items;
 }
 
+registration registry::report_at(const registered_server& item, time_point now)
+{
+    registration report = item.report;
+    report.warmup_left = std::max(item.warmup_ends_at - now, duration{});
+    return report;
+}
+
 std::uint64_t registry::digest() const noexcept
 {
     return m_digest;
@@ -334,16 +347,17 @@
     return found == m_servers.end() ? std::nullopt : std::optional(found->second.report);
 }
 
-std::vector<registration> registry::gone_among(const std::vector<registration>& reported) const
+std::vector<registration> registry::missed_among(const std::vector<registration>& reported,
+                                                 time_point now) const
 {
     std::vector<registration> missed;
     for (const registration& report : reported)
     {
         const auto found = m_servers.find(report.id);
-        if (report.is_present() && found != m_servers.end() && is_gone(found->second.report) &&
-            found->second.report.born_ms == report.born_ms)
+        if (found != m_servers.end() && found->second.report.supersedes(report) &&
+            !found->second.report.has_same_status(report))
         {
-            missed.push_back(found->second.report);
+            missed.push_back(report_at(found->second, now));
         }
     }
     return missed;
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -79,8 +79,7 @@
     {
         publish_changes(false, now);
     }
-    // Another replica that reports a backend server as present, which deregistered, has missed that.
-    std::vector<registration> missed = m_registry.gone_among(update.items);
+    std::vector<registration> missed = m_registry.missed_among(update.items, now);
     const std::size_t missed_count = missed.size();
     if (missed_count > 0)
     {
@@ -89,10 +88,18 @@
     return missed_count;
 }
 
-void replicated_registry::on_heartbeat_receipts(const std::vector<heartbeat_receipt>& receipts,
-                                                time_point now)
+std::size_t replicated_registry::on_heartbeat_receipts(const std::string& from,
+                                                       const std::vector<heartbeat_receipt>& receipts,
+                                                       time_point now)
 {
-    m_registry.on_heartbeat_receipts(receipts, now);
+    // The sender answers what it is told of an older status with the one that it knows.
+    std::vector<registration> outdated = m_registry.on_heartbeat_receipts(receipts, now);
+    const std::size_t outdated_count = outdated.size();
+    if (outdated_count > 0)
+    {
+        m_messages.push_back({{from}, registration_update{false, std::move(outdated), false, std::nullopt}});
+    }
+    return outdated_count;
 }
 
 bool replicated_registry::on_digest(const std::string& from, std::uint64_t digest, time_point now)
--- a/tests/src/registration_play.hpp
+++ b/tests/src/registration_play.hpp
@@ -438,7 +438,7 @@
         }
         else if (const auto* receipts = std::get_if<registration_heard>(&arrived.content))
         {
-            item.state.on_heartbeat_receipts(receipts->items, m_now);
+            (void)item.state.on_heartbeat_receipts(arrived.from, receipts->items, m_now);
         }
         else
         {
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -95,7 +95,7 @@
         CHECK_FALSE(restarted.has_unconfirmed());
         CHECK_FALSE(restarted.on_heartbeat(report_of("a", 9), now));
         CHECK(restarted.present().empty());
-        CHECK(restarted.gone_among({report_of("a", 9)}).size() == 1);
+        CHECK(restarted.missed_among({report_of("a", 9)}, now).size() == 1);
         SECTION("nor does the list of a process that missed the deregistration")
         {
             CHECK_FALSE(restarted.merge(report_of("a", 9), now));
@@ -112,7 +112,7 @@
         {
             registration later = report_of("a", 1);
             later.born_ms = 200;
-            CHECK(restarted.gone_among({later}).empty());
+            CHECK(restarted.missed_among({later}, now).empty());
             CHECK(restarted.on_heartbeat(later, now));
             CHECK(restarted.present().size() == 1);
         }
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -107,6 +107,54 @@
     }
 }
 
+// Guards against a replica that keeps the old state of a backend server for as long as its digest isn't
+// compared.
+TEST_CASE("a replica that missed a change gets it with the next exchange of receipts", "[registration]")
+{
+    const registration_state reported = GENERATE(registration_state::draining, registration_state::ready);
+    replicated_registry sender = followed_replica(0);
+    replicated_registry receiver = followed_replica(0);
+    const auto exchange = [&](time_point now)
+    {
+        sender.tick(false, now);
+        for (const auto& message : sender.take_messages())
+        {
+            if (const auto* receipts = std::get_if<registration_heard>(&message.content))
+            {
+                (void)receiver.on_heartbeat_receipts("r-0", receipts->items, now);
+            }
+        }
+        for (const auto& asked : receiver.take_messages())
+        {
+            if (const auto* update = std::get_if<registration_update>(&asked.content))
+            {
+                REQUIRE(asked.to == std::vector<std::string>{"r-0"});
+                (void)sender.on_update("r-1", *update, now);
+            }
+        }
+        for (const auto& answer : sender.take_messages())
+        {
+            (void)receiver.on_update("r-0", std::get<registration_update>(answer.content), now);
+        }
+    };
+    const registration known = report_of("a", 1);
+    (void)receiver.on_update("r-2", registration_update{false, {known}, false, std::nullopt}, at_ms(1));
+    (void)receiver.take_messages();
+    registration changed = report_of("a", 2, reported);
+    changed.slots = 7;
+    sender.on_heartbeat(changed, at_ms(2));
+    (void)sender.take_messages();
+    exchange(at_ms(3000));
+    CHECK(receiver.known().find(known.id)->state == reported);
+    CHECK(receiver.known().find(known.id)->slots == 7);
+    const auto further = receiver.take_messages();
+    CHECK(std::none_of(further.begin(), further.end(),
+                       [](const replicated_registry::outgoing& message)
+                       {
+                           return message.to == std::vector<std::string>{"r-0"};
+                       }));
+}
+
 // Guards against receipts that reach a replica before the changes that they stand for.
 TEST_CASE("changes are sent to the other replicas before the receipts of their heartbeats", "[registration]")
 {
