An entry that lacks the leaving of a backend server is found out within the agreed time

What callers could see: an entry that lost a message goes on sending requests to leaving backend servers for up to 15 s. Not seen in a play: links lose messages only when they end, and then the list is sent at once.

Cause: an entry with an earlier digest of its replica counted as one that lags for 10 s from the beginning of that digest, a digest that differs was waited for 1.5 s, and a list wasn't sent again within 5 s. Only the links' times followed from the agreed 3,000 or 4,000 ms.

digest_timing follows from it: a lag counts from when the digest was replaced, and for a quarter of the agreed time; after that an earlier digest is proof, and the list is sent at once. Lists follow each other after half of it, and the pause between messages to followers ends after an eighth. Without an agreed time the times are as before. Between replicas whose registrations change all the time 15 s stay: at 16,000 backend servers a list more often costs more than it shows, and receipts tell them what they lack.

--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flaxtiller/core/time_point.hpp>
+#include <flaxtiller/registration/digest_timing.hpp>
 #include <flaxtiller/registration/pending_changes.hpp>
 #include <flaxtiller/registration/registration.hpp>
 
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -32,14 +34,6 @@
   public:
     /// Backend servers that become ready within this time share a message.
     static constexpr duration batch_window = pending_changes::batch_window;
-    /// The minimum time between two full lists to the same peer. A remaining difference may mean that the
-    /// peer knows more than this replica, and the additional changes arrive without a request.
-    static constexpr duration full_list_resend_after = duration::from_ms(5000);
-    /// A digest mismatch that lasts longer can't be explained by a change in transit.
-    static constexpr duration digest_mismatch_bound = duration::from_ms(1500);
-    /// The bound between replicas while registrations change. The digests differ all the time if each replica
-    /// receives heartbeats of new backend servers.
-    static constexpr duration digest_mismatch_bound_in_flux = duration::from_ms(15000);
     /// The minimum pause between two full lists, and the pause per list item. The pause grows with the list,
     /// so that sending lists takes a small part of the time.
     static constexpr duration full_list_interval = duration::from_ms(250);
@@ -62,6 +56,11 @@
         bool operator==(const outgoing&) const = default;
     };
 
+    /// @param timing when a peer whose digest differs is sent the full list
+    explicit registration_publisher(digest_timing timing = {}) noexcept : m_timing(timing)
+    {
+    }
+
     /// @brief Sets the names of the other control replicas.
     void set_replicas(std::set<std::string> others);
 
@@ -123,7 +122,10 @@
     bool are_non_followers_due(time_point now) const noexcept;
     time_point last_change_at() const noexcept;
     receivers sort(const std::set<std::string>& reachable, time_point now) const;
-    bool was_recent_digest(std::uint64_t digest, time_point now) const;
+    /// @return for how long the registry has had another digest than this earlier one of it; nothing if it
+    /// never had it, or long ago
+    /// @complexity O(digests of the last seconds)
+    std::optional<duration> lag_of(std::uint64_t digest, time_point now) const;
     /// @return whether changes are sent to the instance, which reported its digest lately
     bool is_follower(const std::string& peer, time_point now) const;
     void send_to_replicas(const receivers& to, time_point now, std::vector<outgoing>& output);
@@ -132,6 +134,7 @@
     void send_full_list(const std::set<std::string>& reachable, std::size_t known, time_point now,
                         std::vector<outgoing>& output);
 
+    digest_timing m_timing;
     std::set<std::string> m_replicas;
     /// The changes that came directly from backend servers.
     pending_changes m_to_replicas;
@@ -149,7 +152,7 @@
     /// The peers whose links were lost since their last digests, with the times. Changes may be lost with a
     /// link, so that a digest that differs doesn't mean that the changes are in transit.
     std::map<std::string, time_point> m_link_lost_at;
-    /// The recent digests of the registry. A peer that reports one of them merely lags behind.
+    /// The recent digests of the registry, with the times since which it had them.
     std::deque<std::pair<time_point, std::uint64_t>> m_digests;
 };
 
--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -55,7 +55,8 @@
     static constexpr duration unconfirmed_exchange_interval = duration::from_ms(500);
 
     /// @param silence time without a heartbeat after which a backend server counts as lost
-    replicated_registry(duration silence, time_point now);
+    /// @param timing when a peer whose digest differs is sent all registrations
+    replicated_registry(duration silence, time_point now, digest_timing timing = {});
 
     /// @brief Takes in what a previous run of this process saved. Registrations of present backend servers
     /// are restored a moment later, unless a replica that didn't restart sends its registrations before; what
--- a/src/control/control_implementation.hpp
+++ b/src/control/control_implementation.hpp
@@ -108,7 +108,7 @@
                                 registrations.on_saved(clock.now());
                             });
               },
-              settings.registration_silence, clock.now()),
+              settings.registration_silence, digest_timing_within(settings.bounds), clock.now()),
           crash_records(links, settings.data_folder + "/crash_records"),
           rate_limits(settings.limit_tolerance), membership(settings.keeper),
           operators(io, http_limits_of(settings, bounds.other_connections),
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -21,9 +21,9 @@
 registration_distributor::registration_distributor(peer_links& links, std::string self,
                                                    const std::string& path,
                                                    registration_file::saved_function on_saved,
-                                                   duration silence, time_point now)
+                                                   duration silence, digest_timing timing, time_point now)
     : m_links(links), m_file(path, std::move(on_saved)), m_confirmer(links, m_file, std::move(self)),
-      m_registry(silence, now),
+      m_registry(silence, now, timing),
       m_log_line_budget(max_log_lines_per_s, max_log_lines_per_s, max_log_lines_per_s, now)
 {
 }
--- a/src/control/registration_distributor.hpp
+++ b/src/control/registration_distributor.hpp
@@ -23,8 +23,10 @@
     /// @param path the file that keeps the registrations for the next start of this process
     /// @param on_saved called by another thread when registrations were saved; @ref on_saved must follow
     /// @param silence time without a heartbeat after which a backend server counts as lost
+    /// @param timing when a process whose digest differs is sent all registrations
     registration_distributor(peer_links& links, std::string self, const std::string& path,
-                             registration_file::saved_function on_saved, duration silence, time_point now);
+                             registration_file::saved_function on_saved, duration silence,
+                             digest_timing timing, time_point now);
 
     /// @brief Reads the registrations that a previous run of this process saved. Those of present backend
     /// servers are restored a moment later, unless a replica that didn't restart sends its registrations
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// The longest lag of a peer that still counts as up to date.
+/// The time for which a digest of the registry is remembered.
 constexpr duration digest_retention = duration::from_ms(10000);
 
 } // namespace
@@ -32,19 +32,25 @@
         }
     }
     m_digests.emplace_back(now, digest);
-    while (now - m_digests.front().first > digest_retention)
+    // The first one was valid until the second.
+    while (m_digests.size() > 1 && now - m_digests[1].first > digest_retention)
     {
         m_digests.pop_front();
     }
 }
 
-bool registration_publisher::was_recent_digest(std::uint64_t digest, time_point now) const
+std::optional<duration> registration_publisher::lag_of(std::uint64_t digest, time_point now) const
 {
-    return std::any_of(m_digests.rbegin(), m_digests.rend(),
-                       [&](const auto& item)
-                       {
-                           return item.second == digest && now - item.first <= digest_retention;
-                       });
+    time_point valid_until = now;
+    for (auto item = m_digests.rbegin(); item != m_digests.rend(); ++item)
+    {
+        if (item->second == digest)
+        {
+            return now - valid_until;
+        }
+        valid_until = item->first;
+    }
+    return std::nullopt;
 }
 
 bool registration_publisher::is_follower(const std::string& peer, time_point now) const
@@ -65,7 +71,8 @@
     }
     const bool link_was_lost = m_link_lost_at.erase(from) > 0;
     const bool may_lack_changes = link_was_lost || (begins_to_follow && digest != 0);
-    if (digest == own || (digest != 0 && !may_lack_changes && was_recent_digest(digest, now)))
+    const std::optional<duration> lag = digest == 0 ? std::nullopt : lag_of(digest, now);
+    if (digest == own || (!may_lack_changes && lag && *lag <= m_timing.max_lag))
     {
         m_mismatch_since.erase(from);
         return false;
@@ -76,7 +83,7 @@
         return true;
     }
     const auto sent = m_full_list_sent_at.find(from);
-    if (sent != m_full_list_sent_at.end() && now - sent->second < full_list_resend_after)
+    if (sent != m_full_list_sent_at.end() && now - sent->second < m_timing.resend_after)
     {
         return false;
     }
@@ -87,9 +94,10 @@
         m_full_list_pending.insert(from);
         return false;
     }
-    const bool in_flux = replica && now - last_change_at() <= digest_mismatch_bound;
+    const bool in_flux = replica && now - last_change_at() <= m_timing.mismatch;
     const auto since = m_mismatch_since.emplace(from, now).first;
-    if (now - since->second <= (in_flux ? digest_mismatch_bound_in_flux : digest_mismatch_bound))
+    // A digest that this replica had shows what the peer lacks, and for how long.
+    if (!lag && now - since->second <= (in_flux ? m_timing.mismatch_in_flux : m_timing.mismatch))
     {
         return false;
     }
@@ -198,7 +206,8 @@
 void registration_publisher::send_to_followers(const receivers& to, time_point now,
                                                std::vector<outgoing>& output)
 {
-    const duration pause = pause_per_follower * static_cast<double>(to.followers.size());
+    const duration pause =
+        std::min(pause_per_follower * static_cast<double>(to.followers.size()), m_timing.max_pause);
     std::vector<registration> changes = m_to_followers.take(pause, now);
     const bool replica_unreachable = to.replicas.size() < m_replicas.size();
     if (replica_unreachable)
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -6,10 +6,10 @@
 namespace flaxtiller
 {
 
-replicated_registry::replicated_registry(duration silence, time_point now)
+replicated_registry::replicated_registry(duration silence, time_point now, digest_timing timing)
     : m_silence(silence),
       m_exchange_interval(std::min(max_exchange_interval, silence * exchange_silence_fraction)),
-      m_started_at(now)
+      m_started_at(now), m_publisher(timing)
 {
 }
 
--- a/tests/src/registration_play.hpp
+++ b/tests/src/registration_play.hpp
@@ -40,7 +40,8 @@
     static constexpr double max_link_delay_ms = 8.0;
     static constexpr double max_start_spread_ms = 300.0;
 
-    registration_play(registration_play_size size, std::uint64_t seed) : m_size(size), m_random(seed)
+    registration_play(registration_play_size size, std::uint64_t seed, digest_timing timing = {})
+        : m_size(size), m_random(seed)
     {
         std::set<std::string> names;
         for (int i = 0; i < size.replicas; ++i)
@@ -50,7 +51,7 @@
         for (int i = 0; i < size.replicas; ++i)
         {
             const time_point start = drawn_time(max_start_spread_ms);
-            m_replicas.push_back({replicated_registry(silence, start), start});
+            m_replicas.push_back({replicated_registry(silence, start, timing), start});
             std::set<std::string> others = names;
             others.erase(replica_name(i));
             m_replicas.back().state.set_replicas(std::move(others));
@@ -108,6 +109,19 @@
         m_confirmations_end = m_now + duration::from_ms(max_link_delay_ms);
     }
 
+    /// Loses what @a from sends to @a to from now on, although their link holds, or no longer does.
+    void set_muted(const std::string& from, const std::string& to, bool muted)
+    {
+        if (muted)
+        {
+            m_down.insert({from, to});
+        }
+        else
+        {
+            m_down.erase({from, to});
+        }
+    }
+
     /// Loses the link between two processes, with what is in transit on it.
     void lose_link(const std::string& a, const std::string& b)
     {
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -1,3 +1,5 @@
+#include "registration_play.hpp"
+
 #include <flaxtiller/registration/replicated_registry.hpp>
 
 #include <catch2/catch.hpp>
@@ -155,6 +157,49 @@
                        }));
 }
 
+// Guards against entries whose digest counts as one that lags for longer than the agreed time for leaving
+// backend servers.
+TEST_CASE("an entry that lacks a leaving backend server learns of it within the agreed time",
+          "[registration]")
+{
+    distribution::change_bounds bounds;
+    bounds.drain = duration::from_ms(GENERATE(3000.0, 4000.0));
+    const test::registration_play_size size{3, 6, 60};
+    test::registration_play all(size, 1, digest_timing_within(bounds));
+    all.run_until(at_ms(16000));
+    REQUIRE(all.all_agree());
+    for (const time_point end = all.now() + test::registration_play::report_interval; all.now() < end;
+         all.run_until(all.now() + duration::from_ms(50)))
+    {
+        test::registration_play play = all;
+        play.set_muted("r-0", "e-0", true);
+        play.leave(5);
+        play.run_until(play.now() + duration::from_ms(200));
+        play.set_muted("r-0", "e-0", false);
+        REQUIRE(play.lateness_of(bounds.drain).unknown_pairs > 0);
+        play.run_until_known(bounds.drain * 2.0);
+        const auto late = play.lateness_of(bounds.drain);
+        INFO("worst: " << late.worst.ms() << " ms");
+        CHECK(late.late_pairs == 0);
+    }
+}
+
+TEST_CASE("the times of digests follow from the agreed time for leaving backend servers", "[registration]")
+{
+    distribution::change_bounds bounds;
+    CHECK(digest_timing_within(bounds) == digest_timing{});
+    bounds.drain = duration::from_ms(3000);
+    const digest_timing timing = digest_timing_within(bounds);
+    const duration list_pause = registration_publisher::full_list_interval;
+    // A report just before the lag counts, the next one, and the pause before the list.
+    CHECK(timing.max_lag + test::registration_play::report_interval + list_pause < bounds.drain);
+    CHECK(test::registration_play::report_interval * 2.0 + list_pause < bounds.drain);
+    CHECK(timing.mismatch < test::registration_play::report_interval);
+    CHECK(timing.max_pause < timing.max_lag);
+    bounds.drain = duration::from_ms(3600000);
+    CHECK(digest_timing_within(bounds).max_lag == digest_timing{}.max_lag);
+}
+
 // Guards against receipts that reach a replica before the changes that they stand for.
 TEST_CASE("changes are sent to the other replicas before the receipts of their heartbeats", "[registration]")
 {
