Instances that follow an unreachable replica are told of all that leave

What callers could see: while replicas are cut off from each other, entries that follow another one send requests to leaving backend servers.

Cause: a bound of 64 changes in 500 ms for them dropped what came after, whatever it was. The full list that brings it follows only once the replicas have a link again.

The bound holds for backend servers that are available; what leaves is sent in any case.

Evidence: of 300 that leave at once, 64 were sent before, and all 300 now.

--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -40,8 +40,8 @@
     static constexpr duration full_list_pause_per_item = duration::from_ms(0.2);
     /// The pause between two messages of changes to the followers, per follower.
     static constexpr duration pause_per_follower = duration::from_ms(1.0);
-    /// Instances that follow an unreachable replica receive changes from this one, at this interval and with
-    /// this number of changes at most.
+    /// Instances that follow an unreachable replica receive changes from this one, at this interval: all that
+    /// leave, and this number of others at most.
     static constexpr duration non_follower_interval = duration::from_ms(500);
     static constexpr std::size_t max_items_to_non_followers = 64;
 
@@ -130,6 +130,7 @@
     bool is_follower(const std::string& peer, time_point now) const;
     void send_to_replicas(const receivers& to, time_point now, std::vector<outgoing>& output);
     void send_to_followers(const receivers& to, time_point now, std::vector<outgoing>& output);
+    void add_for_non_followers(const std::vector<registration>& changes, time_point now);
     void send_to_non_followers(const receivers& to, std::vector<outgoing>& output);
     void send_full_list(const std::set<std::string>& reachable, std::size_t known, time_point now,
                         std::vector<outgoing>& output);
@@ -141,6 +142,8 @@
     /// All changes.
     pending_changes m_to_followers;
     std::vector<registration> m_non_follower_changes;
+    /// The number of them that are available backend servers.
+    std::size_t m_non_follower_available = 0;
     time_point m_non_followers_due_at = time_point::never();
     std::set<std::string> m_full_list_pending;
     time_point m_full_list_paused_until{};
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -212,12 +212,7 @@
     const bool replica_unreachable = to.replicas.size() < m_replicas.size();
     if (replica_unreachable)
     {
-        // The digests reveal changes beyond this limit once the replicas have a link again.
-        const std::size_t room =
-            max_items_to_non_followers - std::min(m_non_follower_changes.size(), max_items_to_non_followers);
-        const auto taken = static_cast<std::ptrdiff_t>(std::min(room, changes.size()));
-        m_non_follower_changes.insert(m_non_follower_changes.end(), changes.begin(), changes.begin() + taken);
-        m_non_followers_due_at = std::min(m_non_followers_due_at, now + non_follower_interval);
+        add_for_non_followers(changes, now);
     }
     if (!to.followers.empty())
     {
@@ -225,6 +220,23 @@
     }
 }
 
+/// What is new may wait for the full list, which follows once the replicas have a link again; what leaves may
+/// not.
+void registration_publisher::add_for_non_followers(const std::vector<registration>& changes, time_point now)
+{
+    for (const registration& item : changes)
+    {
+        const bool available = item.state == registration_state::ready;
+        if (available && m_non_follower_available >= max_items_to_non_followers)
+        {
+            continue;
+        }
+        m_non_follower_available += available ? 1 : 0;
+        m_non_follower_changes.push_back(item);
+    }
+    m_non_followers_due_at = std::min(m_non_followers_due_at, now + non_follower_interval);
+}
+
 /// Some of these instances follow a replica that is unreachable from here and can't forward the changes.
 void registration_publisher::send_to_non_followers(const receivers& to, std::vector<outgoing>& output)
 {
@@ -234,6 +246,7 @@
         output.push_back({to.non_followers, false, m_non_follower_changes});
     }
     m_non_follower_changes.clear();
+    m_non_follower_available = 0;
 }
 
 void registration_publisher::send_full_list(const std::set<std::string>& reachable, std::size_t known,
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -200,6 +200,46 @@
     CHECK(digest_timing_within(bounds).max_lag == digest_timing{}.max_lag);
 }
 
+// Guards against entries that follow an unreachable replica and don't learn that many backend servers leave.
+TEST_CASE("instances that follow an unreachable replica are told of all that leave", "[registration]")
+{
+    constexpr int servers = 300;
+    replicated_registry replica = followed_replica(1);
+    replica.on_reachable("e-elsewhere", false, at_ms(0));
+    const auto id_of = [](int number)
+    {
+        return "i-" + std::to_string(number);
+    };
+    replica.on_lost("r-1", at_ms(500));
+    const auto sent_to_non_follower = [&](double from_ms, double to_ms)
+    {
+        std::vector<registration> items;
+        for (double ms = from_ms; ms <= to_ms; ms += 10.0)
+        {
+            replica.tick(false, at_ms(ms));
+            const auto sent = changes_to("e-elsewhere", replica.take_messages());
+            items.insert(items.end(), sent.items.begin(), sent.items.end());
+        }
+        return items;
+    };
+    for (int i = 0; i < servers; ++i)
+    {
+        replica.on_heartbeat(report_of(id_of(i), 1), at_ms(900));
+    }
+    // What is new may wait for the full list.
+    CHECK(sent_to_non_follower(900, 1600).size() <= registration_publisher::max_items_to_non_followers);
+    for (int i = 0; i < servers; ++i)
+    {
+        replica.on_heartbeat(report_of(id_of(i), 2, registration_state::draining), at_ms(2000));
+    }
+    const auto items = sent_to_non_follower(2000, 2600);
+    CHECK(std::count_if(items.begin(), items.end(),
+                        [](const registration& item)
+                        {
+                            return item.state == registration_state::draining;
+                        }) == servers);
+}
+
 // Guards against receipts that reach a replica before the changes that they stand for.
 TEST_CASE("changes are sent to the other replicas before the receipts of their heartbeats", "[registration]")
 {
