What a lost replica reported as leaving is passed on by those that it told

Cause: a replica that is told of a change doesn't pass it on, since the teller told all. If the teller ended, some lack it; the next heartbeat changes nothing at one that has it already, and only an exchange of receipts, up to 3 s later, shows it to the others.

When the link to a replica is lost, each other one now sends the rest what this one reported as unavailable within 4 s.

--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -75,6 +75,9 @@
     /// @param digest the digest of the registry after the changes
     void on_changes(const std::vector<registration>& changes, bool own, std::uint64_t digest, time_point now);
 
+    /// @brief Sends the other replicas registrations that they may lack.
+    void relay_to_replicas(const std::vector<registration>& items, time_point now);
+
     /// @brief Makes the collected changes due without waiting for the end of the batch. For use after the
     /// registrations of the previous run of this process were restored, when no further changes are expected.
     void expedite_changes(time_point now) noexcept
--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -7,9 +7,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -54,6 +57,11 @@
     /// unconfirmed.
     static constexpr duration unconfirmed_exchange_interval = duration::from_ms(500);
 
+    /// When a replica is lost, the others pass on to each other which backend servers it reported as
+    /// unavailable within this time: it may have ended before its report reached all of them. The time covers
+    /// the detection of a silent link.
+    static constexpr duration relay_window = duration::from_ms(4000);
+
     /// @param silence time without a heartbeat after which a backend server counts as lost
     /// @param timing when a peer whose digest differs is sent all registrations
     replicated_registry(duration silence, time_point now, digest_timing timing = {});
@@ -93,7 +101,9 @@
     void on_reachable(const std::string& peer, bool is_replica, time_point now);
 
     /// @brief Handles the loss of the link to a peer.
-    void on_lost(const std::string& peer, time_point now);
+    /// @return the number of registrations of this peer that the other replicas are sent, see @ref
+    /// relay_window
+    std::size_t on_lost(const std::string& peer, time_point now);
 
     /// @brief Sends what is due, reports received heartbeats to the other replicas, and marks backend servers
     /// without heartbeats as lost.
@@ -135,6 +145,9 @@
     void exchange(bool leads, time_point now);
     void restore(time_point now);
     bool is_settled(time_point now) const;
+    void remember_unavailable(const std::string& from, const registration& received, time_point now);
+    /// @return what @a replica reported within @ref relay_window, as it is known now
+    std::vector<registration> take_unavailable(const std::string& replica, time_point now);
 
     duration m_silence;
     duration m_exchange_interval;
@@ -143,6 +156,8 @@
     registration_publisher m_publisher;
     time_point m_exchange_at{};
     std::set<std::string> m_reachable;
+    /// The backend servers that each other replica lately reported as unavailable, with the times.
+    std::map<std::string, std::deque<std::pair<time_point, backend_server_name>>> m_unavailable_by_replica;
     /// The registrations saved by a previous run, until they are restored or discarded.
     std::vector<registration> m_saved;
     std::optional<std::size_t> m_restored_count;
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -100,7 +100,12 @@
 
 void registration_distributor::on_lost(const std::string& peer, time_point now)
 {
-    m_registry.on_lost(peer, now);
+    const std::size_t relayed_count = m_registry.on_lost(peer, now);
+    if (relayed_count > 0)
+    {
+        log(log_level::info, "registrations_relayed", {{"lost", peer}, {"items", relayed_count}});
+    }
+    publish(now);
     m_confirmer.on_lost(peer, now);
 }
 
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -39,6 +39,14 @@
     }
 }
 
+void registration_publisher::relay_to_replicas(const std::vector<registration>& items, time_point now)
+{
+    for (const registration& item : items)
+    {
+        m_to_replicas.add(item, now);
+    }
+}
+
 std::optional<duration> registration_publisher::lag_of(std::uint64_t digest, time_point now) const
 {
     time_point valid_until = now;
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -64,7 +64,11 @@
     bool changed = false;
     for (const registration& received : update.items)
     {
-        changed = m_registry.merge(received, now) || changed;
+        if (m_registry.merge(received, now))
+        {
+            changed = true;
+            remember_unavailable(from, received, now);
+        }
     }
     if (update.settled)
     {
@@ -117,10 +121,48 @@
     }
 }
 
-void replicated_registry::on_lost(const std::string& peer, time_point now)
+std::size_t replicated_registry::on_lost(const std::string& peer, time_point now)
 {
     m_reachable.erase(peer);
     m_publisher.on_lost(peer, now);
+    const std::vector<registration> relayed = take_unavailable(peer, now);
+    m_publisher.relay_to_replicas(relayed, now);
+    send_due(now);
+    return relayed.size();
+}
+
+void replicated_registry::remember_unavailable(const std::string& from, const registration& received,
+                                               time_point now)
+{
+    if (received.state == registration_state::ready)
+    {
+        return;
+    }
+    auto& reported = m_unavailable_by_replica[from];
+    reported.emplace_back(now, received.id);
+    while (now - reported.front().first > relay_window)
+    {
+        reported.pop_front();
+    }
+}
+
+std::vector<registration> replicated_registry::take_unavailable(const std::string& replica, time_point now)
+{
+    std::vector<registration> items;
+    const auto reported = m_unavailable_by_replica.extract(replica);
+    if (reported.empty())
+    {
+        return items;
+    }
+    for (const auto& [at, id] : reported.mapped())
+    {
+        const std::optional<registration> known = m_registry.find(id);
+        if (known && known->state != registration_state::ready && now - at <= relay_window)
+        {
+            items.push_back(*known);
+        }
+    }
+    return items;
 }
 
 void replicated_registry::publish_changes(bool received_here, time_point now)
--- a/tests/src/unit-registration-phases.cpp
+++ b/tests/src/unit-registration-phases.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+#include <string>
+
 using namespace flaxtiller;
 using namespace flaxtiller::test;
 
@@ -10,9 +13,19 @@
 
 /// The agreed time: a backend server that announced to leave receives nothing new after it.
 constexpr duration drain_bound = duration::from_ms(3000);
+/// The time until the other processes notice that a replica ended.
+constexpr duration end_noticed_after = duration::from_ms(1000);
 /// The time until all backend servers are registered and all processes have exchanged their first receipts.
 constexpr time_point settled_at{duration::from_ms(8000)};
 
+/// @return the times that follow from the agreed time
+digest_timing agreed_timing()
+{
+    distribution::change_bounds bounds;
+    bounds.drain = drain_bound;
+    return digest_timing_within(bounds);
+}
+
 struct failures
 {
     int plays = 0;
@@ -80,3 +93,78 @@
         check({6, 495, 690}, 20, 25.0);
     }
 }
+
+// Guards against entries that send requests to leaving backend servers after a link ended around the time of
+// their leaving.
+TEST_CASE("each entry learns in time that backend servers leave, although a link ends meanwhile",
+          "[registration_phases]")
+{
+    const registration_play_size size{6, 24, 240};
+    registration_play all(size, 2, agreed_timing());
+    all.run_until(settled_at);
+    REQUIRE(all.all_agree());
+    constexpr int plays = 200;
+    for (int number = 0; number < plays; ++number)
+    {
+        std::mt19937_64 random(static_cast<std::uint64_t>(number));
+        const auto draw = [&](int low, int high)
+        {
+            return std::uniform_int_distribution<int>(low, high)(random);
+        };
+        all.run_until(all.now() + duration::from_ms(draw(1, 40)));
+        registration_play play = all;
+        const int replica = draw(0, size.replicas - 1);
+        const std::string name = registration_play::replica_name(replica);
+        const bool between_replicas = draw(0, 1) == 1;
+        const std::string peer =
+            between_replicas
+                ? registration_play::replica_name((replica + draw(1, size.replicas - 1)) % size.replicas)
+                : registration_play::entry_name(draw(0, size.entries - 1));
+        const int lost_after_ms = draw(-200, 200);
+        const duration lost_for = duration::from_ms(draw(20, 1500));
+        if (lost_after_ms < 0)
+        {
+            play.lose_link(name, peer);
+            play.run_until(play.now() + duration::from_ms(-lost_after_ms));
+            play.leave(60);
+        }
+        else
+        {
+            play.leave(60);
+            play.run_until(play.now() + duration::from_ms(lost_after_ms));
+            play.lose_link(name, peer);
+        }
+        play.run_until(play.now() + lost_for);
+        play.restore_link(name, peer);
+        play.run_until_known(drain_bound * 2.0);
+        const registration_play::lateness late = play.lateness_of(drain_bound);
+        INFO("play " << number << ": " << name << " to " << peer << ", after " << lost_after_ms << " ms for "
+                     << lost_for.ms() << " ms; worst: " << late.worst.ms() << " ms");
+        CHECK(late.late_pairs == 0);
+    }
+}
+
+// Guards against confirmations of which only a replica knew that ended.
+TEST_CASE("each entry learns in time that backend servers leave, although the replica that confirmed it ends",
+          "[registration_phases]")
+{
+    const registration_play_size size{6, 24, 240};
+    registration_play all(size, 3, agreed_timing());
+    all.run_until(settled_at);
+    REQUIRE(all.all_agree());
+    for (int number = 0; number < 200; ++number)
+    {
+        all.run_until(all.now() + duration::from_ms(17));
+        registration_play play = all;
+        play.leave(60);
+        play.run_until(play.now() + duration::from_ms(number));
+        const int ended = 1 + number % (size.replicas - 1);
+        play.end_replica(ended);
+        play.run_until(play.now() + end_noticed_after);
+        play.notice_end(ended);
+        play.run_until_known(drain_bound * 2.0);
+        const registration_play::lateness late = play.lateness_of(drain_bound);
+        INFO("the replica ends after " << number << " ms; worst: " << late.worst.ms() << " ms");
+        CHECK(late.late_pairs == 0);
+    }
+}
