--- a/tests/src/unit-registration-publisher.cpp
+++ b/tests/src/unit-registration-publisher.cpp
@@ -276,6 +276,25 @@
     CHECK(simulation.full_lists == before + 1);
 }
 
+// Guards against a replica that lacks changes for as long as its digest counts as a recent one.
+TEST_CASE("a replica whose link was lost is sent all with its next digest", "[registration]")
+{
+    const std::string other = "r-0";
+    const std::uint64_t digest_before = 11;
+    const std::uint64_t digest_now = 12;
+    registration_publisher publisher;
+    publisher.set_replicas({other});
+    publisher.on_changes({report_of(0)}, true, digest_before, at_ms(0));
+    publisher.on_changes({report_of(1)}, true, digest_now, at_ms(200));
+    (void)publisher.take({other}, 2, at_ms(300));
+    CHECK_FALSE(publisher.on_digest(other, digest_before, digest_now, at_ms(310)));
+    publisher.on_lost(other, at_ms(320));
+    CHECK(publisher.on_digest(other, digest_before, digest_now, at_ms(330)));
+    const auto messages = publisher.take({other}, 2, at_ms(340));
+    REQUIRE(messages.size() == 1);
+    CHECK(messages[0] == registration_publisher::outgoing{{other}, true, {}});
+}
+
 // Guards against an entry that changes the replica it follows and misses a leaving backend server for
 // seconds.
 TEST_CASE("an instance that begins to follow receives the changes that only followers were told",
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -321,6 +321,14 @@
         known.on_heartbeat_receipts({{backend_server_name("a"), 70, 100}}, now);
         CHECK(known.on_heartbeat(report_a(200, 2, registration_state::draining), now));
     }
+    SECTION("a heartbeat receipt of the previous run is no sign of the new one")
+    {
+        registration previous = report_a(100, 70, registration_state::ready);
+        known.on_heartbeat(report_a(200, 1, registration_state::ready), now);
+        now = now + lost_after;
+        CHECK(known.on_heartbeat_receipts({{previous.id, 70, 100, previous.status_digest()}}, now).empty());
+        CHECK(known.expire(lost_after, now + duration::from_ms(1)));
+    }
     SECTION("processes that know different runs have different digests")
     {
         registry other;
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -226,13 +226,22 @@
     {
         replica.on_heartbeat(report_of(id_of(i), 1), at_ms(900));
     }
-    // What is new may wait for the full list.
-    CHECK(sent_to_non_follower(900, 1600).size() <= registration_publisher::max_items_to_non_followers);
+    double leave_at_ms = 1010;
+    SECTION("what is new may wait for the full list")
+    {
+        CHECK(sent_to_non_follower(900, 1590).size() == registration_publisher::max_items_to_non_followers);
+        leave_at_ms = 1600;
+    }
+    SECTION("also together with what is new")
+    {
+        replica.tick(false, at_ms(1000));
+        CHECK(changes_to("e-elsewhere", replica.take_messages()).items.empty());
+    }
     for (int i = 0; i < servers; ++i)
     {
-        replica.on_heartbeat(report_of(id_of(i), 2, registration_state::draining), at_ms(2000));
+        replica.on_heartbeat(report_of(id_of(i), 2, registration_state::draining), at_ms(leave_at_ms));
     }
-    const auto items = sent_to_non_follower(2000, 2600);
+    const auto items = sent_to_non_follower(leave_at_ms, leave_at_ms + 600);
     CHECK(std::count_if(items.begin(), items.end(),
                         [](const registration& item)
                         {
