One place for the interval of exchanges; the tests' reports and the play of registrations say only what is used

The interval while restored backend servers are unconfirmed stood twice. No change of behaviour, but for a replica that restored nothing, which exchanges at the usual interval from its start on.

--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -144,12 +144,14 @@
     void send_due(time_point now);
     void exchange(bool leads, time_point now);
     void restore(time_point now);
+    duration exchange_interval() const;
     bool is_settled(time_point now) const;
     void remember_unavailable(const std::string& from, const registration& received, time_point now);
     /// @return what @a replica reported within @ref relay_window, as it is known now
     std::vector<registration> take_unavailable(const std::string& replica, time_point now);
 
     duration m_silence;
+    /// The interval of exchanges while no restored backend server is unconfirmed.
     duration m_exchange_interval;
     time_point m_started_at;
     registry m_registry;
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -36,7 +36,7 @@
 void replicated_registry::restore(time_point now)
 {
     m_restored_count = m_registry.restore(std::exchange(m_saved, {}), now);
-    m_exchange_at = now + std::min(unconfirmed_exchange_interval, m_exchange_interval);
+    m_exchange_at = now + exchange_interval();
     publish_changes(true, now);
     m_publisher.expedite_changes(now);
     send_due(now);
@@ -191,6 +191,12 @@
     }
 }
 
+duration replicated_registry::exchange_interval() const
+{
+    return m_registry.has_unconfirmed() ? std::min(unconfirmed_exchange_interval, m_exchange_interval)
+                                        : m_exchange_interval;
+}
+
 bool replicated_registry::is_settled(time_point now) const
 {
     return now - m_started_at > m_silence;
@@ -215,9 +221,7 @@
 
 void replicated_registry::exchange(bool leads, time_point now)
 {
-    m_exchange_at =
-        now + (m_registry.has_unconfirmed() ? std::min(unconfirmed_exchange_interval, m_exchange_interval)
-                                            : m_exchange_interval);
+    m_exchange_at = now + exchange_interval();
     m_publisher.expedite_changes_to_replicas(now);
     send_due(now);
     const std::vector<std::string> others(m_publisher.replicas().begin(), m_publisher.replicas().end());
--- a/tests/src/registration_play.hpp
+++ b/tests/src/registration_play.hpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -91,8 +90,8 @@
     /// Runs until each entry knows of each confirmed backend server that leaves, but at most for @a limit.
     void run_until_known(duration limit)
     {
-        for (const time_point end = m_now + limit;
-             m_now < end && (m_now < m_confirmations_end || lateness_of(limit).unknown_pairs > 0);)
+        const time_point end = m_now + limit;
+        while (m_now < end && (m_now < m_confirmations_end || lateness_of(limit).unknown_pairs > 0))
         {
             run_until(m_now + duration::from_ms(20));
         }
@@ -192,26 +191,15 @@
 
     /// @param bound what counts as late, from the confirmation or the time at which the last lost link was
     /// restored
-    /// @param counts whether an entry counts
-    lateness lateness_of(
-        duration bound, const std::function<bool(int)>& counts =
-                            [](int)
-                        {
-                            return true;
-                        }) const
+    lateness lateness_of(duration bound) const
     {
         lateness found;
-        for (int i = 0; i < m_size.entries; ++i)
+        for (const entry& item : m_entries)
         {
-            if (!counts(i))
-            {
-                continue;
-            }
-            const auto& learned_at = m_entries[static_cast<std::size_t>(i)].learned_at;
             for (const auto& [id, confirmed_at] : m_confirmed_at)
             {
-                const auto learned = learned_at.find(id);
-                const bool known = learned != learned_at.end();
+                const auto learned = item.learned_at.find(id);
+                const bool known = learned != item.learned_at.end();
                 const duration took =
                     (known ? learned->second : m_now) - std::max(confirmed_at, m_links_whole_since);
                 found.worst = std::max(found.worst, took);
@@ -238,12 +226,6 @@
                            });
     }
 
-    /// @return the time at which the replica exchanges receipts next
-    time_point next_exchange_of(int number) const
-    {
-        return m_replicas[static_cast<std::size_t>(number)].state.next_exchange_at();
-    }
-
     static std::string replica_name(int number)
     {
         return "r-" + std::to_string(number);
@@ -254,10 +236,6 @@
         return "e-" + std::to_string(number);
     }
 
-    /// The number of registrations in messages to entries and to replicas so far.
-    std::size_t items_sent = 0;
-    std::size_t full_lists_sent = 0;
-
   private:
     struct replica
     {
@@ -281,7 +259,7 @@
         registration_state state = registration_state::ready;
     };
 
-    /// A heartbeat that is on its way.
+    /// What is on its way; a registration by itself is a heartbeat.
     using content_type =
         std::variant<registration_update, registration_heard, registration_digest, registration>;
 
@@ -398,12 +376,6 @@
         {
             for (const std::string& to : message.to)
             {
-                if (const auto* update = std::get_if<registration_update>(&message.content))
-                {
-                    items_sent += update->items.size();
-                    full_lists_sent +=
-                        update->items.size() >= static_cast<std::size_t>(m_size.servers) ? 1 : 0;
-                }
                 std::visit(
                     [&](const auto& content)
                     {
--- a/tests/src/unit-registration.cpp
+++ b/tests/src/unit-registration.cpp
@@ -1,3 +1,5 @@
+#include "registration_reports.hpp"
+
 #include <flaxtiller/registration/registry.hpp>
 
 #include <catch2/catch.hpp>
@@ -5,22 +7,11 @@
 #include <algorithm>
 
 using namespace flaxtiller;
+using test::report_of;
 
 namespace
 {
 
-registration report_of(const std::string& id, std::int64_t sequence,
-                       registration_state state = registration_state::ready)
-{
-    registration report;
-    report.id = backend_server_name(id);
-    report.service = service_name("s");
-    report.address = "10.0.0.1:80";
-    report.state = state;
-    report.sequence = sequence;
-    return report;
-}
-
 constexpr duration lost_after = duration::from_ms(8000);
 
 } // namespace
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -1,4 +1,5 @@
 #include "registration_play.hpp"
+#include "registration_reports.hpp"
 
 #include <flaxtiller/registration/replicated_registry.hpp>
 
@@ -9,6 +10,7 @@
 #include <variant>
 
 using namespace flaxtiller;
+using test::report_of;
 
 namespace
 {
@@ -20,18 +22,6 @@
     return time_point(duration::from_ms(ms));
 }
 
-registration report_of(const std::string& id, std::int64_t sequence,
-                       registration_state state = registration_state::ready)
-{
-    registration report;
-    report.id = backend_server_name(id);
-    report.service = service_name("s");
-    report.address = "10.0.0.1:80";
-    report.state = state;
-    report.sequence = sequence;
-    return report;
-}
-
 /// @return the changes in @a messages that @a peer is sent, and whether receipts precede them
 struct sent_changes
 {
