--- a/tests/src/unit-registration-phases.cpp
+++ b/tests/src/unit-registration-phases.cpp
@@ -58,8 +58,7 @@
 
 } // namespace
 
-// Guards against entries that send requests to leaving backend servers, as their leaving came just before an
-// exchange.
+// Guards against requests to backend servers that left just before an exchange of receipts.
 TEST_CASE("each entry learns in time that backend servers leave, at whatever moment they say so",
           "[registration_phases]")
 {
@@ -94,8 +93,7 @@
     }
 }
 
-// Guards against entries that send requests to leaving backend servers after a link ended around the time of
-// their leaving.
+// Guards against requests to backend servers whose leaving was lost with a link.
 TEST_CASE("each entry learns in time that backend servers leave, although a link ends meanwhile",
           "[registration_phases]")
 {
--- a/tests/src/unit-replicated-registry.cpp
+++ b/tests/src/unit-replicated-registry.cpp
@@ -65,8 +65,7 @@
 
 } // namespace
 
-// Guards against a replica that ends with leaving backend servers of which only it knows, although it
-// confirmed them.
+// Guards against a replica that ends with confirmed changes of which only it knows.
 TEST_CASE("the other replicas are sent what was confirmed to a leaving backend server at once",
           "[registration]")
 {
@@ -99,8 +98,7 @@
     }
 }
 
-// Guards against a replica that keeps the old state of a backend server for as long as its digest isn't
-// compared.
+// Guards against a replica that keeps an old state until its digest is compared.
 TEST_CASE("a replica that missed a change gets it with the next exchange of receipts", "[registration]")
 {
     const registration_state reported = GENERATE(registration_state::draining, registration_state::ready);
@@ -147,8 +145,7 @@
                        }));
 }
 
-// Guards against entries whose digest counts as one that lags for longer than the agreed time for leaving
-// backend servers.
+// Guards against entries that count as lagging for longer than the agreed time.
 TEST_CASE("an entry that lacks a leaving backend server learns of it within the agreed time",
           "[registration]")
 {
