--- a/include/flaxtiller/registration/pending_changes.hpp
+++ b/include/flaxtiller/registration/pending_changes.hpp
@@ -15,6 +15,8 @@
     /// Backend servers that become ready within this time share a message. One that is leaving or left is
     /// reported immediately.
     static constexpr duration batch_window = duration::from_ms(100);
+
+    /// @brief Adds a change, which is due by the rule of @ref batch_window.
     void add(const registration& change, time_point now);
 
     /// @brief Makes the changes due without waiting for the end of the batch.
--- a/include/flaxtiller/registration/registration.hpp
+++ b/include/flaxtiller/registration/registration.hpp
@@ -57,6 +57,12 @@
         return state == registration_state::ready || state == registration_state::draining;
     }
 
+    /// @return whether the backend server may receive new work
+    bool is_available() const noexcept
+    {
+        return state == registration_state::ready;
+    }
+
     /// @return whether this report takes precedence over @a known, by rules under which all processes end
     /// with the same one of any reports, in whatever order they arrive. A later run takes precedence; in a
     /// run, `gone` is final, and else the greater sequence counts. The sequence of a loss is made up, one
--- a/include/flaxtiller/registration/registration_messages.hpp
+++ b/include/flaxtiller/registration/registration_messages.hpp
@@ -53,7 +53,6 @@
 void from_json(const nlohmann::json& j, registration_update& value);
 void to_json(nlohmann::json& j, const registration_heard& value);
 void from_json(const nlohmann::json& j, registration_heard& value);
-void to_json(nlohmann::json& j, const registration_digest& value);
-void from_json(const nlohmann::json& j, registration_digest& value);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(registration_digest, digest)
 
 } // namespace flaxtiller
--- a/include/flaxtiller/registration/registration_publisher.hpp
+++ b/include/flaxtiller/registration/registration_publisher.hpp
@@ -5,7 +5,6 @@
 #include <flaxtiller/registration/pending_changes.hpp>
 #include <flaxtiller/registration/registration.hpp>
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -32,8 +31,6 @@
 class registration_publisher
 {
   public:
-    /// Backend servers that become ready within this time share a message.
-    static constexpr duration batch_window = pending_changes::batch_window;
     /// The minimum pause between two full lists, and the pause per list item. The pause grows with the list,
     /// so that sending lists takes a small part of the time.
     static constexpr duration full_list_interval = duration::from_ms(250);
@@ -114,9 +111,8 @@
     std::vector<outgoing> take(const std::set<std::string>& reachable, std::size_t known, time_point now);
 
   private:
-    struct receivers
+    struct instances
     {
-        std::vector<std::string> replicas;
         std::vector<std::string> followers;
         std::vector<std::string> non_followers;
     };
@@ -124,17 +120,22 @@
     bool is_full_list_due(time_point now) const noexcept;
     bool are_non_followers_due(time_point now) const noexcept;
     time_point last_change_at() const noexcept;
-    receivers sort(const std::set<std::string>& reachable, time_point now) const;
+    std::vector<std::string> reachable_replicas(const std::set<std::string>& reachable) const;
+    instances sort_instances(const std::set<std::string>& reachable, time_point now) const;
     /// @return for how long the registry has had another digest than this earlier one of it; nothing if it
     /// never had it, or long ago
     /// @complexity O(digests of the last seconds)
     std::optional<duration> lag_of(std::uint64_t digest, time_point now) const;
     /// @return whether changes are sent to the instance, which reported its digest lately
     bool is_follower(const std::string& peer, time_point now) const;
-    void send_to_replicas(const receivers& to, time_point now, std::vector<outgoing>& output);
-    void send_to_followers(const receivers& to, time_point now, std::vector<outgoing>& output);
+    void send_to_replicas(const std::vector<std::string>& replicas, time_point now,
+                          std::vector<outgoing>& output);
+    void send_to_instances(const instances& to, bool replica_unreachable, time_point now,
+                           std::vector<outgoing>& output);
+    void send_to_followers(const instances& to, bool replica_unreachable, time_point now,
+                           std::vector<outgoing>& output);
     void add_for_non_followers(const std::vector<registration>& changes, time_point now);
-    void send_to_non_followers(const receivers& to, std::vector<outgoing>& output);
+    void send_to_non_followers(const instances& to, std::vector<outgoing>& output);
     void send_full_list(const std::set<std::string>& reachable, std::size_t known, time_point now,
                         std::vector<outgoing>& output);
 
--- a/include/flaxtiller/registration/registry.hpp
+++ b/include/flaxtiller/registration/registry.hpp
@@ -125,9 +125,6 @@
         return m_refused_count;
     }
 
-    /// @return the time since the last report on a backend server was accepted; nothing if it is unknown
-    std::optional<duration> age_of(const backend_server_name& id, time_point now) const;
-
     /// @return a receipt for each backend server that sent a heartbeat to this process since the last call
     std::vector<heartbeat_receipt> take_heartbeat_receipts();
 
--- a/include/flaxtiller/registration/replicated_registry.hpp
+++ b/include/flaxtiller/registration/replicated_registry.hpp
@@ -41,6 +41,17 @@
         bool operator==(const outgoing&) const = default;
     };
 
+    /// @brief What an update of another replica led to.
+    struct update_outcome
+    {
+        /// Whether a registration changed here.
+        bool changed = false;
+        /// The number of registrations that the sender had missed, and is sent.
+        std::size_t missed_by_sender = 0;
+
+        bool operator==(const update_outcome&) const = default;
+    };
+
     /// The longest interval at which replicas exchange received heartbeats.
     static constexpr duration max_exchange_interval = duration::from_ms(3000);
     /// The same as a fraction of the time without a heartbeat after which a backend server counts as lost: a
@@ -82,8 +93,7 @@
     void on_leave(const backend_server_name& id, std::int64_t born_ms, time_point now);
 
     /// @brief Handles registrations that another control replica sent.
-    /// @return the number of registrations that the sender had missed, and is sent
-    std::size_t on_update(const std::string& from, const registration_update& update, time_point now);
+    update_outcome on_update(const std::string& from, const registration_update& update, time_point now);
 
     /// @brief Handles receipts of heartbeats that another control replica received.
     /// @return the number of registrations that are outdated here, and that the sender is asked for
@@ -146,6 +156,8 @@
     void restore(time_point now);
     duration exchange_interval() const;
     bool is_settled(time_point now) const;
+    /// @return the number of @a items, which are sent unless there are none
+    std::size_t send_items(const std::string& peer, std::vector<registration> items);
     void remember_unavailable(const std::string& from, const registration& received, time_point now);
     /// @return what @a replica reported within @ref relay_window, as it is known now
     std::vector<registration> take_unavailable(const std::string& replica, time_point now);
--- a/src/control/registration_distributor.cpp
+++ b/src/control/registration_distributor.cpp
@@ -58,12 +58,17 @@
 void registration_distributor::on_update(const std::string& from, const registration_update& update,
                                          time_point now)
 {
-    const std::size_t missed_count = m_registry.on_update(from, update, now);
+    const replicated_registry::update_outcome outcome = m_registry.on_update(from, update, now);
+    if (outcome.changed)
+    {
+        log(log_level::debug, "registrations_merged", {{"from", from}, {"items", update.items.size()}});
+    }
     log_refused(from, now);
     publish(now);
-    if (missed_count > 0)
+    if (outcome.missed_by_sender > 0)
     {
-        log(log_level::info, "missed_registrations_sent", {{"to", from}, {"items", missed_count}});
+        log(log_level::info, "missed_registrations_sent",
+            {{"to", from}, {"items", outcome.missed_by_sender}});
     }
     if (update.confirm)
     {
@@ -141,7 +146,7 @@
             {{"backend_server", item.id.str()},
              {"service", item.service.str()},
              {"address", item.address},
-             {"state", nlohmann::json(item.state).get<std::string>()},
+             {"state", name_of(item.state)},
              {"sequence", item.sequence},
              {"born_ms", item.born_ms},
              {"warmup_ms", item.warmup_left.ms()}});
--- a/src/entry/routing_frontend.hpp
+++ b/src/entry/routing_frontend.hpp
@@ -178,7 +178,6 @@
     void execute_actions();
     void execute(const delegate_shards& action);
     void execute(const abandon_delegation& action);
-    double known_for_ms(const backend_server_name& server, time_point at) const;
     void execute(const start_routed_attempt& action);
     void execute(const cancel_routed_attempt& action);
     void execute(const answer_request& action);
@@ -197,6 +196,9 @@
     void log_unknown(const caller& from, const routed_outcome& outcome) const;
     nlohmann::json dump_state() const;
 
+    /// @return how old the knowledge of a backend server was at a time; -1 if it isn't registered
+    double known_for_ms(const backend_server_name& server, time_point at) const;
+
     metrics& m_metrics;
     const registration_times& m_registered_at;
     const std::size_t m_most_connections;
--- a/src/entry/routing_frontend_actions.cpp
+++ b/src/entry/routing_frontend_actions.cpp
@@ -208,7 +208,6 @@
     m_report_to_witnesses(action.report, m_rate_limit_coordinator);
 }
 
-/// @return how old the knowledge of a backend server was at a time; -1 if it isn't registered
 double routing_frontend::known_for_ms(const backend_server_name& server, time_point at) const
 {
     const std::optional<duration> age = m_registered_at.age_of(server, at);
--- a/src/process/registration_lines.cpp
+++ b/src/process/registration_lines.cpp
@@ -16,13 +16,13 @@
 /// The number of names in one line. Each takes some twenty bytes.
 constexpr std::size_t max_names = 256;
 
+} // namespace
+
 std::string name_of(registration_state state)
 {
     return nlohmann::json(state).get<std::string>();
 }
 
-} // namespace
-
 void log_refused_reports(const std::vector<refused_report>& refused, const std::string& from)
 {
     for (const refused_report& item : refused)
@@ -42,7 +42,7 @@
     std::vector<std::string_view> names;
     for (const registration& item : changes)
     {
-        if (item.state != registration_state::ready && names.size() < max_names)
+        if (!item.is_available() && names.size() < max_names)
         {
             names.emplace_back(item.id.str());
         }
--- a/src/process/registration_lines.hpp
+++ b/src/process/registration_lines.hpp
@@ -9,6 +9,9 @@
 namespace flaxtiller::shell
 {
 
+/// @return the name of a state, as lines and messages state it
+std::string name_of(registration_state state);
+
 /// @brief Logs reports on backend servers that were refused as not newer: what is known, and what was
 /// refused.
 /// @param from the process that sent them
--- a/src/registration/pending_changes.cpp
+++ b/src/registration/pending_changes.cpp
@@ -8,8 +8,7 @@
 
 void pending_changes::add(const registration& change, time_point now)
 {
-    const bool available = change.state == registration_state::ready;
-    m_due_at = std::min(m_due_at, available ? now + batch_window : now);
+    m_due_at = std::min(m_due_at, change.is_available() ? now + batch_window : now);
     m_changes.push_back(change);
 }
 
--- a/src/registration/registration.cpp
+++ b/src/registration/registration.cpp
@@ -98,7 +98,7 @@
     server.slots = value.slots;
     server.connection_limit =
         declared.connection_limit > 0 ? declared.connection_limit : unlimited_connections;
-    server.leaving = value.state != registration_state::ready;
+    server.leaving = !value.is_available();
     server.born_ms = value.born_ms;
     return server;
 }
--- a/src/registration/registration_messages.cpp
+++ b/src/registration/registration_messages.cpp
@@ -40,14 +40,4 @@
     value.saved = j.value("saved", std::vector<deregistration_number>{});
 }
 
-void to_json(nlohmann::json& j, const registration_digest& value)
-{
-    j = {{"digest", value.digest}};
-}
-
-void from_json(const nlohmann::json& j, registration_digest& value)
-{
-    value.digest = j.at("digest").get<std::uint64_t>();
-}
-
 } // namespace flaxtiller
--- a/src/registration/registration_publisher.cpp
+++ b/src/registration/registration_publisher.cpp
@@ -155,24 +155,17 @@
     return m_digests.empty() ? time_point{} : m_digests.back().first;
 }
 
-registration_publisher::receivers registration_publisher::sort(const std::set<std::string>& reachable,
-                                                               time_point now) const
+registration_publisher::instances
+registration_publisher::sort_instances(const std::set<std::string>& reachable, time_point now) const
 {
-    receivers sorted;
+    instances sorted;
     for (const std::string& peer : reachable)
     {
         if (m_replicas.count(peer) > 0)
         {
-            sorted.replicas.push_back(peer);
-        }
-        else if (is_follower(peer, now))
-        {
-            sorted.followers.push_back(peer);
-        }
-        else
-        {
-            sorted.non_followers.push_back(peer);
+            continue;
         }
+        (is_follower(peer, now) ? sorted.followers : sorted.non_followers).push_back(peer);
     }
     return sorted;
 }
@@ -181,18 +174,15 @@
 registration_publisher::take(const std::set<std::string>& reachable, std::size_t known, time_point now)
 {
     std::vector<outgoing> messages;
-    const receivers to = sort(reachable, now);
+    // Replicas are told of each backend server that leaves, so that this doesn't look at the instances.
+    const std::vector<std::string> replicas = reachable_replicas(reachable);
     if (m_to_replicas.is_due(now))
     {
-        send_to_replicas(to, now, messages);
+        send_to_replicas(replicas, now, messages);
     }
-    if (m_to_followers.is_due(now))
+    if (m_to_followers.is_due(now) || are_non_followers_due(now))
     {
-        send_to_followers(to, now, messages);
-    }
-    if (are_non_followers_due(now))
-    {
-        send_to_non_followers(to, messages);
+        send_to_instances(sort_instances(reachable, now), replicas.size() < m_replicas.size(), now, messages);
     }
     if (is_full_list_due(now))
     {
@@ -201,23 +191,49 @@
     return messages;
 }
 
-void registration_publisher::send_to_replicas(const receivers& to, time_point now,
+std::vector<std::string>
+registration_publisher::reachable_replicas(const std::set<std::string>& reachable) const
+{
+    std::vector<std::string> replicas;
+    for (const std::string& replica : m_replicas)
+    {
+        if (reachable.count(replica) > 0)
+        {
+            replicas.push_back(replica);
+        }
+    }
+    return replicas;
+}
+
+void registration_publisher::send_to_replicas(const std::vector<std::string>& replicas, time_point now,
                                               std::vector<outgoing>& output)
 {
     std::vector<registration> changes = m_to_replicas.take(duration{}, now);
-    if (!to.replicas.empty())
+    if (!replicas.empty())
+    {
+        output.push_back({replicas, false, std::move(changes)});
+    }
+}
+
+void registration_publisher::send_to_instances(const instances& to, bool replica_unreachable, time_point now,
+                                               std::vector<outgoing>& output)
+{
+    if (m_to_followers.is_due(now))
+    {
+        send_to_followers(to, replica_unreachable, now, output);
+    }
+    if (are_non_followers_due(now))
     {
-        output.push_back({to.replicas, false, std::move(changes)});
+        send_to_non_followers(to, output);
     }
 }
 
-void registration_publisher::send_to_followers(const receivers& to, time_point now,
+void registration_publisher::send_to_followers(const instances& to, bool replica_unreachable, time_point now,
                                                std::vector<outgoing>& output)
 {
     const duration pause =
         std::min(pause_per_follower * static_cast<double>(to.followers.size()), m_timing.max_pause);
     std::vector<registration> changes = m_to_followers.take(pause, now);
-    const bool replica_unreachable = to.replicas.size() < m_replicas.size();
     if (replica_unreachable)
     {
         add_for_non_followers(changes, now);
@@ -234,7 +250,7 @@
 {
     for (const registration& item : changes)
     {
-        const bool available = item.state == registration_state::ready;
+        const bool available = item.is_available();
         if (available && m_non_follower_available >= max_items_to_non_followers)
         {
             continue;
@@ -246,7 +262,7 @@
 }
 
 /// Some of these instances follow a replica that is unreachable from here and can't forward the changes.
-void registration_publisher::send_to_non_followers(const receivers& to, std::vector<outgoing>& output)
+void registration_publisher::send_to_non_followers(const instances& to, std::vector<outgoing>& output)
 {
     m_non_followers_due_at = time_point::never();
     if (!m_non_follower_changes.empty() && !to.non_followers.empty())
--- a/src/registration/registry.cpp
+++ b/src/registration/registry.cpp
@@ -298,12 +298,6 @@
     return std::exchange(m_refused, {});
 }
 
-std::optional<duration> registry::age_of(const backend_server_name& id, time_point now) const
-{
-    const auto found = m_servers.find(id);
-    return found == m_servers.end() ? std::nullopt : std::optional(now - found->second.last_heartbeat_at);
-}
-
 std::vector<heartbeat_receipt> registry::take_heartbeat_receipts()
 {
     std::vector<heartbeat_receipt> receipts;
--- a/src/registration/replicated_registry.cpp
+++ b/src/registration/replicated_registry.cpp
@@ -58,8 +58,8 @@
     }
 }
 
-std::size_t replicated_registry::on_update(const std::string& from, const registration_update& update,
-                                           time_point now)
+replicated_registry::update_outcome
+replicated_registry::on_update(const std::string& from, const registration_update& update, time_point now)
 {
     bool changed = false;
     for (const registration& received : update.items)
@@ -83,27 +83,25 @@
     {
         publish_changes(false, now);
     }
-    std::vector<registration> missed = m_registry.missed_among(update.items, now);
-    const std::size_t missed_count = missed.size();
-    if (missed_count > 0)
+    return {changed, send_items(from, m_registry.missed_among(update.items, now))};
+}
+
+std::size_t replicated_registry::send_items(const std::string& peer, std::vector<registration> items)
+{
+    const std::size_t count = items.size();
+    if (count > 0)
     {
-        m_messages.push_back({{from}, registration_update{false, std::move(missed), false, std::nullopt}});
+        m_messages.push_back({{peer}, registration_update{false, std::move(items), false, std::nullopt}});
     }
-    return missed_count;
+    return count;
 }
 
 std::size_t replicated_registry::on_heartbeat_receipts(const std::string& from,
                                                        const std::vector<heartbeat_receipt>& receipts,
                                                        time_point now)
 {
-    // The sender answers what it is told of an older status with the one that it knows.
-    std::vector<registration> outdated = m_registry.on_heartbeat_receipts(receipts, now);
-    const std::size_t outdated_count = outdated.size();
-    if (outdated_count > 0)
-    {
-        m_messages.push_back({{from}, registration_update{false, std::move(outdated), false, std::nullopt}});
-    }
-    return outdated_count;
+    // On an outdated registration, the sender of the receipts replies with its own: see on_update.
+    return send_items(from, m_registry.on_heartbeat_receipts(receipts, now));
 }
 
 bool replicated_registry::on_digest(const std::string& from, std::uint64_t digest, time_point now)
@@ -134,7 +132,7 @@
 void replicated_registry::remember_unavailable(const std::string& from, const registration& received,
                                                time_point now)
 {
-    if (received.state == registration_state::ready)
+    if (received.is_available())
     {
         return;
     }
@@ -157,7 +155,7 @@
     for (const auto& [at, id] : reported.mapped())
     {
         const std::optional<registration> known = m_registry.find(id);
-        if (known && known->state != registration_state::ready && now - at <= relay_window)
+        if (known && !known->is_available() && now - at <= relay_window)
         {
             items.push_back(*known);
         }
--- a/tests/src/registration_play.hpp
+++ b/tests/src/registration_play.hpp
@@ -27,8 +27,8 @@
 };
 
 /// @brief Control replicas, the entries that follow them, and backend servers that send heartbeats, in
-/// virtual time. Messages of a link arrive in their order, after the delay of the link. A copy goes on by
-/// itself.
+/// virtual time. Messages of a link arrive in their order, after the one-way latency of the link. A copy
+/// simulates the same processes from the same time on, without an effect on the original.
 class registration_play
 {
   public:
--- a/tests/src/unit-registration-phases.cpp
+++ b/tests/src/unit-registration-phases.cpp
@@ -26,6 +26,15 @@
     return digest_timing_within(bounds);
 }
 
+/// @return a play in which all processes agree on the backend servers
+registration_play settled_play(registration_play_size size, std::uint64_t seed, digest_timing timing = {})
+{
+    registration_play play(size, seed, timing);
+    play.run_until(settled_at);
+    REQUIRE(play.all_agree());
+    return play;
+}
+
 struct failures
 {
     int plays = 0;
@@ -37,9 +46,7 @@
 /// Has @a leaving backend servers leave at each moment of one interval between two exchanges of receipts.
 failures leave_at_each_phase(registration_play_size size, int leaving, duration step, std::uint64_t seed)
 {
-    registration_play all(size, seed);
-    all.run_until(settled_at);
-    REQUIRE(all.all_agree());
+    registration_play all = settled_play(size, seed);
     failures found;
     for (const time_point end = all.now() + replicated_registry::max_exchange_interval; all.now() < end;
          all.run_until(all.now() + step))
@@ -98,9 +105,7 @@
           "[registration_phases]")
 {
     const registration_play_size size{6, 24, 240};
-    registration_play all(size, 2, agreed_timing());
-    all.run_until(settled_at);
-    REQUIRE(all.all_agree());
+    registration_play all = settled_play(size, 2, agreed_timing());
     constexpr int plays = 200;
     for (int number = 0; number < plays; ++number)
     {
@@ -147,9 +152,7 @@
           "[registration_phases]")
 {
     const registration_play_size size{6, 24, 240};
-    registration_play all(size, 3, agreed_timing());
-    all.run_until(settled_at);
-    REQUIRE(all.all_agree());
+    registration_play all = settled_play(size, 3, agreed_timing());
     for (int number = 0; number < 200; ++number)
     {
         all.run_until(all.now() + duration::from_ms(17));
--- a/tests/src/unit-registration-publisher.cpp
+++ b/tests/src/unit-registration-publisher.cpp
@@ -266,7 +266,7 @@
     const std::size_t before = simulation.full_lists;
 
     simulation.receive_heartbeats(50, 52);
-    simulation.run(registration_publisher::batch_window + tick);
+    simulation.run(pending_changes::batch_window + tick);
     simulation.break_link("e-3");
     simulation.run(digest_interval + latency * 2.0);
     CHECK(simulation.all_agree());
